--- /dev/null
+++ b/include/radishflow/Support/lock_rank.h
@@ -0,0 +1,20 @@
+// Declares the order in which locks may be taken; docs/design/concurrency.md explains it.
+#pragma once
+
+namespace radishflow {
+
+/// A thread may only take a lock of a higher rank than each one that it holds.
+enum class lock_rank : int {
+    Configuration = 10,
+    Membership = 20,
+    Ownership = 30,
+    Admission = 40,
+    Placement = 50,
+    Orders = 60,
+    Streams = 70,
+    OneStream = 80,
+    Connections = 90,
+    Statistics = 100,
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/thrift/peer.thrift
@@ -0,0 +1,65 @@
+// Messages between the daemons of one fleet.
+namespace cpp radishflow.wire
+
+// What is known about whether a request ran.
+enum Execution {
+  NotRun = 1,
+  Unknown = 2,
+  Done = 3
+}
+
+// Why a daemon did not take a request.
+struct Refusal {
+  1: i32 status            // HTTP status for the caller
+  2: string title
+  3: string detail
+  4: Execution execution
+  5: i32 retryAfterMs      // when to come back; 0 when another server may be tried at once
+  6: bool tryNextServer    // the entry may try the next server in rank
+}
+
+// One attempt at one request, from an entry to the owner of a backend server.
+struct SubmitRequest {
+  1: string requestId
+  2: string attemptId      // unique; an owner runs an attempt at most once
+  3: string serviceId
+  4: string serverId
+  5: string workspaceId
+  6: string chatId
+  7: string method
+  8: string path
+  9: string contentType
+  10: binary body
+  11: i32 priority         // RFC 9218 urgency, 0 first to 7 last
+  12: i32 deadlineMs       // time left to the caller's deadline
+  13: string idempotencyKey
+  14: i64 configVersion
+  15: bool streaming
+  16: i32 rank             // place of the server in the chat's rank; 0 is the first
+  17: i64 fingerprint      // hash of workspace, service and body
+}
+
+struct SubmitReply {
+  1: bool accepted
+  2: string streamId
+  3: optional Refusal refusal
+  4: i64 term              // the owner's term for this server
+}
+
+// A part of an answer; offsets count the bytes of the answer's body.
+struct ReadReply {
+  1: binary data
+  2: i64 offset
+  3: bool finished         // no byte follows the end of data
+  4: bool broken           // the answer ended short and will not continue
+  5: i32 status            // HTTP status, known once a first part is there; 0 before
+  6: string contentType
+  7: optional Refusal refusal
+}
+
+service Peer {
+  SubmitReply submit(1: SubmitRequest request)
+  // Waits up to waitMs for bytes at the offset; bytes before the offset are freed.
+  ReadReply read(1: string streamId, 2: i64 offset, 3: i32 waitMs, 4: i32 maxBytes)
+  void cancel(1: string streamId)
+}
