--- a/cmake/RadishflowTargets.cmake
+++ b/cmake/RadishflowTargets.cmake
@@ -1,7 +1,8 @@
 # Helpers that declare libraries, programs and tests with the project's warnings and include paths.
 
-# GCC 12 also warns of fields that designated initialisers leave at their defaults, which is what they are for.
-set(RADISHFLOW_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers -Werror)
+# GCC 12 also warns of fields that designated initialisers leave at their defaults, which is what they are for;
+# clang, which the linter runs, warns of the statement expressions in the macros of Boost.LEAF.
+set(RADISHFLOW_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers -Wno-gnu-statement-expression -Werror)
 
 # radishflow_add_library(Terms SOURCES a.cpp LINKS radishflow::Support)
 # A library lists each lower layer that it links; a lower layer never links a higher one.
--- /dev/null
+++ b/include/radishflow/Daemon/answer_route.h
@@ -0,0 +1,56 @@
+// Declares answer_route, the walk of one request over the servers in its rank.
+#pragma once
+
+#include "radishflow/Daemon/known_server.h"
+#include "radishflow/Daemon/owner_link.h"
+#include "radishflow/Requests/answer_part.h"
+#include "radishflow/Requests/request_submission.h"
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishflow {
+
+/// Tries the servers in rank until one answers. Used by one thread.
+///
+/// A call that may not be repeated moves on only from a server that has said that nothing was run.
+class answer_route {
+public:
+    answer_route(owner_link&, request_submission prototype, std::vector<known_server> rank, bool isRepeatable);
+
+    /// Hands the request to the first server that takes it. Returns the reason when none does.
+    std::optional<refusal> start();
+
+    /// Reads on; as long as no byte was given out, a failed server is followed by the next.
+    answer_part read(std::uint64_t offset, std::chrono::milliseconds wait);
+
+    void cancel();
+
+    /// The server that has the request; valid after start.
+    const server_id& server() const { return m_rank[m_next - 1].id; }
+
+    /// Attempts that were made.
+    std::size_t attempts() const { return m_attempts; }
+
+private:
+    bool mayMoveOn(const refusal&) const;
+    std::optional<refusal> submitTo(const known_server&);
+
+    owner_link& m_link;
+    request_submission m_submission;
+    std::vector<known_server> m_rank;
+    std::size_t m_next = 0; ///< Place in rank of the next server to try.
+    std::size_t m_attempts = 0;
+    std::string m_peer;
+    std::string m_streamId;
+    time_point m_deadline;
+    bool m_isRepeatable;
+    bool m_hasGivenOut = false;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Daemon/daemon_options.h
@@ -0,0 +1,30 @@
+// Declares daemon_options, the settings of one radishflowd.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace radishflow {
+
+/// Settings of a daemon; tools/radishflowd reads them from flags and environment variables.
+struct daemon_options {
+    daemon_id name;
+    host_id host;
+    zone_id zone;
+    region_id region;
+    std::string address = "127.0.0.1"; ///< IP number that both interfaces listen on.
+    std::uint16_t httpPort = 0;
+    std::uint16_t peerPort = 0;
+    std::string platform; ///< "IP:port" of the platform's service.
+    int callerLimit = 1024; ///< Callers' connections at once.
+    int requestLimit = 1024; ///< Requests at owned servers at once.
+    std::size_t bodyLimitBytes = 1 << 20;
+    std::chrono::milliseconds pollInterval { 500 }; ///< Between looks at the platform.
+    std::chrono::seconds addressKeep { 10 }; ///< How long callers keep an address answer.
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Daemon/owner_link.h
@@ -0,0 +1,35 @@
+// Declares owner_link, by which an entry reaches the owner of a server, be it this daemon or a peer.
+#pragma once
+
+#include "radishflow/Daemon/request_runner.h"
+#include "radishflow/Peer/peer_client.h"
+#include "radishflow/Support/result.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace radishflow {
+
+/// Calls the own runner directly and others over Thrift. Thread-safe.
+class owner_link {
+public:
+    owner_link(request_runner& runner, peer_client& peers, std::string ownPeer)
+        : m_runner(runner)
+        , m_peers(peers)
+        , m_ownPeer(std::move(ownPeer))
+    {
+    }
+
+    /// Fails as Unreachable when nothing was sent, as ReplyLost when the request may run.
+    result<submit_outcome> submit(const std::string& peer, const request_submission&);
+    result<answer_part> read(const std::string& peer, const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait);
+    void cancel(const std::string& peer, const std::string& streamId);
+
+private:
+    request_runner& m_runner;
+    peer_client& m_peers;
+    std::string m_ownPeer;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Daemon/radishflow_daemon.h
@@ -0,0 +1,28 @@
+// Declares radishflow_daemon, one whole daemon without its command line.
+#pragma once
+
+#include "radishflow/Daemon/daemon_options.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace radishflow {
+
+/// Serves callers and peers from construction until destruction. Throws Poco::Exception or Thrift's
+/// exceptions when it can't listen.
+class radishflow_daemon {
+public:
+    explicit radishflow_daemon(const daemon_options&);
+    ~radishflow_daemon();
+    radishflow_daemon(const radishflow_daemon&) = delete;
+    radishflow_daemon& operator=(const radishflow_daemon&) = delete;
+
+    std::uint16_t httpPort() const;
+    std::uint16_t peerPort() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Daemon/request_router.h
@@ -0,0 +1,38 @@
+// Declares request_router, the entry's side of a request.
+#pragma once
+
+#include "radishflow/Config/config_store.h"
+#include "radishflow/Config/fleet_config.h"
+#include "radishflow/Daemon/fleet_directory.h"
+#include "radishflow/Daemon/owner_link.h"
+#include "radishflow/Edge/caller_answer.h"
+#include "radishflow/Edge/caller_request.h"
+#include "radishflow/Support/ids.h"
+
+#include <vector>
+
+namespace radishflow {
+
+/// Checks a caller's request against the configuration in force and routes it. Thread-safe.
+class request_router {
+public:
+    request_router(const config_store& configuration, const fleet_directory& directory, owner_link& link, region_id region)
+        : m_configuration(configuration)
+        , m_directory(directory)
+        , m_link(link)
+        , m_region(std::move(region))
+    {
+    }
+
+    caller_answer route(const caller_request&);
+
+private:
+    std::vector<known_server> rankServers(const service_settings&, const caller_request&) const;
+
+    const config_store& m_configuration;
+    const fleet_directory& m_directory;
+    owner_link& m_link;
+    region_id m_region;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Daemon/request_runner.h
@@ -0,0 +1,42 @@
+// Declares request_runner, the owner's side of a request.
+#pragma once
+
+#include "radishflow/Backend/backend_client.h"
+#include "radishflow/Daemon/server_gates.h"
+#include "radishflow/Daemon/stream_table.h"
+#include "radishflow/Daemon/worker_pool.h"
+#include "radishflow/Requests/answer_part.h"
+#include "radishflow/Requests/request_submission.h"
+#include "radishflow/Requests/submit_outcome.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace radishflow {
+
+/// Admits submissions to the servers that this daemon owns and runs them. Thread-safe.
+class request_runner {
+public:
+    request_runner(server_gates&, const backend_client&, int mostThreads);
+
+    /// Admits and starts a submission, or says why not. Never waits for the server.
+    submit_outcome submit(const request_submission&);
+
+    answer_part read(const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most);
+    void cancel(const std::string& streamId);
+
+    /// Drops answers that nobody reads; called about once a second.
+    void sweep();
+
+    std::size_t streams() const { return m_streams.size(); }
+
+private:
+    server_gates& m_gates;
+    const backend_client& m_client;
+    stream_table m_streams;
+    worker_pool m_workers;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Daemon/stream_table.h
@@ -0,0 +1,42 @@
+// Declares stream_table, the answers that an owner has under way.
+#pragma once
+
+#include "radishflow/Requests/answer_buffer.h"
+#include "radishflow/Support/monotonic_clock.h"
+#include "radishflow/Support/ranked_mutex.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace radishflow {
+
+/// Answers by stream id. Thread-safe; rank Streams.
+class stream_table {
+public:
+    /// Adds an answer. Returns false when the id is taken: an attempt runs at most once.
+    bool add(const std::string& streamId, std::shared_ptr<answer_buffer>, time_point now);
+
+    /// Returns nullptr for an unknown stream; notes that it is read.
+    std::shared_ptr<answer_buffer> find(const std::string& streamId, time_point now);
+
+    /// Tells the writer of the answer that nobody reads it, and forgets it.
+    void abandon(const std::string& streamId);
+
+    /// Abandons answers that nobody has read for longer than the bound.
+    void sweep(time_point now, duration unreadBound);
+
+    std::size_t size() const;
+
+private:
+    struct entry {
+        std::shared_ptr<answer_buffer> answer;
+        time_point lastRead;
+    };
+
+    mutable ranked_mutex m_mutex { lock_rank::Streams };
+    std::unordered_map<std::string, entry> m_entries;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Requests/refusal.h
@@ -0,0 +1,21 @@
+// Declares refusal, the reason that a caller is given for a request that was not answered.
+#pragma once
+
+#include "radishflow/Requests/execution_state.h"
+
+#include <chrono>
+#include <string>
+
+namespace radishflow {
+
+/// Why a request got no answer. Becomes RFC 9457 problem details at the callers' edge.
+struct refusal {
+    int status = 503; ///< HTTP status.
+    std::string title;
+    std::string detail;
+    execution_state execution = execution_state::NotRun;
+    std::chrono::milliseconds retryAfter { 0 }; ///< When to come back; zero when unsaid.
+    bool tryNextServer = false; ///< Another server may be tried now; only ever with NotRun.
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Requests/request_submission.h
@@ -0,0 +1,33 @@
+// Declares request_submission, one attempt at one request on one backend server.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace radishflow {
+
+/// What an entry hands to the owner of a backend server.
+struct request_submission {
+    request_id request;
+    attempt_id attempt; ///< An owner runs an attempt at most once.
+    service_id service;
+    server_id server;
+    workspace_id workspace;
+    chat_id chat;
+    std::string method;
+    std::string path;
+    std::string contentType;
+    std::string body;
+    int priority = 3; ///< RFC 9218 urgency, 0 first to 7 last.
+    std::chrono::milliseconds timeLeft { 30000 }; ///< Until the caller's deadline.
+    idempotency_key key; ///< Empty for a call that may be repeated.
+    bool isModelCall = false;
+    std::uint64_t resumeAfter = 0; ///< Events that the caller already has; 0 starts anew.
+    std::uint32_t rank = 0; ///< Place of the server in the chat's rank.
+    std::uint64_t fingerprint = 0; ///< Hash of workspace, service and body.
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Backend/backend_exchange.cpp
@@ -0,0 +1,213 @@
+// Implements one request with its tries at one backend server.
+#include "backend_exchange.h"
+
+#include "radishflow/Support/boottime_clock.h"
+
+#include "event_reader.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <algorithm>
+
+namespace radishflow {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+static Poco::Timespan toTimespan(milliseconds time)
+{
+    return Poco::Timespan { std::max<Poco::Timespan::TimeDiff>(1, time.count()) * Poco::Timespan::MILLISECONDS };
+}
+
+backend_exchange::backend_exchange(const backend_client_options& options, const request_submission& submission, term_number term, answer_buffer& answer)
+    : m_options(options)
+    , m_submission(submission)
+    , m_term(term)
+    , m_answer(answer)
+    , m_started(boottime_clock {}.now())
+    , m_lastEvent(submission.resumeAfter)
+{
+}
+
+milliseconds backend_exchange::timeLeft() const
+{
+    return m_submission.timeLeft - duration_cast<milliseconds>(boottime_clock {}.now() - m_started);
+}
+
+// The connection is made before the session: POCO's session connects and sends in one call and doesn't say
+// at which of them it failed, while "not run" is true only if no connection was ever made.
+std::unique_ptr<Poco::Net::HTTPClientSession> backend_exchange::openSession() const
+{
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress { m_submission.server.value() }, toTimespan(m_options.connectTimeout));
+    socket.setNoDelay(true);
+    socket.setSendTimeout(toTimespan(m_options.silenceLimit));
+    socket.setReceiveTimeout(toTimespan(std::min(m_options.silenceLimit, timeLeft())));
+    auto session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+    session->setKeepAlive(true);
+    return session;
+}
+
+// Only a request of which nothing was sent may be called "not run"; everything later is unknown.
+void backend_exchange::breakOff(const char* title, const std::string& detail)
+{
+    const bool isNotRun = !m_outcome.wasSent;
+    m_answer.breakOff({
+        .status = timeLeft().count() <= 0 ? 504 : 502,
+        .title = title,
+        .detail = "server " + m_submission.server.value() + ": " + detail,
+        .execution = isNotRun ? execution_state::NotRun : execution_state::Unknown,
+        .retryAfter = milliseconds { 1000 },
+        .tryNextServer = isNotRun,
+    });
+}
+
+void backend_exchange::sendRequest(Poco::Net::HTTPClientSession& session) const
+{
+    Poco::Net::HTTPRequest request { m_submission.method, m_submission.path, Poco::Net::HTTPMessage::HTTP_1_1 };
+    request.setHost(m_submission.server.value());
+    request.setKeepAlive(false);
+    request.setContentLength64(static_cast<Poco::Int64>(m_submission.body.size()));
+    if (!m_submission.contentType.empty())
+        request.setContentType(m_submission.contentType);
+    request.set("X-Request-Id", m_submission.request.value());
+    request.set("X-Fencing-Term", std::to_string(m_term.value()));
+    request.set("Priority", "u=" + std::to_string(m_submission.priority));
+    if (!m_submission.key.empty())
+        request.set("Idempotency-Key", m_submission.key.value());
+    if (!m_submission.chat.empty())
+        request.set("X-Chat-Prefix", m_submission.chat.value());
+    if (m_lastEvent > 0)
+        request.set("Last-Event-ID", std::to_string(m_lastEvent));
+    session.sendRequest(request) << m_submission.body << std::flush;
+}
+
+void backend_exchange::beginOnce(const Poco::Net::HTTPResponse& response)
+{
+    if (m_hasBegun)
+        return;
+    m_hasBegun = true;
+    m_outcome.firstByteAfter = duration_cast<milliseconds>(boottime_clock {}.now() - m_started);
+    m_answer.begin(response.getStatus(), response.getContentType());
+}
+
+// Events that were seen already, or that jump ahead, would splice two generations; such a stream is cut.
+backend_exchange::step backend_exchange::copyEvents(std::istream& in, const Poco::Net::HTTPResponse& response)
+{
+    event_reader reader { in };
+    stream_event event;
+    while (reader.next(event)) {
+        if (timeLeft().count() <= 0) {
+            breakOff("Deadline passed", "the answer took longer than the request's time");
+            cancelAtServer();
+            return step::Ended;
+        }
+        if (event.number != 0 && event.number != m_lastEvent + 1) {
+            breakOff("Answer broken", "event " + std::to_string(event.number) + " follows event " + std::to_string(m_lastEvent));
+            cancelAtServer();
+            return step::Ended;
+        }
+        beginOnce(response);
+        if (!m_answer.append(event.text, m_options.slowReaderLimit)) {
+            breakOff("Caller gone", "nobody reads the answer");
+            cancelAtServer();
+            return step::Ended;
+        }
+        m_lastEvent = std::max(m_lastEvent, event.number);
+        if (event.isLast) {
+            m_outcome.isWhole = true;
+            m_answer.finish();
+            return step::Ended;
+        }
+    }
+    return step::Cut;
+}
+
+backend_exchange::step backend_exchange::copyPlain(std::istream& in, const Poco::Net::HTTPResponse& response)
+{
+    std::string body;
+    char buffer[8192];
+    while (in.read(buffer, sizeof buffer) || in.gcount() > 0) {
+        body.append(buffer, static_cast<std::size_t>(in.gcount()));
+        if (body.size() > m_options.plainAnswerLimitBytes) {
+            breakOff("Answer too large", "more than " + std::to_string(m_options.plainAnswerLimitBytes) + " bytes");
+            return step::Ended;
+        }
+    }
+    // POCO ends a body that the server cut short like a whole one; only the stated length tells.
+    const bool isShort = response.hasContentLength() && body.size() != static_cast<std::size_t>(response.getContentLength64());
+    const bool isUnbounded = !response.hasContentLength() && !response.getChunkedTransferEncoding();
+    if (isShort || isUnbounded) {
+        m_outcome.wasReset = true;
+        breakOff("Answer cut short", std::to_string(body.size()) + " bytes arrived");
+        return step::Ended;
+    }
+    beginOnce(response);
+    m_outcome.isWhole = m_answer.append(body, m_options.slowReaderLimit);
+    m_answer.finish();
+    return step::Ended;
+}
+
+backend_exchange::step backend_exchange::copyAnswer(Poco::Net::HTTPClientSession& session)
+{
+    Poco::Net::HTTPResponse response;
+    std::istream& in = session.receiveResponse(response);
+    m_outcome.status = response.getStatus();
+    if (response.getStatus() == 200 && response.getContentType().starts_with("text/event-stream"))
+        return copyEvents(in, response);
+    // A resumed stream that the server no longer has can't go on as another kind of answer.
+    if (m_hasBegun) {
+        breakOff("Answer lost", "the server no longer has this stream");
+        return step::Ended;
+    }
+    return copyPlain(in, response);
+}
+
+backend_exchange::step backend_exchange::tryOnce()
+{
+    try {
+        std::unique_ptr<Poco::Net::HTTPClientSession> session = openSession();
+        m_outcome.wasConnected = m_outcome.wasSent = true;
+        sendRequest(*session);
+        return copyAnswer(*session);
+    } catch (const Poco::Exception& error) {
+        m_outcome.wasReset = m_outcome.wasConnected;
+        if (!m_hasBegun)
+            breakOff("Backend failed", error.displayText());
+        return m_hasBegun ? step::Cut : step::Ended;
+    }
+}
+
+// Without this an engine would go on generating what nobody reads, in a slot that others wait for.
+void backend_exchange::cancelAtServer() const
+{
+    if (!m_submission.isModelCall)
+        return;
+    try {
+        Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress { m_submission.server.value() } };
+        session.setTimeout(toTimespan(m_options.connectTimeout));
+        Poco::Net::HTTPRequest request { "DELETE", "/v1/requests/" + m_submission.request.value(), Poco::Net::HTTPMessage::HTTP_1_1 };
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        session.receiveResponse(response);
+    } catch (const Poco::Exception&) {
+        // A server that can't be reached drops the request by its own bound for unread streams.
+        return;
+    }
+}
+
+exchange_outcome backend_exchange::run()
+{
+    for (int attempt = 0; attempt <= m_options.resumes; ++attempt) {
+        if (tryOnce() == step::Ended)
+            return m_outcome;
+        m_outcome.wasReset = true;
+    }
+    breakOff("Answer cut short", "the stream broke and could not be resumed");
+    return m_outcome;
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Backend/backend_exchange.h
@@ -0,0 +1,55 @@
+// Declares backend_exchange, one request with its tries at one backend server.
+#pragma once
+
+#include "radishflow/Backend/backend_client_options.h"
+#include "radishflow/Backend/exchange_outcome.h"
+#include "radishflow/Requests/answer_buffer.h"
+#include "radishflow/Requests/request_submission.h"
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <cstdint>
+#include <istream>
+#include <memory>
+
+namespace Poco::Net {
+class HTTPClientSession;
+class HTTPResponse;
+}
+
+namespace radishflow {
+
+/// Runs one submission; used once, by one thread.
+class backend_exchange {
+public:
+    backend_exchange(const backend_client_options&, const request_submission&, term_number, answer_buffer&);
+
+    exchange_outcome run();
+
+private:
+    enum class step {
+        Ended, ///< The buffer has been ended.
+        Cut, ///< The stream broke and may be resumed.
+    };
+
+    std::unique_ptr<Poco::Net::HTTPClientSession> openSession() const;
+    step tryOnce();
+    void sendRequest(Poco::Net::HTTPClientSession&) const;
+    step copyAnswer(Poco::Net::HTTPClientSession&);
+    step copyEvents(std::istream&, const Poco::Net::HTTPResponse&);
+    step copyPlain(std::istream&, const Poco::Net::HTTPResponse&);
+    void beginOnce(const Poco::Net::HTTPResponse&);
+    std::chrono::milliseconds timeLeft() const;
+    void breakOff(const char* title, const std::string& detail);
+    void cancelAtServer() const;
+
+    const backend_client_options& m_options;
+    const request_submission& m_submission;
+    term_number m_term;
+    answer_buffer& m_answer;
+    exchange_outcome m_outcome;
+    time_point m_started;
+    std::uint64_t m_lastEvent;
+    bool m_hasBegun = false;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Daemon/answer_route.cpp
@@ -0,0 +1,97 @@
+// Implements the walk of one request over the servers in its rank.
+#include "radishflow/Daemon/answer_route.h"
+
+#include "radishflow/Support/boottime_clock.h"
+
+#include <Poco/UUIDGenerator.h>
+
+#include <utility>
+
+namespace radishflow {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+answer_route::answer_route(owner_link& link, request_submission prototype, std::vector<known_server> rank, bool isRepeatable)
+    : m_link(link)
+    , m_submission(std::move(prototype))
+    , m_rank(std::move(rank))
+    , m_deadline(boottime_clock {}.now() + m_submission.timeLeft)
+    , m_isRepeatable(isRepeatable)
+{
+}
+
+bool answer_route::mayMoveOn(const refusal& reason) const
+{
+    if (reason.execution == execution_state::NotRun)
+        return reason.tryNextServer;
+    return m_isRepeatable && reason.execution == execution_state::Unknown && reason.status >= 500;
+}
+
+std::optional<refusal> answer_route::submitTo(const known_server& server)
+{
+    m_submission.server = server.id;
+    m_submission.attempt = attempt_id { Poco::UUIDGenerator::defaultGenerator().createRandom().toString() };
+    m_submission.timeLeft = duration_cast<milliseconds>(m_deadline - boottime_clock {}.now());
+    if (m_submission.timeLeft.count() <= 0)
+        return refusal { .status = 504, .title = "Deadline passed", .detail = "no server took the request in its time", .execution = execution_state::NotRun, .retryAfter = milliseconds { 1000 } };
+    ++m_attempts;
+    const submit_outcome outcome = valueOr(
+        [&] { return m_link.submit(server.ownerPeer, m_submission); },
+        [&](const failure& error) {
+            const bool isNotRun = error.code == failure_code::Unreachable;
+            return submit_outcome { .refused = refusal {
+                                        .status = 502,
+                                        .title = "Owner of the server failed",
+                                        .detail = describe(error),
+                                        .execution = isNotRun ? execution_state::NotRun : execution_state::Unknown,
+                                        .retryAfter = milliseconds { 1000 },
+                                        .tryNextServer = isNotRun,
+                                    } };
+        });
+    if (outcome.refused)
+        return outcome.refused;
+    m_peer = server.ownerPeer;
+    m_streamId = outcome.streamId;
+    return std::nullopt;
+}
+
+std::optional<refusal> answer_route::start()
+{
+    refusal last { .status = 503, .title = "No server available", .detail = m_submission.service.value(), .retryAfter = milliseconds { 1000 } };
+    while (m_next < m_rank.size()) {
+        const known_server& server = m_rank[m_next++];
+        m_submission.rank = static_cast<std::uint32_t>(m_next - 1);
+        std::optional<refusal> reason = submitTo(server);
+        if (!reason)
+            return std::nullopt;
+        if (!mayMoveOn(*reason))
+            return reason;
+        last = *std::move(reason);
+    }
+    return last;
+}
+
+answer_part answer_route::read(std::uint64_t offset, milliseconds wait)
+{
+    answer_part part = valueOr(
+        [&] { return m_link.read(m_peer, m_streamId, offset, wait); },
+        [&](const failure& error) {
+            return answer_part { .offset = offset, .broken = true, .refused = refusal { .status = 502, .title = "Owner of the server failed", .detail = describe(error), .execution = execution_state::Unknown } };
+        });
+    m_hasGivenOut = m_hasGivenOut || part.status != 0;
+    if (!part.broken || m_hasGivenOut || !part.refused || !mayMoveOn(*part.refused))
+        return part;
+    if (auto reason = start()) {
+        part.refused = std::move(reason);
+        return part;
+    }
+    return answer_part { .offset = offset };
+}
+
+void answer_route::cancel()
+{
+    m_link.cancel(m_peer, m_streamId);
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Daemon/own_pages.cpp
@@ -0,0 +1,106 @@
+// Implements the pages that a daemon answers itself.
+#include "radishflow/Daemon/own_pages.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <algorithm>
+#include <sstream>
+#include <vector>
+
+namespace radishflow {
+
+static std::string textOf(const Poco::JSON::Object& object)
+{
+    std::ostringstream text;
+    object.stringify(text, 2);
+    text << '\n';
+    return text.str();
+}
+
+bool own_pages::isReady() const
+{
+    return m_configuration.current() != nullptr;
+}
+
+document own_pages::answer(const document_request& request) const
+{
+    if (request.path == "/v1/addresses")
+        return addresses(request);
+    if (request.path == "/healthz")
+        return { .contentType = "text/plain", .body = "ok\n" };
+    if (request.path == "/readyz")
+        return { .status = isReady() ? 200 : 503, .contentType = "text/plain", .body = isReady() ? "ready\n" : "no configuration in force\n" };
+    if (request.path == "/v1/version")
+        return { .body = "{\"config_version\":" + std::to_string(m_configuration.version().value()) + "}\n" };
+    if (request.path == "/debug/state")
+        return state();
+    return { .status = 404, .contentType = "application/problem+json", .body = R"({"title":"No such page","status":404,"execution":"not_run"})" };
+}
+
+// The caller's own zone comes first; the other zones follow so that a caller has somewhere to go when its
+// zone is lost before it asks again.
+document own_pages::addresses(const document_request& request) const
+{
+    const auto fleet = m_directory.current();
+    const auto wanted = request.query.find("zone");
+    const zone_id own { wanted == request.query.end() ? m_options.zone.value() : wanted->second };
+    std::vector<const known_daemon*> usable;
+    for (const known_daemon& daemon : fleet->daemons) {
+        if (daemon.isAlive && !daemon.isLeaving && !fleet->zonesOut.contains(daemon.zone))
+            usable.push_back(&daemon);
+    }
+    std::stable_partition(usable.begin(), usable.end(), [&](const known_daemon* daemon) { return daemon->zone == own; });
+    Poco::JSON::Array list;
+    for (const known_daemon* daemon : usable) {
+        Poco::JSON::Object entry { Poco::JSON_PRESERVE_KEY_ORDER };
+        entry.set("address", daemon->http);
+        entry.set("zone", daemon->zone.value());
+        list.add(entry);
+    }
+    Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
+    object.set("addresses", list);
+    object.set("keep_seconds", static_cast<int>(m_options.addressKeep.count()));
+    return { .body = textOf(object) };
+}
+
+document own_pages::state() const
+{
+    const auto fleet = m_directory.current();
+    Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
+    object.set("daemon", m_options.name.value());
+    object.set("zone", m_options.zone.value());
+    object.set("config_version", m_configuration.version().value());
+    object.set("streams", static_cast<int>(m_runner.streams()));
+    Poco::JSON::Array daemons;
+    for (const known_daemon& daemon : fleet->daemons) {
+        Poco::JSON::Object entry { Poco::JSON_PRESERVE_KEY_ORDER };
+        entry.set("name", daemon.id.value());
+        entry.set("zone", daemon.zone.value());
+        entry.set("peer", daemon.peer);
+        entry.set("http", daemon.http);
+        entry.set("alive", daemon.isAlive);
+        entry.set("leaving", daemon.isLeaving);
+        daemons.add(entry);
+    }
+    object.set("daemons", daemons);
+    const auto running = m_gates.running();
+    Poco::JSON::Array servers;
+    for (const auto& [service, members] : fleet->servers) {
+        for (const known_server& server : members) {
+            Poco::JSON::Object entry { Poco::JSON_PRESERVE_KEY_ORDER };
+            entry.set("server", server.id.value());
+            entry.set("service", service.value());
+            entry.set("zone", server.zone.value());
+            entry.set("owner", server.owner.value());
+            entry.set("takes_new_work", server.takesNewWork());
+            const auto found = running.find(server.id);
+            entry.set("running_here", found == running.end() ? 0 : found->second);
+            servers.add(entry);
+        }
+    }
+    object.set("servers", servers);
+    return { .body = textOf(object) };
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Daemon/request_router.cpp
@@ -0,0 +1,106 @@
+// Implements the entry's side of a request.
+#include "radishflow/Daemon/request_router.h"
+
+#include "radishflow/Daemon/answer_route.h"
+#include "radishflow/Support/hashing.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <utility>
+
+namespace radishflow {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// One walk is bounded: at the largest service, 1,300 servers, most would time out before a full walk.
+static constexpr std::size_t longestWalk = 8;
+
+static caller_answer refuse(const caller_request& request, refusal reason)
+{
+    return { .refused = std::move(reason), .request = request.request };
+}
+
+// Returns the member "model" of an OpenAI-style body; empty when the body has none.
+static model_id modelOf(const std::string& body)
+{
+    try {
+        Poco::JSON::Parser parser;
+        parser.setDepth(32);
+        const auto object = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+        return model_id { object->optValue<std::string>("model", "") };
+    } catch (const Poco::Exception&) {
+        return model_id {};
+    }
+}
+
+std::vector<known_server> request_router::rankServers(const service_settings& service, const caller_request& request) const
+{
+    const auto fleet = m_directory.current();
+    const auto found = fleet->servers.find(service.id);
+    if (found == fleet->servers.end())
+        return {};
+    const std::string key = request.chat.empty() ? request.request.value() : request.workspace.value() + '/' + request.chat.value();
+    std::vector<std::pair<double, const known_server*>> scored;
+    for (const known_server& server : found->second) {
+        if (server.takesNewWork())
+            scored.emplace_back(unitInterval(stableHash(key, server.id.value())), &server);
+    }
+    std::sort(scored.begin(), scored.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+    std::vector<known_server> rank;
+    for (const auto& [score, server] : scored) {
+        if (rank.size() < longestWalk)
+            rank.push_back(*server);
+    }
+    return rank;
+}
+
+caller_answer request_router::route(const caller_request& request)
+{
+    const auto snapshot = m_configuration.current();
+    if (!snapshot)
+        return refuse(request, { .status = 503, .title = "Not ready", .detail = "no configuration is in force yet", .retryAfter = milliseconds { 1000 } });
+    const fleet_config& config = snapshot->config;
+    const model_id model = request.isModelCall ? modelOf(request.body) : model_id {};
+    if (request.isModelCall && model.empty())
+        return refuse(request, { .status = 400, .title = "Bad request", .detail = "the body is a JSON object with the member \"model\"" });
+    const service_settings* service = request.isModelCall ? findServiceOfModel(config, model) : findService(config, request.service);
+    if (!service)
+        return refuse(request, { .status = 404, .title = "No such service", .detail = request.isModelCall ? model.value() : request.service.value() });
+    const workspace_settings* workspace = findWorkspace(config, request.workspace);
+    if (!workspace || !mayCall(*workspace, service->id))
+        return refuse(request, { .status = 403, .title = "Workspace not allowed", .detail = "X-Workspace names a workspace that may call " + service->id.value() });
+    const bool canRepeat = isRepeatable(*service, request.method, request.path);
+    if (!canRepeat && request.key.empty())
+        return refuse(request, { .status = 400, .title = "Idempotency-Key missing", .detail = "this call may not be repeated, so it needs a key" });
+    request_submission submission {
+        .request = request.request,
+        .service = service->id,
+        .workspace = request.workspace,
+        .chat = request.chat,
+        .method = request.method,
+        .path = request.path,
+        .contentType = request.contentType,
+        .body = request.body,
+        .priority = request.priority < 0 ? workspace->priority : request.priority,
+        .timeLeft = request.timeout.count() > 0 ? std::min(request.timeout, duration_cast<milliseconds>(service->requestTimeout)) : duration_cast<milliseconds>(service->requestTimeout),
+        .key = canRepeat ? idempotency_key {} : request.key,
+        .isModelCall = request.isModelCall,
+        .resumeAfter = request.resumeAfter,
+        .fingerprint = stableHash(service->id.value() + '/' + request.workspace.value(), request.body),
+    };
+    auto route = std::make_shared<answer_route>(m_link, std::move(submission), rankServers(*service, request), canRepeat);
+    if (auto reason = route->start())
+        return refuse(request, *reason);
+    return {
+        .request = request.request,
+        .read = [route](std::uint64_t offset, milliseconds wait) { return route->read(offset, wait); },
+        .cancel = [route] { route->cancel(); },
+    };
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Daemon/request_runner.cpp
@@ -0,0 +1,61 @@
+// Implements the owner's side of a request.
+#include "radishflow/Daemon/request_runner.h"
+
+#include "radishflow/Support/boottime_clock.h"
+
+#include <memory>
+
+namespace radishflow {
+
+static constexpr std::size_t answerBufferBytes = 64 * 1024;
+static constexpr std::chrono::seconds unreadBound { 15 };
+
+request_runner::request_runner(server_gates& gates, const backend_client& client, int mostThreads)
+    : m_gates(gates)
+    , m_client(client)
+    , m_workers(mostThreads)
+{
+}
+
+submit_outcome request_runner::submit(const request_submission& submission)
+{
+    const std::string& streamId = submission.attempt.value();
+    auto answer = std::make_shared<answer_buffer>(answerBufferBytes);
+    if (!m_streams.add(streamId, answer, boottime_clock {}.now()))
+        return { .refused = refusal { .status = 409, .title = "Attempt seen before", .detail = streamId, .execution = execution_state::Unknown } };
+    const auto admission = m_gates.admit(submission);
+    if (const auto* reason = std::get_if<refusal>(&admission)) {
+        m_streams.abandon(streamId);
+        return { .refused = *reason };
+    }
+    const term_number term = std::get<term_number>(admission);
+    const bool isStarted = m_workers.tryStart([this, submission, term, answer] {
+        m_gates.finish(submission, m_client.run(submission, term, *answer));
+    });
+    if (!isStarted) {
+        m_gates.finish(submission, exchange_outcome {});
+        m_streams.abandon(streamId);
+        return { .refused = refusal { .status = 503, .title = "Daemon is full", .detail = "every worker is busy", .retryAfter = std::chrono::milliseconds { 500 }, .tryNextServer = true } };
+    }
+    return { .streamId = streamId, .term = term };
+}
+
+answer_part request_runner::read(const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most)
+{
+    const std::shared_ptr<answer_buffer> answer = m_streams.find(streamId, boottime_clock {}.now());
+    if (!answer)
+        return { .offset = offset, .broken = true, .refused = refusal { .status = 502, .title = "Stream unknown", .detail = streamId, .execution = execution_state::Unknown } };
+    return answer->read(offset, wait, most);
+}
+
+void request_runner::cancel(const std::string& streamId)
+{
+    m_streams.abandon(streamId);
+}
+
+void request_runner::sweep()
+{
+    m_streams.sweep(boottime_clock {}.now(), unreadBound);
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Daemon/stream_table.cpp
@@ -0,0 +1,52 @@
+// Implements the table of answers under way.
+#include "radishflow/Daemon/stream_table.h"
+
+#include <mutex>
+#include <utility>
+
+namespace radishflow {
+
+bool stream_table::add(const std::string& streamId, std::shared_ptr<answer_buffer> answer, time_point now)
+{
+    const std::lock_guard lock { m_mutex };
+    return m_entries.try_emplace(streamId, entry { .answer = std::move(answer), .lastRead = now }).second;
+}
+
+std::shared_ptr<answer_buffer> stream_table::find(const std::string& streamId, time_point now)
+{
+    const std::lock_guard lock { m_mutex };
+    const auto found = m_entries.find(streamId);
+    if (found == m_entries.end())
+        return nullptr;
+    found->second.lastRead = now;
+    return found->second.answer;
+}
+
+void stream_table::abandon(const std::string& streamId)
+{
+    const std::lock_guard lock { m_mutex };
+    const auto found = m_entries.find(streamId);
+    if (found == m_entries.end())
+        return;
+    found->second.answer->abandon();
+    m_entries.erase(found);
+}
+
+void stream_table::sweep(time_point now, duration unreadBound)
+{
+    const std::lock_guard lock { m_mutex };
+    std::erase_if(m_entries, [&](auto& item) {
+        if (now - item.second.lastRead < unreadBound)
+            return false;
+        item.second.answer->abandon();
+        return true;
+    });
+}
+
+std::size_t stream_table::size() const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_entries.size();
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Edge/answer_writer.cpp
@@ -0,0 +1,117 @@
+// Implements the sending of an answer to a caller.
+#include "answer_writer.h"
+
+#include "radishflow/Edge/problem_details.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <ostream>
+#include <sys/socket.h>
+
+namespace radishflow {
+
+static constexpr std::chrono::milliseconds readWait { 250 };
+
+void sendRefusal(Poco::Net::HTTPServerResponse& response, const refusal& reason, const request_id& request)
+{
+    const std::string body = problemDetails(reason, request);
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reason.status));
+    response.setContentType("application/problem+json");
+    response.set("X-Request-Id", request.value());
+    if (reason.retryAfter.count() > 0)
+        response.set("Retry-After", std::to_string((reason.retryAfter.count() + 999) / 1000));
+    response.sendBuffer(body.data(), body.size());
+}
+
+void sendDocument(Poco::Net::HTTPServerResponse& response, const document& page)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(page.status));
+    response.setContentType(page.contentType);
+    response.sendBuffer(page.body.data(), page.body.size());
+}
+
+static Poco::Net::StreamSocket& socketOf(Poco::Net::HTTPServerRequest& request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+}
+
+// A caller that has gone must not hold a slot of an engine until its answer's end.
+static bool hasCallerGone(Poco::Net::HTTPServerRequest& request)
+{
+    char byte = 0;
+    return recv(socketOf(request).impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void sendHead(Poco::Net::HTTPServerResponse& response, const answer_part& first, const request_id& request)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(first.status));
+    response.setContentType(first.contentType);
+    response.set("X-Request-Id", request.value());
+    response.set("Cache-Control", "no-store");
+}
+
+// Reads on until there are bytes to send, an end, or a caller that has gone.
+static answer_part readNext(Poco::Net::HTTPServerRequest& request, caller_answer& answer, std::uint64_t offset)
+{
+    while (true) {
+        answer_part part = answer.read(offset, readWait);
+        if (!part.data.empty() || part.finished || part.broken || hasCallerGone(request))
+            return part;
+    }
+}
+
+static bool isEventStream(const answer_part& part)
+{
+    return part.contentType.starts_with("text/event-stream");
+}
+
+// The chunked stream writes its terminating chunk when it is destroyed; closing the socket first makes
+// an answer that ended short look short to every HTTP client.
+static void cutOff(Poco::Net::HTTPServerRequest& request, std::ostream& out)
+{
+    out.flush();
+    socketOf(request).shutdown();
+}
+
+void sendAnswer(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response, caller_answer& answer)
+{
+    answer_part part = readNext(request, answer, 0);
+    if (part.broken && part.data.empty()) {
+        sendRefusal(response, part.refused.value_or(refusal { .status = 502, .title = "Answer lost", .execution = execution_state::Unknown }), answer.request);
+        return;
+    }
+    if (part.status == 0) {
+        answer.cancel();
+        socketOf(request).shutdown();
+        return;
+    }
+    sendHead(response, part, answer.request);
+    if (part.finished) {
+        response.sendBuffer(part.data.data(), part.data.size());
+        return;
+    }
+    response.setChunkedTransferEncoding(true);
+    std::ostream& out = response.send();
+    std::uint64_t offset = 0;
+    while (true) {
+        out.write(part.data.data(), static_cast<std::streamsize>(part.data.size()));
+        out.flush();
+        offset += part.data.size();
+        if (part.finished)
+            return;
+        if (part.broken && isEventStream(part) && part.refused)
+            out << "event: error\ndata: " << problemDetails(*part.refused, answer.request) << "\n\n";
+        if (part.broken)
+            break;
+        if (!out.good() || hasCallerGone(request)) {
+            answer.cancel();
+            break;
+        }
+        part = readNext(request, answer, offset);
+    }
+    cutOff(request, out);
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Edge/edge_server.cpp
@@ -0,0 +1,156 @@
+// Implements the callers' HTTP interface on POCO Net.
+#include "radishflow/Edge/edge_server.h"
+
+#include "answer_writer.h"
+#include "request_parser.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/ThreadPool.h>
+#include <Poco/URI.h>
+
+#include <utility>
+
+namespace radishflow {
+
+namespace {
+
+    // POCO's own base classes are the only way to receive its requests.
+    class edge_request_handler final : public Poco::Net::HTTPRequestHandler {
+    public:
+        edge_request_handler(const edge_options& options, const edge_handlers& handlers)
+            : m_options(options)
+            , m_handlers(handlers)
+        {
+        }
+
+        void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
+        {
+            const std::string path = request.getURI().substr(0, request.getURI().find('?'));
+            if (isCallPath(path)) {
+                answerCall(request, response);
+                return;
+            }
+            answerDocument(request, response, path);
+        }
+
+    private:
+        void answerCall(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
+        {
+            const auto parsed = readCall(request, m_options);
+            if (const auto* problem = std::get_if<refusal>(&parsed)) {
+                refuseAndClose(response, *problem);
+                return;
+            }
+            caller_answer answer = m_handlers.call(std::get<caller_request>(parsed));
+            if (answer.refused) {
+                sendRefusal(response, *answer.refused, answer.request);
+                return;
+            }
+            sendAnswer(request, response, answer);
+        }
+
+        void answerDocument(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response, const std::string& path)
+        {
+            document_request query { .method = request.getMethod(), .path = path, .credential = request.get("Authorization", "") };
+            for (const auto& [name, value] : Poco::URI { request.getURI() }.getQueryParameters())
+                query.query[name] = value;
+            auto body = readBody(request, m_options);
+            if (const auto* problem = std::get_if<refusal>(&body)) {
+                refuseAndClose(response, *problem);
+                return;
+            }
+            query.body = std::move(std::get<std::string>(body));
+            sendDocument(response, m_handlers.answer(query));
+        }
+
+        // What is left of a body that was refused can't be told from a next request.
+        static void refuseAndClose(Poco::Net::HTTPServerResponse& response, const refusal& problem)
+        {
+            response.setKeepAlive(false);
+            sendRefusal(response, problem, request_id {});
+        }
+
+        const edge_options& m_options;
+        const edge_handlers& m_handlers;
+    };
+
+    class edge_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
+    public:
+        edge_handler_factory(const edge_options& options, const edge_handlers& handlers)
+            : m_options(options)
+            , m_handlers(handlers)
+        {
+        }
+
+        Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
+        {
+            return new edge_request_handler { m_options, m_handlers };
+        }
+
+    private:
+        const edge_options& m_options;
+        const edge_handlers& m_handlers;
+    };
+
+} // namespace
+
+struct edge_server::state {
+    edge_options options;
+    edge_handlers handlers;
+    Poco::ThreadPool workers;
+    Poco::Net::ServerSocket socket;
+    std::unique_ptr<Poco::Net::HTTPServer> server;
+
+    state(const edge_options& theOptions, edge_handlers theHandlers)
+        : options(theOptions)
+        , handlers(std::move(theHandlers))
+        , workers(2, options.connectionLimit)
+        , socket(Poco::Net::SocketAddress { options.host, options.port })
+    {
+    }
+};
+
+static Poco::Timespan toTimespan(std::chrono::milliseconds time)
+{
+    return Poco::Timespan { time.count() * Poco::Timespan::MILLISECONDS };
+}
+
+edge_server::edge_server(const edge_options& options, edge_handlers handlers)
+    : m_state(std::make_unique<state>(options, std::move(handlers)))
+{
+    Poco::Net::HTTPServerParams::Ptr parameters { new Poco::Net::HTTPServerParams };
+    parameters->setMaxThreads(options.connectionLimit);
+    parameters->setMaxQueued(options.queueLimit);
+    parameters->setTimeout(toTimespan(options.receiveTimeout));
+    parameters->setKeepAliveTimeout(toTimespan(options.keepAliveTimeout));
+    Poco::Net::HTTPRequestHandlerFactory::Ptr factory { new edge_handler_factory { m_state->options, m_state->handlers } };
+    m_state->server = std::make_unique<Poco::Net::HTTPServer>(factory, m_state->workers, m_state->socket, parameters);
+    m_state->server->start();
+}
+
+edge_server::~edge_server()
+{
+    m_state->server->stopAll(true);
+    m_state->workers.joinAll();
+}
+
+std::uint16_t edge_server::port() const
+{
+    return m_state->socket.address().port();
+}
+
+int edge_server::connections() const
+{
+    return m_state->server->currentConnections();
+}
+
+void edge_server::stopAccepting()
+{
+    m_state->server->stop();
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Peer/wire_conversion.cpp
@@ -0,0 +1,149 @@
+// Implements the conversions between Thrift messages and the types of the libraries.
+#include "wire_conversion.h"
+
+#include <algorithm>
+
+namespace radishflow {
+
+static wire::Execution::type toWire(execution_state state)
+{
+    switch (state) {
+    case execution_state::NotRun:
+        return wire::Execution::NotRun;
+    case execution_state::Done:
+        return wire::Execution::Done;
+    case execution_state::Unknown:
+        break;
+    }
+    return wire::Execution::Unknown;
+}
+
+// A value that this version does not know is the one that promises least.
+static execution_state fromWire(wire::Execution::type state)
+{
+    if (state == wire::Execution::NotRun)
+        return execution_state::NotRun;
+    return state == wire::Execution::Done ? execution_state::Done : execution_state::Unknown;
+}
+
+wire::Refusal toWire(const refusal& reason)
+{
+    wire::Refusal message;
+    message.__set_status(reason.status);
+    message.__set_title(reason.title);
+    message.__set_detail(reason.detail);
+    message.__set_execution(toWire(reason.execution));
+    message.__set_retryAfterMs(static_cast<std::int32_t>(reason.retryAfter.count()));
+    message.__set_tryNextServer(reason.tryNextServer);
+    return message;
+}
+
+refusal fromWire(const wire::Refusal& message)
+{
+    return {
+        .status = message.status,
+        .title = message.title,
+        .detail = message.detail,
+        .execution = fromWire(message.execution),
+        .retryAfter = std::chrono::milliseconds { std::max(0, message.retryAfterMs) },
+        .tryNextServer = message.tryNextServer,
+    };
+}
+
+wire::SubmitRequest toWire(const request_submission& submission)
+{
+    wire::SubmitRequest message;
+    message.__set_requestId(submission.request.value());
+    message.__set_attemptId(submission.attempt.value());
+    message.__set_serviceId(submission.service.value());
+    message.__set_serverId(submission.server.value());
+    message.__set_workspaceId(submission.workspace.value());
+    message.__set_chatId(submission.chat.value());
+    message.__set_method(submission.method);
+    message.__set_path(submission.path);
+    message.__set_contentType(submission.contentType);
+    message.__set_body(submission.body);
+    message.__set_priority(submission.priority);
+    message.__set_deadlineMs(static_cast<std::int32_t>(submission.timeLeft.count()));
+    message.__set_idempotencyKey(submission.key.value());
+    message.__set_isModelCall(submission.isModelCall);
+    message.__set_rank(static_cast<std::int32_t>(submission.rank));
+    message.__set_fingerprint(static_cast<std::int64_t>(submission.fingerprint));
+    message.__set_resumeAfter(static_cast<std::int64_t>(submission.resumeAfter));
+    return message;
+}
+
+request_submission fromWire(const wire::SubmitRequest& message)
+{
+    return {
+        .request = request_id { message.requestId },
+        .attempt = attempt_id { message.attemptId },
+        .service = service_id { message.serviceId },
+        .server = server_id { message.serverId },
+        .workspace = workspace_id { message.workspaceId },
+        .chat = chat_id { message.chatId },
+        .method = message.method,
+        .path = message.path,
+        .contentType = message.contentType,
+        .body = message.body,
+        .priority = std::clamp(message.priority, 0, 7),
+        .timeLeft = std::chrono::milliseconds { std::max(0, message.deadlineMs) },
+        .key = idempotency_key { message.idempotencyKey },
+        .isModelCall = message.isModelCall,
+        .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
+        .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
+        .fingerprint = static_cast<std::uint64_t>(message.fingerprint),
+    };
+}
+
+wire::SubmitReply toWire(const submit_outcome& outcome)
+{
+    wire::SubmitReply message;
+    message.__set_accepted(outcome.isAccepted());
+    message.__set_streamId(outcome.streamId);
+    message.__set_term(static_cast<std::int64_t>(outcome.term.value()));
+    if (outcome.refused)
+        message.__set_refusal(toWire(*outcome.refused));
+    return message;
+}
+
+submit_outcome fromWire(const wire::SubmitReply& message)
+{
+    submit_outcome outcome { .streamId = message.streamId, .term = term_number { static_cast<std::uint64_t>(message.term) } };
+    if (message.__isset.refusal)
+        outcome.refused = fromWire(message.refusal);
+    else if (!message.accepted)
+        outcome.refused = refusal { .title = "Refused without a reason", .execution = execution_state::Unknown };
+    return outcome;
+}
+
+wire::ReadReply toWire(const answer_part& part)
+{
+    wire::ReadReply message;
+    message.__set_data(part.data);
+    message.__set_offset(static_cast<std::int64_t>(part.offset));
+    message.__set_finished(part.finished);
+    message.__set_broken(part.broken);
+    message.__set_status(part.status);
+    message.__set_contentType(part.contentType);
+    if (part.refused)
+        message.__set_refusal(toWire(*part.refused));
+    return message;
+}
+
+answer_part fromWire(const wire::ReadReply& message)
+{
+    answer_part part {
+        .data = message.data,
+        .offset = static_cast<std::uint64_t>(message.offset),
+        .finished = message.finished,
+        .broken = message.broken,
+        .status = message.status,
+        .contentType = message.contentType,
+    };
+    if (message.__isset.refusal)
+        part.refused = fromWire(message.refusal);
+    return part;
+}
+
+} // namespace radishflow
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -33,10 +33,10 @@
   11: i32 priority         // RFC 9218 urgency, 0 first to 7 last
   12: i32 deadlineMs       // time left to the caller's deadline
   13: string idempotencyKey
-  14: i64 configVersion
-  15: bool streaming
+  15: bool isModelCall
   16: i32 rank             // place of the server in the chat's rank; 0 is the first
   17: i64 fingerprint      // hash of workspace, service and body
+  18: i64 resumeAfter      // events that the caller already has; 0 starts anew
 }
 
 struct SubmitReply {
--- /dev/null
+++ b/tools/radishflowd/main.cpp
@@ -0,0 +1,64 @@
+// The radishflow daemon: takes callers, owns backend servers, and routes requests to them.
+#include "radishflow/Daemon/radishflow_daemon.h"
+
+#include "settings.h"
+
+#include <Poco/Exception.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+
+// Signals are taken by sigwait on the main thread, so that no handler runs at a wrong moment.
+static sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A caller or peer that closes its connection is an error of a write, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+static void setUpLog(const std::string& level)
+{
+    spdlog::set_default_logger(spdlog::stderr_logger_mt("radishflowd"));
+    spdlog::set_level(spdlog::level::from_str(level));
+    spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
+}
+
+int main(int argc, char** argv)
+{
+    using namespace radishflow;
+    const settings_outcome outcome = readSettings(argc, argv);
+    if (outcome.isHelp) {
+        std::cout << outcome.help;
+        return 0;
+    }
+    if (!outcome.problems.empty()) {
+        for (const std::string& problem : outcome.problems)
+            std::cerr << "radishflowd: " << problem << '\n';
+        return 2;
+    }
+    setUpLog(outcome.logLevel);
+    const sigset_t signals = blockStopSignals();
+    try {
+        radishflow_daemon daemon { outcome.options };
+        std::cout << "listening http=" << outcome.options.address << ':' << daemon.httpPort() << " peer=" << outcome.options.address << ':' << daemon.peerPort() << std::endl;
+        spdlog::info("step=\"start\" daemon={} zone={}", outcome.options.name.value(), outcome.options.zone.value());
+        int signal = 0;
+        sigwait(&signals, &signal);
+        spdlog::info("step=\"stop\" daemon={} signal={}", outcome.options.name.value(), signal);
+    } catch (const Poco::Exception& error) {
+        std::cerr << "radishflowd: " << error.displayText() << '\n';
+        return 1;
+    } catch (const std::exception& error) {
+        std::cerr << "radishflowd: " << error.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
