--- /dev/null
+++ b/include/radishflow/Config/config_publisher.h
@@ -0,0 +1,103 @@
+// Declares config_publisher, which puts a new configuration in force.
+#pragma once
+
+#include "radishflow/Config/config_pointer.h"
+#include "radishflow/Config/fleet_config.h"
+#include "radishflow/Config/object_store.h"
+#include "radishflow/Config/publish_outcome.h"
+#include "radishflow/Support/transactional_table.h"
+
+#include <string>
+
+namespace radishflow {
+
+/// Writes immutable objects and moves the version row by compare-and-set. Thread-safe as its stores are.
+template <transactional_table Table, object_store Objects>
+class config_publisher {
+public:
+    config_publisher(Table& table, Objects& objects)
+        : m_table(table)
+        , m_objects(objects)
+    {
+    }
+
+    /// Returns what is in force; version 0 when nothing was published.
+    result<config_pointer> current()
+    {
+        BOOST_LEAF_AUTO(row, readRow());
+        return pointerOf(row);
+    }
+
+    /// Puts a configuration in force as version base + 1, unless the version in force is not `base`.
+    /// Fails with failure_code::ReplyLost when that can't be settled; publishing again is safe.
+    result<publish_outcome> publish(const fleet_config& config, config_version base)
+    {
+        const std::string text = serialize(config);
+        const config_pointer next { .version = base.next(), .objectKey = configObjectKey(text) };
+        BOOST_LEAF_AUTO(row, readRow());
+        BOOST_LEAF_AUTO(before, pointerOf(row));
+        if (before == next)
+            return publish_outcome { .isAccepted = true, .current = before };
+        if (before.version != base)
+            return publish_outcome { .isAccepted = false, .current = before };
+        if (result<void> stored = storeObject(next.objectKey, text); !stored)
+            return stored.error();
+        return movePointer(row.modRevision, next);
+    }
+
+private:
+    result<table_row> readRow()
+    {
+        BOOST_LEAF_AUTO(page, m_table.readRange(configPointerKey, 0));
+        for (table_row& row : page.rows) {
+            if (row.key == configPointerKey)
+                return std::move(row);
+        }
+        return table_row {};
+    }
+
+    static result<config_pointer> pointerOf(const table_row& row)
+    {
+        if (row.modRevision == 0)
+            return config_pointer {};
+        return decodeConfigPointer(row.value);
+    }
+
+    // Whatever the put's reply was, only what reads back counts: an object that another publisher wrote
+    // is the same object, and a lost reply says nothing.
+    result<void> storeObject(const std::string& key, const std::string& text)
+    {
+        const bool isStored = valueOr(
+            [&]() -> result<bool> {
+                if (result<void> put = m_objects.putObject(key, text); !put)
+                    return put.error();
+                return true;
+            },
+            [](const failure&) { return false; });
+        if (isStored)
+            return {};
+        BOOST_LEAF_AUTO(stored, m_objects.getObject(key));
+        if (stored != text)
+            return fail({ .code = failure_code::Conflict, .step = "store configuration", .peer = key, .detail = "another text has this hash" });
+        return {};
+    }
+
+    result<publish_outcome> movePointer(std::int64_t modRevision, const config_pointer& next)
+    {
+        result<table_commit> commit = m_table.commit({ { .key = configPointerKey, .modRevision = modRevision } }, { { .key = configPointerKey, .value = encode(next) } });
+        if (commit && commit->succeeded)
+            return publish_outcome { .isAccepted = true, .current = next };
+        // The reply was lost or another publisher was first; the row tells which.
+        BOOST_LEAF_AUTO(now, current());
+        if (now == next)
+            return publish_outcome { .isAccepted = true, .current = now };
+        if (commit || now.version == next.version)
+            return publish_outcome { .isAccepted = false, .current = now };
+        return commit.error();
+    }
+
+    Table& m_table;
+    Objects& m_objects;
+};
+
+} // namespace radishflow
