--- /dev/null
+++ b/lib/Emulator/http_reply.cpp
@@ -0,0 +1,94 @@
+// Implements the steps that the stand-ins' request handlers share.
+#include "http_reply.h"
+
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Thread.h>
+#include <Poco/URI.h>
+
+#include <chrono>
+#include <sstream>
+#include <sys/socket.h>
+
+namespace radishflow {
+
+static constexpr Poco::Timespan::TimeDiff pollMicroseconds = 50'000;
+
+static Poco::Net::StreamSocket& socketOf(Poco::Net::HTTPServerRequest& request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+}
+
+std::string readBody(Poco::Net::HTTPServerRequest& request)
+{
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    return body;
+}
+
+Poco::JSON::Object::Ptr parseObject(const std::string& text)
+{
+    Poco::JSON::Parser parser;
+    return parser.parse(text).extract<Poco::JSON::Object::Ptr>();
+}
+
+void sendText(Poco::Net::HTTPServerResponse& response, int status, const std::string& type, const std::string& text)
+{
+    response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType(type);
+    response.sendBuffer(text.data(), text.size());
+}
+
+void sendJson(Poco::Net::HTTPServerResponse& response, int status, const Poco::JSON::Object& object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    sendText(response, status, "application/json", text.str());
+}
+
+void cutConnection(Poco::Net::HTTPServerRequest& request)
+{
+    request.response().setKeepAlive(false);
+    try {
+        socketOf(request).shutdown();
+    } catch (const Poco::Exception&) {
+        // The peer was faster.
+    }
+}
+
+void waitForClose(Poco::Net::HTTPServerRequest& request, const std::function<bool()>& isOver)
+{
+    Poco::Net::StreamSocket& socket = socketOf(request);
+    while (!isOver()) {
+        if (!socket.poll(Poco::Timespan { pollMicroseconds }, Poco::Net::Socket::SELECT_READ))
+            continue;
+        char byte = 0;
+        if (::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+            return;
+        // The peer sent more; only its closing matters.
+        Poco::Thread::sleep(pollMicroseconds / 1000);
+    }
+}
+
+std::string pathOf(const Poco::Net::HTTPServerRequest& request)
+{
+    return Poco::URI { request.getURI() }.getPath();
+}
+
+std::string queryValue(const Poco::Net::HTTPServerRequest& request, const std::string& name)
+{
+    for (const auto& [key, value] : Poco::URI { request.getURI() }.getQueryParameters()) {
+        if (key == name)
+            return value;
+    }
+    return {};
+}
+
+double unixSeconds()
+{
+    return std::chrono::duration<double> { std::chrono::system_clock::now().time_since_epoch() }.count();
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Emulator/http_reply.h
@@ -0,0 +1,40 @@
+// Declares the small steps that the stand-ins' request handlers share.
+#pragma once
+
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <functional>
+#include <string>
+
+namespace radishflow {
+
+/// Reads a request's whole body.
+std::string readBody(Poco::Net::HTTPServerRequest&);
+
+/// Parses a JSON object. Throws Poco::Exception when it is not one.
+Poco::JSON::Object::Ptr parseObject(const std::string& text);
+
+/// Answers with a status and a text.
+void sendText(Poco::Net::HTTPServerResponse&, int status, const std::string& type, const std::string& text);
+
+/// Answers with a status and a JSON object.
+void sendJson(Poco::Net::HTTPServerResponse&, int status, const Poco::JSON::Object&);
+
+/// Closes the connection without answering, or in the middle of the answer.
+void cutConnection(Poco::Net::HTTPServerRequest&);
+
+/// Waits until the peer closes the connection or the function returns true, whichever is first.
+void waitForClose(Poco::Net::HTTPServerRequest&, const std::function<bool()>& isOver);
+
+/// Returns the path without its query.
+std::string pathOf(const Poco::Net::HTTPServerRequest&);
+
+/// Returns a query parameter, or an empty text.
+std::string queryValue(const Poco::Net::HTTPServerRequest&, const std::string& name);
+
+/// Seconds since 1970 with fractions, as process_start_time_seconds gives them.
+double unixSeconds();
+
+} // namespace radishflow
