Rank a chat's servers by weighted rendezvous

Cause: returning chats must find the server that holds their prefix without a table of chats, and a server or zone that goes or returns must move no other chats. Ruled out: one logarithm and one text hash a server and request; the id's hash is kept in the server, and a lower bound of -ln(u) skips most logs.

--- /dev/null
+++ b/include/radishflow/Placement/plain_ring.h
@@ -0,0 +1,29 @@
+// Declares the baseline policy of a consistent-hash ring.
+#pragma once
+
+#include "radishflow/Placement/placement_request.h"
+#include "radishflow/Placement/placement_server.h"
+#include "radishflow/Placement/server_ranking.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace radishflow {
+
+/// Baseline: successors of the chat on a ring with 100 points a server of weight 1. It knows no ramp and no
+/// load. The ring is kept until the set of servers changes. Not thread-safe.
+class plain_ring {
+public:
+    server_ranking rank(const placement_request&, std::span<const placement_server>, std::size_t most);
+
+private:
+    void build(std::span<const placement_server>);
+
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> m_points;
+    std::uint64_t m_builtFor = 0;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Placement/bounded_rendezvous.cpp
@@ -0,0 +1,133 @@
+// Implements the placement policy of radishflow.
+#include "radishflow/Placement/bounded_rendezvous.h"
+
+#include "radishflow/Placement/chat_server_hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace radishflow {
+
+namespace {
+
+    /// A server with its place: lower is tried earlier.
+    struct ranked_server {
+        int group = 0;
+        double distance = 0;
+        std::uint64_t idHash = 0;
+        std::uint32_t index = 0;
+
+        bool isBefore(const ranked_server& other) const
+        {
+            return std::tie(group, distance, idHash) < std::tie(other.group, other.distance, other.idHash);
+        }
+    };
+
+    using ranked_servers = boost::container::small_vector<ranked_server, 16>;
+
+    enum rank_group : int {
+        NearTaking,
+        NearRamping,
+        FarTaking,
+        FarRamping,
+    };
+
+} // namespace
+
+static int groupOf(const placement_request& request, const placement_server& server)
+{
+    const bool isNear = server.region == request.region;
+    const bool takes = rampTakesChat(request.chatHash, server.idHash, server.ramp);
+    if (isNear)
+        return takes ? NearTaking : NearRamping;
+    return takes ? FarTaking : FarRamping;
+}
+
+static void insertSorted(ranked_servers& best, const ranked_server& server, std::size_t most)
+{
+    const auto place = std::upper_bound(best.begin(), best.end(), server,
+        [](const ranked_server& a, const ranked_server& b) { return a.isBefore(b); });
+    best.insert(place, server);
+    if (best.size() > most)
+        best.pop_back();
+}
+
+// -ln(u) / weight is exponentially distributed with rate `weight`, so the least one belongs to each server in
+// proportion to its weight, and leaving one out moves only its own chats. As -ln(u) >= 1 - u, most servers are
+// passed over without a logarithm.
+static ranked_servers nearestServers(
+    const placement_request& request, std::span<const placement_server> servers, std::size_t most)
+{
+    ranked_servers best;
+    for (std::uint32_t i = 0; i < servers.size(); ++i) {
+        const placement_server& server = servers[i];
+        if (!server.admitsNew || server.weight <= 0)
+            continue;
+        ranked_server candidate { .idHash = server.idHash, .index = i };
+        const double uniform = unitInterval(chatServerHash(request.chatHash, server.idHash));
+        candidate.distance = (1 - uniform) / server.weight;
+        // Group 0 is the best that it can have; when that doesn't get it in, nothing will.
+        const bool isFull = best.size() == most;
+        if (isFull && !candidate.isBefore(best.back()))
+            continue;
+        candidate.distance = -std::log(uniform) / server.weight;
+        candidate.group = groupOf(request, server);
+        if (!isFull || candidate.isBefore(best.back()))
+            insertSorted(best, candidate, most);
+    }
+    return best;
+}
+
+static void dropFarServers(ranked_servers& best)
+{
+    if (best.empty() || best.front().group >= FarTaking)
+        return;
+    const auto firstFar = std::find_if(
+        best.begin(), best.end(), [](const ranked_server& server) { return server.group >= FarTaking; });
+    best.erase(firstFar, best.end());
+}
+
+static bool hasMoreRoom(const placement_server& a, const placement_server& b)
+{
+    return std::tie(a.refusedLately, a.knownLoad) < std::tie(b.refusedLately, b.knownLoad);
+}
+
+// The first ranks are where the chat's prefix can be, so they keep their order whatever a delayed view says.
+// Beyond them the walk looks for room: of each two servers the less loaded comes first. Two, not all: with
+// views seconds old the least loaded of all would get every refused request of every decider.
+static void orderTail(std::span<ranked_server> tail, std::span<const placement_server> servers)
+{
+    for (std::size_t i = 0; i + 1 < tail.size(); i += 2) {
+        if (hasMoreRoom(servers[tail[i + 1].index], servers[tail[i].index]))
+            std::swap(tail[i], tail[i + 1]);
+    }
+    // The better ones of the pairs come before the others, and no group before an earlier one.
+    ranked_servers ordered;
+    for (const std::size_t offset : { std::size_t { 0 }, std::size_t { 1 } }) {
+        for (std::size_t i = offset; i < tail.size(); i += 2)
+            ordered.push_back(tail[i]);
+    }
+    std::stable_sort(ordered.begin(), ordered.end(),
+        [](const ranked_server& a, const ranked_server& b) { return a.group < b.group; });
+    std::copy(ordered.begin(), ordered.end(), tail.begin());
+}
+
+server_ranking bounded_rendezvous::rank(
+    const placement_request& request, std::span<const placement_server> servers, std::size_t most) const
+{
+    server_ranking ranking;
+    if (most == 0)
+        return ranking;
+    // Twice the tail, so that each place in it is a choice of two.
+    const std::size_t tail = most > m_options.homeRanks ? most - m_options.homeRanks : 0;
+    ranked_servers best = nearestServers(request, servers, most + tail);
+    dropFarServers(best);
+    if (best.size() > m_options.homeRanks)
+        orderTail(std::span { best }.subspan(m_options.homeRanks), servers);
+    for (std::size_t i = 0; i < std::min(most, best.size()); ++i)
+        ranking.push_back(best[i].index);
+    return ranking;
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/unittests/Placement/bounded_rendezvous_test.cpp
@@ -0,0 +1,140 @@
+// Tests what placement promises of the ranking: minimal movement, weights, the ramp, and agreement of hosts.
+#include "radishflow/Placement/bounded_rendezvous.h"
+#include "radishflow/Placement/placement_policy.h"
+
+#include "placement_fixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+using namespace radishflow;
+namespace data = boost::unit_test::data;
+
+static_assert(placement_policy<bounded_rendezvous>);
+
+static const server_id& homeOf(std::uint64_t chat, const std::vector<placement_server>& servers)
+{
+    return servers[bounded_rendezvous {}.rank(makeRequest(chat), servers, 1).front()].id;
+}
+
+BOOST_DATA_TEST_CASE(removalMovesOnlyTheChatsOfTheServer, data::make({ 2, 12, 20, 100, 1300 }), size)
+{
+    const std::vector<placement_server> servers = makeServers(static_cast<std::size_t>(size));
+    std::vector<placement_server> fewer = servers;
+    const server_id removed = fewer[fewer.size() / 2].id;
+    fewer.erase(fewer.begin() + size / 2);
+    for (std::uint64_t chat = 0; chat < 2000; ++chat) {
+        const server_id& before = homeOf(chat, servers);
+        const server_id& after = homeOf(chat, fewer);
+        if (before == removed) {
+            const auto next = bounded_rendezvous {}.rank(makeRequest(chat), servers, 2)[1];
+            BOOST_TEST(after.value() == servers[next].id.value());
+            continue;
+        }
+        BOOST_TEST(after.value() == before.value());
+    }
+}
+
+BOOST_DATA_TEST_CASE(leavingAndRemovedAreTheSame, data::make({ 2, 12, 100 }), size)
+{
+    std::vector<placement_server> servers = makeServers(static_cast<std::size_t>(size));
+    servers.front().admitsNew = false;
+    const std::vector<placement_server> fewer { servers.begin() + 1, servers.end() };
+    for (std::uint64_t chat = 0; chat < 500; ++chat)
+        BOOST_TEST(homeOf(chat, servers).value() == homeOf(chat, fewer).value());
+}
+
+BOOST_DATA_TEST_CASE(sharesFollowWeights, data::make({ 0.0, 0.5, 1.0, 2.0, 4.0 }), weight)
+{
+    std::vector<placement_server> servers = makeServers(10);
+    servers.front().weight = weight;
+    constexpr int chats = 40000;
+    int taken = 0;
+    for (std::uint64_t chat = 0; chat < chats; ++chat)
+        taken += homeOf(chat, servers) == servers.front().id ? 1 : 0;
+    const double expected = chats * weight / (9 + weight);
+    // Four standard deviations of a binomial count.
+    BOOST_TEST(std::abs(taken - expected) <= 4 * std::sqrt(expected));
+}
+
+BOOST_AUTO_TEST_CASE(rampOnlyEverAddsChats)
+{
+    std::vector<placement_server> servers = makeServers(20);
+    const server_id returning = servers[7].id;
+    for (std::uint64_t chat = 0; chat < 4000; ++chat) {
+        servers[7].ramp = 1;
+        const bool isHome = homeOf(chat, servers) == returning;
+        bool taken = false;
+        for (const double ramp : { 0.0, 0.1, 0.35, 0.7, 1.0 }) {
+            servers[7].ramp = ramp;
+            const bool takes = homeOf(chat, servers) == returning;
+            BOOST_TEST((takes || !taken));
+            BOOST_TEST((isHome || !takes));
+            taken = takes;
+        }
+        BOOST_TEST(taken == isHome);
+    }
+}
+
+BOOST_DATA_TEST_CASE(rampTakesItsShare, data::make({ 0.0, 0.25, 0.5, 0.9 }), ramp)
+{
+    std::vector<placement_server> servers = makeServers(4);
+    constexpr int chats = 20000;
+    servers.front().ramp = ramp;
+    int taken = 0;
+    for (std::uint64_t chat = 0; chat < chats; ++chat)
+        taken += homeOf(chat, servers) == servers.front().id ? 1 : 0;
+    BOOST_TEST(std::abs(taken - ramp * chats / 4) <= 4 * std::sqrt(chats / 4.0));
+}
+
+BOOST_AUTO_TEST_CASE(orderOfTheListDoesNotMatter)
+{
+    const std::vector<placement_server> servers = makeServers(100);
+    const std::vector<placement_server> reversed { servers.rbegin(), servers.rend() };
+    for (std::uint64_t chat = 0; chat < 500; ++chat) {
+        const auto ranking = bounded_rendezvous {}.rank(makeRequest(chat), servers, 6);
+        const auto other = bounded_rendezvous {}.rank(makeRequest(chat), reversed, 6);
+        BOOST_REQUIRE(ranking.size() == other.size());
+        for (std::size_t i = 0; i < ranking.size(); ++i)
+            BOOST_TEST(ranking[i] == servers.size() - 1 - other[i]);
+    }
+}
+
+// The ranks are fixed: daemons of different versions must agree.
+BOOST_AUTO_TEST_CASE(rankIsTheSameOnEveryHost)
+{
+    const auto ranking = bounded_rendezvous {}.rank(makeRequest(1), makeServers(20), 4);
+    const std::vector<std::uint32_t> expected { 1, 11, 9, 3 };
+    BOOST_TEST(std::vector<std::uint32_t>(ranking.begin(), ranking.end()) == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(otherRegionsOnlyWhenTheOwnHasNone)
+{
+    std::vector<placement_server> servers = makeServers(6);
+    for (std::size_t i = 3; i < 6; ++i)
+        servers[i].region = region_id { "rb" };
+    auto ranking = bounded_rendezvous {}.rank(makeRequest(1), servers, 6);
+    BOOST_TEST(ranking.size() == 3U);
+    BOOST_TEST(std::all_of(ranking.begin(), ranking.end(), [](std::uint32_t index) { return index < 3; }));
+    for (std::size_t i = 0; i < 3; ++i)
+        servers[i].admitsNew = false;
+    ranking = bounded_rendezvous {}.rank(makeRequest(1), servers, 6);
+    BOOST_TEST(ranking.size() == 3U);
+    BOOST_TEST(std::all_of(ranking.begin(), ranking.end(), [](std::uint32_t index) { return index >= 3; }));
+}
+
+BOOST_AUTO_TEST_CASE(homeRanksIgnoreKnownLoadAndTheTailHeedsIt)
+{
+    std::vector<placement_server> servers = makeServers(40);
+    const auto idle = bounded_rendezvous {}.rank(makeRequest(5), servers, 6);
+    for (std::uint32_t index : { idle[0], idle[1], idle[2] })
+        servers[index].knownLoad = 1;
+    const auto loaded = bounded_rendezvous {}.rank(makeRequest(5), servers, 6);
+    BOOST_TEST(loaded[0] == idle[0]);
+    BOOST_TEST(loaded[1] == idle[1]);
+    BOOST_TEST((loaded[2] != idle[2]));
+}
