--- /dev/null
+++ b/unittests/Placement/cache_sketch_test.cpp
@@ -0,0 +1,151 @@
+// Tests that the sketch follows cache events, and that a gap or an overflow only ever makes it uncertain.
+#include "radishflow/Placement/cache_sketch.h"
+#include "radishflow/Placement/held_preference.h"
+
+#include "placement_fixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <random>
+#include <set>
+
+using namespace radishflow;
+namespace data = boost::unit_test::data;
+
+namespace radishflow {
+
+static std::ostream& operator<<(std::ostream& out, prefix_state state)
+{
+    return out << static_cast<int>(state);
+}
+
+} // namespace radishflow
+
+namespace {
+
+struct sketch_case {
+    const char* name;
+    std::vector<cache_event> events;
+    prefix_state first; ///< Of prefix 1.
+    prefix_state second; ///< Of prefix 2, which no event stores.
+};
+
+std::ostream& operator<<(std::ostream& out, const sketch_case& example)
+{
+    return out << example.name;
+}
+
+using enum cache_event_kind;
+using enum prefix_state;
+
+const std::vector<sketch_case> sketchCases {
+    { "nothing", {}, NotHeld, NotHeld },
+    { "stored", { { 1, Stored, 1 } }, Held, NotHeld },
+    { "removed", { { 1, Stored, 1 }, { 2, Removed, 1 } }, NotHeld, NotHeld },
+    { "stored again", { { 1, Stored, 1 }, { 2, Removed, 1 }, { 3, Stored, 1 } }, Held, NotHeld },
+    { "cleared", { { 1, Stored, 1 }, { 2, Cleared, 0 } }, NotHeld, NotHeld },
+    { "gap", { { 1, Stored, 1 }, { 3, Stored, 9 } }, Uncertain, Uncertain },
+    { "stored after the gap", { { 1, Stored, 9 }, { 3, Stored, 1 } }, Held, Uncertain },
+    { "confirmed after the gap", { { 1, Stored, 1 }, { 3, Stored, 1 } }, Held, Uncertain },
+    { "removed after the gap", { { 1, Stored, 1 }, { 3, Removed, 1 } }, Uncertain, Uncertain },
+    { "cleared after the gap", { { 1, Stored, 1 }, { 3, Cleared, 0 } }, NotHeld, NotHeld },
+    { "late start", { { 7, Stored, 1 } }, Held, Uncertain },
+    { "old event repeated", { { 1, Stored, 1 }, { 2, Removed, 1 }, { 1, Stored, 1 } }, NotHeld, NotHeld },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(stateFollowsEvents, data::make(sketchCases), example)
+{
+    cache_sketch sketch { { .prefixes = 100 } };
+    for (const cache_event& event : example.events)
+        sketch.apply(event);
+    BOOST_TEST(sketch.stateOf(1) == example.first);
+    BOOST_TEST(sketch.stateOf(2) == example.second);
+}
+
+BOOST_AUTO_TEST_CASE(restartAcceptsNumbersAnew)
+{
+    cache_sketch sketch { { .prefixes = 100 } };
+    sketch.apply({ 50, Stored, 1 });
+    sketch.restart();
+    BOOST_TEST(sketch.stateOf(1) == NotHeld);
+    sketch.apply({ 0, Stored, 2 });
+    BOOST_TEST(sketch.stateOf(2) == Held);
+}
+
+// Whatever is lost, a certain answer agrees with the engine's cache as of the last event that arrived.
+BOOST_DATA_TEST_CASE(certainAnswersAreRight, data::make({ 0, 1, 10, 50 }) * data::make({ 20, 400 }), lostPercent, room)
+{
+    std::mt19937_64 random { 7 };
+    cache_sketch sketch { { .prefixes = static_cast<std::size_t>(room) } };
+    std::set<std::uint64_t> cache;
+    for (std::uint64_t sequence = 1; sequence < 5000; ++sequence) {
+        const std::uint64_t prefix = random() % 300;
+        const cache_event_kind kind = random() % 1000 == 0 ? Cleared : (cache.contains(prefix) ? Removed : Stored);
+        if (kind == Cleared)
+            cache.clear();
+        if (kind == Stored)
+            cache.insert(prefix);
+        if (kind == Removed)
+            cache.erase(prefix);
+        if (static_cast<int>(random() % 100) < lostPercent)
+            continue;
+        sketch.apply({ sequence, kind, prefix });
+        const std::uint64_t asked = random() % 300;
+        const prefix_state state = sketch.stateOf(asked);
+        const prefix_state truth = cache.contains(asked) ? Held : NotHeld;
+        BOOST_TEST((state == Uncertain || state == truth));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(mostRecentlyStoredComesFirst)
+{
+    cache_sketch sketch { { .prefixes = 1 } };
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        sketch.apply({ i, Stored, i });
+    sketch.apply({ 6, Stored, 2 });
+    const std::vector<std::uint64_t> expected { 2, 5, 4, 3, 1 };
+    BOOST_TEST(sketch.prefixes() == expected, boost::test_tools::per_element());
+}
+
+namespace {
+
+struct preference_case {
+    const char* name;
+    std::vector<prefix_state> states; ///< By server index, which is also the rank.
+    double load; ///< Known load of server 1.
+    std::uint32_t first; ///< Server that comes to the front.
+};
+
+std::ostream& operator<<(std::ostream& out, const preference_case& example)
+{
+    return out << example.name;
+}
+
+const std::vector<preference_case> preferenceCases {
+    { "held at home", { Held, Held, NotHeld, NotHeld }, 0, 0 },
+    { "held at the second", { NotHeld, Held, NotHeld, NotHeld }, 0, 1 },
+    { "held at a full second", { NotHeld, Held, NotHeld, NotHeld }, 1, 0 },
+    { "held at the third", { NotHeld, NotHeld, Held, NotHeld }, 0, 2 },
+    { "held beyond the ranks", { NotHeld, NotHeld, NotHeld, Held }, 0, 0 },
+    { "home uncertain", { Uncertain, Held, NotHeld, NotHeld }, 0, 1 },
+    { "second uncertain", { NotHeld, Uncertain, NotHeld, NotHeld }, 0, 0 },
+    { "all uncertain", { Uncertain, Uncertain, Uncertain, Uncertain }, 0, 0 },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(onlyACertainAnswerMovesAServer, data::make(preferenceCases), example)
+{
+    std::vector<placement_server> servers = makeServers(4);
+    servers[1].knownLoad = example.load;
+    server_ranking ranking { 0, 1, 2, 3 };
+    preferHeldPrefix(ranking, servers, [&](std::uint32_t index) { return example.states[index]; });
+    BOOST_TEST(ranking.front() == example.first);
+    std::sort(ranking.begin(), ranking.end());
+    BOOST_TEST((ranking == server_ranking { 0, 1, 2, 3 }));
+}
