Measure placement policies on the same arrivals in virtual time

Cause: cache reuse, load skew and service through zone loss decide which policy stands, and need one run that compares them. Ruled out: wall-clock runs with processes (they can't hold 1,300 servers). Change: placement-benchmark (arrivals of returning chats, engines with slots, prefix cache, prefill and cold limit, owners with a delayed mean, deciders with delayed views) and rank-benchmark; a cheaper early skip in bounded_rendezvous.

--- /dev/null
+++ b/benchmarks/placement/fleet_layout.h
@@ -0,0 +1,29 @@
+// Declares the sizes of fleet that the benchmark runs.
+#pragma once
+
+#include "radishflow/Placement/placement_server.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace radishflow {
+
+struct fleet_layout {
+    std::string name;
+    std::size_t servers = 0;
+    std::size_t zones = 0;
+    std::size_t regions = 1;
+
+    std::size_t zoneOf(std::size_t index) const { return index % zones; }
+    std::size_t regionOf(std::size_t index) const { return zoneOf(index) % regions; }
+
+    std::vector<placement_server> makeServers() const;
+};
+
+/// Finds "port-louis", "digitising-office" or "large"; a layout without servers for another name.
+fleet_layout findLayout(const std::string& name);
+
+region_id regionName(std::size_t region);
+
+} // namespace radishflow
--- /dev/null
+++ b/benchmarks/placement/placement_benchmark.cpp
@@ -0,0 +1,122 @@
+// Compares placement policies on the same arrivals in virtual time: cache reuse, load skew and service.
+#include "radishflow/Placement/bounded_rendezvous.h"
+#include "radishflow/Placement/least_known_load.h"
+#include "radishflow/Placement/plain_ring.h"
+#include "radishflow/Placement/random_choice.h"
+#include "radishflow/Placement/round_robin.h"
+
+#include "fleet_simulation.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <memory>
+#include <random>
+#include <sstream>
+
+DEFINE_string(layout, "port-louis", "port-louis (20 workers, 4 zones), digitising-office (12, 3) or large (1300, 9)");
+DEFINE_string(scenarios, "steady,churn,zone-planned,zone-lost,surge", "scenarios, separated by commas");
+DEFINE_string(policies, "rendezvous,rendezvous-held,random,round-robin,least-load,plain-ring", "policies, separated by commas");
+DEFINE_uint64(deciders, 7, "daemons that choose servers");
+DEFINE_uint64(seed, 1, "seed of arrivals, churn and random choices");
+DEFINE_double(load_multiple, 1.25, "bound of a server's load as a multiple of the mean");
+DEFINE_double(per_server, 1.154, "requests a second for each server");
+DEFINE_double(seconds, 220, "virtual length of a run");
+DEFINE_bool(mean_per_region, false, "owners and checks use the mean of the server's region");
+DEFINE_double(mean_window, 0.5, "seconds over which owners take the least mean");
+DEFINE_double(exports, 0, "prefixes a second that an engine exports when servers leave or return");
+DEFINE_uint64(attempts, 8, "most servers that a walk tries");
+
+namespace radishflow {
+
+static constexpr sim_time warmUp { 70 };
+
+static std::vector<std::string> splitList(const std::string& text)
+{
+    std::vector<std::string> words;
+    std::istringstream in { text };
+    for (std::string word; std::getline(in, word, ',');)
+        words.push_back(word);
+    return words;
+}
+
+static fleet_options optionsOf(const std::string& policy)
+{
+    fleet_options options;
+    options.loadMultiple = FLAGS_load_multiple;
+    options.keepsBound = policy != "plain-ring";
+    options.meanPerRegion = FLAGS_mean_per_region;
+    options.meanWindow = sim_time { FLAGS_mean_window };
+    options.deciders = FLAGS_deciders;
+    options.mostAttempts = FLAGS_attempts;
+    options.prefersHeld = policy == "rendezvous-held";
+    options.exportsPerSecond = policy.starts_with("rendezvous") ? FLAGS_exports : 0;
+    options.seed = FLAGS_seed;
+    return options;
+}
+
+template <typename MakePolicy>
+static measurements runPolicy(const std::string& name, const fleet_layout& layout, const scenario& events,
+    const std::vector<chat_turn>& turns, MakePolicy&& makePolicy)
+{
+    const fleet_options options = optionsOf(name);
+    measurements figures { warmUp, sim_time { FLAGS_seconds } };
+    using policy_type = decltype(makePolicy(std::size_t { 0 }));
+    fleet_simulation<policy_type> simulation { layout, options, events, turns, makePolicy, figures };
+    simulation.run(sim_time { FLAGS_seconds });
+    return figures;
+}
+
+static measurements runNamed(const std::string& name, const fleet_layout& layout, const scenario& events,
+    const std::vector<chat_turn>& turns)
+{
+    std::mt19937_64 random { FLAGS_seed };
+    using random_type = std::mt19937_64;
+    if (name == "random")
+        return runPolicy(name, layout, events, turns, [&](std::size_t) { return random_choice<random_type> { random }; });
+    if (name == "round-robin")
+        return runPolicy(name, layout, events, turns, [&](std::size_t) { return round_robin { random() }; });
+    if (name == "least-load")
+        return runPolicy(name, layout, events, turns, [&](std::size_t) { return least_known_load<random_type> { random }; });
+    if (name == "plain-ring")
+        return runPolicy(name, layout, events, turns, [](std::size_t) { return plain_ring {}; });
+    return runPolicy(name, layout, events, turns, [](std::size_t) { return bounded_rendezvous {}; });
+}
+
+static int runAll()
+{
+    const fleet_layout layout = findLayout(FLAGS_layout);
+    if (layout.servers == 0) {
+        std::fprintf(stderr, "no layout %s\n", FLAGS_layout.c_str());
+        return 1;
+    }
+    for (const std::string& name : splitList(FLAGS_scenarios)) {
+        const scenario events = findScenario(name, layout, sim_time { FLAGS_seconds }, FLAGS_seed);
+        if (events.name.empty()) {
+            std::fprintf(stderr, "no scenario %s\n", name.c_str());
+            return 1;
+        }
+        const std::vector<chat_turn> turns = makeArrivals({ .perSecond = FLAGS_per_server * static_cast<double>(layout.servers),
+            .length = sim_time { FLAGS_seconds },
+            .surgeShare = events.surgeShare,
+            .surgeFrom = events.eventAt,
+            .surgeTo = events.eventEnd,
+            .seed = FLAGS_seed });
+        std::printf("\n%s, %s, %zu servers, %zu deciders, %zu requests, c %.2f\n%s\n", layout.name.c_str(), name.c_str(),
+            layout.servers, static_cast<std::size_t>(FLAGS_deciders), turns.size(), FLAGS_load_multiple, measurements::header().c_str());
+        for (const std::string& policy : splitList(FLAGS_policies)) {
+            std::printf("%s\n", runNamed(policy, layout, events, turns).row(policy, events).c_str());
+            std::fflush(stdout);
+        }
+    }
+    return 0;
+}
+
+} // namespace radishflow
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("compares placement policies in virtual time");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return radishflow::runAll();
+}
--- a/lib/Placement/bounded_rendezvous.cpp
+++ b/lib/Placement/bounded_rendezvous.cpp
@@ -64,15 +64,15 @@
         const placement_server& server = servers[i];
         if (!server.admitsNew || server.weight <= 0)
             continue;
-        ranked_server candidate { .idHash = server.idHash, .index = i };
         const double uniform = unitInterval(chatServerHash(request.chatHash, server.idHash));
-        candidate.distance = (1 - uniform) / server.weight;
-        // Group 0 is the best that it can have; when that doesn't get it in, nothing will.
         const bool isFull = best.size() == most;
-        if (isFull && !candidate.isBefore(best.back()))
+        // Group 0 is the best that a server can have; when that doesn't get it in, nothing will.
+        if (isFull && best.back().group == NearTaking && 1 - uniform > best.back().distance * server.weight)
             continue;
-        candidate.distance = -std::log(uniform) / server.weight;
-        candidate.group = groupOf(request, server);
+        const ranked_server candidate { .group = groupOf(request, server),
+            .distance = -std::log(uniform) / server.weight,
+            .idHash = server.idHash,
+            .index = i };
         if (!isFull || candidate.isBefore(best.back()))
             insertSorted(best, candidate, most);
     }
