Let one daemon own each backend server by terms in the table

Cause: a server's limit must live in one place at a time, and losing that place must never let the sum of what daemons send exceed the limit.

Ruled out: a renewal row per server (1,300 rows every 10 s are 130 writes a second; one row a daemon is 35 at 350 daemons); stopping at the lapse (a dark table would stop all work); absolute shares in the row (a limit that falls or grows would make them wrong, while a place in the list gives each holder a part that only grows with the limit it sees).

--- /dev/null
+++ b/include/radishflow/Terms/handover_schedule.h
@@ -0,0 +1,35 @@
+// Declares handover_schedule, which decides when a server goes to a daemon that ranks higher.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+#include "radishflow/Support/monotonic_clock.h"
+#include "radishflow/Terms/term_options.h"
+
+#include <unordered_map>
+
+namespace radishflow {
+
+/// Not thread-safe.
+class handover_schedule {
+public:
+    /// Returns whether to hand over now: the higher rank has lasted for rebalanceDelay, and fewer than
+    /// maxHandovers others are under way.
+    bool isDue(const server_id&, bool isOutranked, bool isClosed, time_point now, const term_options&);
+
+    void closedAt(const server_id& server, time_point now) { m_entries[server].closedSince = now; }
+    void forget(const server_id& server) { m_entries.erase(server); }
+    time_point closedSince(const server_id& server) { return m_entries[server].closedSince; }
+
+private:
+    struct entry {
+        time_point outrankedSince;
+        time_point closedSince;
+        bool isUnderWay = false;
+    };
+
+    int underWay() const;
+
+    std::unordered_map<server_id, entry> m_entries;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Terms/renewal_row.h
@@ -0,0 +1,42 @@
+// Declares the row by which one daemon renews the terms of all servers that it owns.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishflow {
+
+enum class renewal_state {
+    Live,
+    Lapsed, ///< Written by a successor; the daemon has lost all its terms.
+    Released, ///< Written by the daemon itself when it stopped.
+};
+
+/// Row "terms/renewals/<daemon>".
+struct renewal_row {
+    incarnation_number incarnation;
+    std::uint64_t nonce = 0; ///< Tells processes of the same name apart.
+    std::uint64_t sequence = 0; ///< Grows with each attempt to renew.
+    renewal_state state = renewal_state::Live;
+
+    friend bool operator==(const renewal_row&, const renewal_row&) = default;
+};
+
+/// Prefix of all rows of ownership, so that one range read follows them.
+inline constexpr std::string_view termsPrefix = "terms/";
+
+std::string renewalKey(const daemon_id&);
+
+/// Returns the daemon of a renewal row's key, or nothing for another key.
+std::optional<daemon_id> daemonOfRenewalKey(std::string_view key);
+
+std::string format(const renewal_row&);
+
+/// Returns nothing when the text is not a renewal row.
+std::optional<renewal_row> parseRenewalRow(std::string_view);
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Terms/term_holder.h
@@ -0,0 +1,225 @@
+// Declares term_holder, the state machine by which a daemon renews the term of all servers that it owns.
+#pragma once
+
+#include "radishflow/Terms/commit_attempt.h"
+#include "radishflow/Terms/renewal_row.h"
+#include "radishflow/Terms/server_gate.h"
+#include "radishflow/Terms/term_options.h"
+
+#include <algorithm>
+#include <cassert>
+#include <optional>
+
+namespace radishflow {
+
+/// Registers an incarnation and renews it. Not thread-safe. Its state is whole whenever it calls the table,
+/// so a table may release the caller's lock while it waits for the network.
+template <monotonic_clock Clock>
+class term_holder {
+public:
+    term_holder(const Clock& clock, daemon_id self, const term_options& options, std::uint64_t nonce)
+        : m_clock(clock)
+        , m_self(std::move(self))
+        , m_options(options)
+        , m_nonce(nonce)
+    {
+        assert(options.observeLength > options.termLength && "others must wait for longer than a term runs");
+    }
+
+    /// Registers, renews when due, or settles an attempt whose reply was lost.
+    template <transactional_table Table>
+    void step(Table& table)
+    {
+        if (m_state == holder_state::Released)
+            return;
+        if (m_pending || m_state == holder_state::Starting) {
+            readBack(table);
+            if (m_pending)
+                return;
+        }
+        if (m_state == holder_state::Starting && m_hasReadBack)
+            attempt(table, { .incarnation = nextIncarnation(), .nonce = m_nonce, .sequence = m_row.sequence + 1 });
+        else if (m_state == holder_state::Held && m_clock.now() >= m_renewAt)
+            attempt(table, nextRow(renewal_state::Live));
+    }
+
+    /// Says to the others that this daemon has released its servers; returns true when the table has it.
+    template <transactional_table Table>
+    bool release(Table& table)
+    {
+        if (m_state == holder_state::Held && !m_pending)
+            attempt(table, nextRow(renewal_state::Released));
+        else if (m_pending)
+            readBack(table);
+        return m_state == holder_state::Released || m_state == holder_state::Lost;
+    }
+
+    /// Takes note of this daemon's own row as read by a poll; a successor may have marked it.
+    void observe(const renewal_row& row, std::int64_t revision)
+    {
+        if (m_state != holder_state::Held || revision <= m_revision)
+            return;
+        if (!isOwnLiveRow(row))
+            return lose();
+        // An attempt took effect late; the next renewal finds out which.
+        m_renewAt = m_clock.now();
+    }
+
+    /// Comes back after a loss with a new incarnation; every gate must have an empty window.
+    void startAgain()
+    {
+        assert(m_state == holder_state::Lost && "only a lost term starts again");
+        m_state = holder_state::Starting;
+        m_hasReadBack = false;
+    }
+
+    term_phase phase() const
+    {
+        if (m_state != holder_state::Held || !m_lapsesAt)
+            return term_phase::Ended;
+        const time_point now = m_clock.now();
+        if (now < *m_lapsesAt)
+            return term_phase::Running;
+        return now < *m_lapsesAt + m_options.darkLimit ? term_phase::Dark : term_phase::Ended;
+    }
+
+    bool isLost() const { return m_state == holder_state::Lost; }
+    bool isReleased() const { return m_state == holder_state::Released; }
+    bool isHeld() const { return m_state == holder_state::Held; }
+    incarnation_number incarnation() const { return m_row.incarnation; }
+
+    /// Revision of the live row, for conditions; nothing while it is in doubt.
+    std::optional<std::int64_t> rowRevision() const
+    {
+        return m_state == holder_state::Held && !m_pending ? std::optional { m_revision } : std::nullopt;
+    }
+
+    const std::optional<failure>& lastFailure() const { return m_lastFailure; }
+
+private:
+    enum class holder_state {
+        Starting,
+        Held,
+        Lost,
+        Released,
+    };
+
+    struct pending_attempt {
+        renewal_row row;
+        time_point sentAt;
+    };
+
+    renewal_row nextRow(renewal_state state) const
+    {
+        return { .incarnation = m_row.incarnation, .nonce = m_nonce, .sequence = m_row.sequence + 1, .state = state };
+    }
+
+    incarnation_number nextIncarnation() const
+    {
+        return std::max(m_row.incarnation.next(), incarnation_number { m_options.minIncarnation });
+    }
+
+    bool isOwnLiveRow(const renewal_row& row) const
+    {
+        const incarnation_number expected = m_pending ? m_pending->row.incarnation : m_row.incarnation;
+        return row.nonce == m_nonce && row.incarnation == expected && row.state == renewal_state::Live;
+    }
+
+    template <transactional_table Table>
+    void attempt(Table& table, const renewal_row& row)
+    {
+        m_pending = pending_attempt { .row = row, .sentAt = m_clock.now() };
+        const std::int64_t expected = m_revision;
+        const commit_attempt outcome = tryCommit(table, { { .key = renewalKey(m_self), .modRevision = expected } },
+            { { .key = renewalKey(m_self), .value = format(row) } });
+        m_lastFailure = outcome.error;
+        switch (outcome.status) {
+        case commit_status::Succeeded:
+            return accept(row, outcome.commit.revision);
+        case commit_status::Conflict:
+            return readBack(table);
+        case commit_status::NotSent:
+            m_pending.reset();
+            return;
+        case commit_status::Unknown:
+            return;
+        }
+    }
+
+    // The term counts from before the sending: the table's time of the write is later than that for sure.
+    void accept(const renewal_row& row, std::int64_t revision)
+    {
+        const time_point from = m_options.rules.termFromSending ? m_pending->sentAt : m_clock.now();
+        if (row.sequence == m_pending->row.sequence) {
+            m_lapsesAt = from + m_options.termLength;
+            m_renewAt = from + m_options.renewInterval;
+        } else {
+            // An earlier attempt took effect late. It lengthens nothing; the next step renews.
+            m_renewAt = m_clock.now();
+            m_lapsesAt = m_lapsesAt ? m_lapsesAt : m_renewAt;
+        }
+        const bool isReleasedRow = row.state == renewal_state::Released;
+        m_row = row;
+        // A lost attempt that comes late must not carry a sequence that is used again.
+        m_row.sequence = std::max(row.sequence, m_pending->row.sequence);
+        m_revision = revision;
+        m_pending.reset();
+        m_state = isReleasedRow ? holder_state::Released : holder_state::Held;
+    }
+
+    template <transactional_table Table>
+    void readBack(Table& table)
+    {
+        const std::string key = renewalKey(m_self);
+        const read_attempt read = tryRead(table, key, 0);
+        m_lastFailure = read.error;
+        if (!read.page)
+            return;
+        const auto found = std::find_if(read.page->rows.begin(), read.page->rows.end(),
+            [&](const table_row& row) { return row.key == key; });
+        const bool isPresent = found != read.page->rows.end();
+        settle(isPresent ? parseRenewalRow(found->value) : std::nullopt, isPresent ? found->modRevision : 0);
+    }
+
+    void settle(const std::optional<renewal_row>& row, std::int64_t revision)
+    {
+        m_hasReadBack = true;
+        if (m_pending && row && *row == m_pending->row)
+            return accept(*row, revision);
+        if (m_pending && row && isOwnLiveRow(*row) && revision != m_revision)
+            return accept(*row, revision);
+        const std::optional<pending_attempt> unsettled = std::exchange(m_pending, std::nullopt);
+        if (revision == m_revision) {
+            // The attempt has not taken effect so far; the next one takes the same condition, so at most one does.
+            if (unsettled)
+                m_row.sequence = std::max(m_row.sequence, unsettled->row.sequence);
+            return;
+        }
+        if (m_state == holder_state::Held)
+            return lose();
+        m_revision = revision;
+        m_row = row.value_or(renewal_row {});
+    }
+
+    void lose()
+    {
+        m_state = holder_state::Lost;
+        m_pending.reset();
+        m_lapsesAt.reset();
+    }
+
+    const Clock& m_clock;
+    daemon_id m_self;
+    term_options m_options;
+    std::uint64_t m_nonce;
+    holder_state m_state = holder_state::Starting;
+    bool m_hasReadBack = false;
+    renewal_row m_row; ///< Last row that is known; its sequence is the last one used.
+    std::int64_t m_revision = 0;
+    std::optional<pending_attempt> m_pending;
+    std::optional<time_point> m_lapsesAt;
+    time_point m_renewAt;
+    std::optional<failure> m_lastFailure;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Terms/handover_schedule.cpp
@@ -0,0 +1,29 @@
+// Implements the schedule of handovers.
+#include "radishflow/Terms/handover_schedule.h"
+
+#include <algorithm>
+
+namespace radishflow {
+
+int handover_schedule::underWay() const
+{
+    return static_cast<int>(std::count_if(m_entries.begin(), m_entries.end(),
+        [](const auto& pair) { return pair.second.isUnderWay; }));
+}
+
+bool handover_schedule::isDue(const server_id& server, bool isOutranked, bool isClosed, time_point now, const term_options& options)
+{
+    if (!isOutranked) {
+        m_entries.erase(server);
+        return false;
+    }
+    const auto [found, isNew] = m_entries.try_emplace(server, entry { .outrankedSince = now });
+    if (isNew || now < found->second.outrankedSince + options.rebalanceDelay)
+        return false;
+    if (!isClosed && !found->second.isUnderWay && underWay() >= options.maxHandovers)
+        return false;
+    found->second.isUnderWay = true;
+    return true;
+}
+
+} // namespace radishflow
