Add membership by gossip over UDP

Daemons need one view of who is in the fleet without a second coordination service; the platform's host list lags and only seeds it.

Adds the decision logic (probes, suspicion, refutation, regions, news, registers, anti-entropy, sums of loads), the codec and the socket edge, and a fleet in virtual time. Ruled out: Thrift calls over TCP for heartbeats, which cost a connection a pair; full spread of load, which at 350 daemons is 175 updates a second each.

--- /dev/null
+++ b/include/radishflow/Membership/fleet_register.h
@@ -0,0 +1,26 @@
+// Declares fleet_register, a small versioned value that belongs to the whole fleet.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace radishflow {
+
+/// The greater of two values holds: by version, on a tie by bytes, then by stamp.
+struct fleet_register {
+    static constexpr std::size_t s_maxBytes = 200;
+    static constexpr std::size_t s_maxKeyBytes = 64;
+    static constexpr std::size_t s_maxRegisters = 256;
+    static constexpr std::uint64_t s_maxVersion = std::uint64_t { 1 } << 62;
+
+    std::uint64_t version = 0; ///< 0 means that it was never set.
+    std::string bytes;
+    std::int64_t stamp = 0; ///< When it was set, in milliseconds of the setter's wall clock; for people.
+
+    friend auto operator<=>(const fleet_register&, const fleet_register&) = default;
+    friend bool operator==(const fleet_register&, const fleet_register&) = default;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Membership/member_list.h
@@ -0,0 +1,83 @@
+// Declares member_list, the merged state of members and registers, without time-outs or messages.
+#pragma once
+
+#include "radishflow/Membership/member_entry.h"
+#include "radishflow/Membership/membership_options.h"
+#include "radishflow/Membership/register_map.h"
+#include "radishflow/Membership/state_digest.h"
+
+#include <map>
+#include <vector>
+
+namespace radishflow {
+
+/// Merges are idempotent and commute. Not thread-safe.
+class member_list {
+public:
+    using entry_map = std::map<daemon_id, member_entry>;
+
+    explicit member_list(const membership_options& options)
+        : m_options(options)
+    {
+    }
+
+    /// Takes an update; returns whether the status rose. Unknown members that are no more are not taken in.
+    bool merge(const member_update&, time_point now);
+    /// Takes a record; returns whether it was news.
+    bool merge(const record_update&);
+    /// Takes a register; returns whether it was news.
+    bool merge(const register_update&);
+
+    const entry_map& entries() const { return m_entries; }
+    member_entry* find(const daemon_id&);
+    const member_entry* find(const daemon_id&) const;
+    const register_map& registers() const { return m_registers; }
+    const state_digest& digest() const { return m_digest; }
+    time_point changedAt() const { return m_changedAt; }
+
+    /// Returns the changes of state of a member in recent time, decayed.
+    double flapsOf(const member_entry&, time_point now) const;
+
+    /// Drops the records of members long dead, and members dead for very long.
+    void forgetOld(time_point now);
+
+    /// Counts the members that are not dead or left, this daemon included.
+    std::size_t liveCount() const { return m_liveCount; }
+    /// The same within one region.
+    std::size_t liveCount(const region_id&) const;
+
+    /// Returns the digests of all entries in the buckets of the mask.
+    std::vector<entry_digest> digestsOf(std::uint32_t bucketMask) const;
+
+    /// Calls visitMember(entry) or visitRegister(key, value) for the entries with this key hash.
+    template <typename VisitMember, typename VisitRegister>
+    void visit(std::uint32_t keyHash, VisitMember&& visitMember, VisitRegister&& visitRegister) const
+    {
+        for (const auto& [id, entry] : m_entries) {
+            if (entry.keyHash == keyHash)
+                visitMember(entry);
+        }
+        for (const auto& [key, value] : m_registers) {
+            if (registerHash(key) == keyHash)
+                visitRegister(key, value);
+        }
+    }
+
+    static std::uint32_t memberHash(const daemon_id&);
+    static std::uint32_t registerHash(const std::string& key);
+
+private:
+    void countFlap(member_entry&, time_point now) const;
+    void refreshDigest(member_entry&);
+    void recount();
+
+    const membership_options& m_options;
+    entry_map m_entries;
+    register_map m_registers;
+    state_digest m_digest;
+    std::size_t m_liveCount = 0;
+    std::map<region_id, std::size_t> m_liveByRegion;
+    time_point m_changedAt {};
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Membership/membership_table_probes.h
@@ -0,0 +1,247 @@
+// Defines how membership_table probes members and judges their silence.
+#pragma once
+
+#include "radishflow/Membership/membership_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishflow {
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+bool membership_table<Clock, Random>::isOwnRegion(const member_entry& entry) const
+{
+    return m_options.testSwitches.noRegions || entry.update.region == m_options.region;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::send(out_list& out, const peer_address& to, gossip_message message, bool withNews)
+{
+    const member_status& status = self().update.status;
+    message.sender = m_options.id;
+    message.incarnation = status.incarnation;
+    message.refutation = status.refutation;
+    const bool isProbe = message.kind == message_kind::Ping || message.kind == message_kind::Ack;
+    if (isProbe)
+        message.stateHash = m_list.digest().total();
+    std::size_t room = gossip_message::s_maxBytes - messageHeaderBound;
+    for (const member_update& update : message.members)
+        room -= std::min(room, encodedBound(update));
+    if (withNews && !(isProbe && m_budget.isSpent())) {
+        const std::size_t bytes = m_news.fill(message, m_list, room, retransmitLimit());
+        m_budget.spend(bytes);
+    }
+    if (message.kind == message_kind::Gossip)
+        m_budget.spend(messageHeaderBound / 3);
+    out.push_back({ .to = to, .message = std::move(message) });
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::sendPing(out_list& out, const probe& subject)
+{
+    gossip_message ping;
+    ping.kind = message_kind::Ping;
+    ping.sequence = subject.sequence;
+    ping.target = subject.target;
+    const member_entry* entry = subject.target.empty() ? nullptr : m_list.find(subject.target);
+    // A suspect has to hear of the suspicion to refute it, and a dead member to take a new incarnation.
+    if (entry && entry->update.status.state() != member_state::Alive)
+        ping.members.push_back(entry->update);
+    // Whoever may not know this daemon yet gets to know it.
+    if (subject.reason == probe::purpose::Rejoin)
+        ping.members.push_back(self().update);
+    send(out, subject.address, std::move(ping), true);
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::startProbe(out_list& out, const member_entry& entry, probe::purpose reason, time_point now)
+{
+    const auto started = m_probes.start({ .target = entry.update.id, .address = entry.update.address, .reason = reason }, now);
+    if (!started)
+        return;
+    ++m_counters.probes;
+    sendPing(out, *started);
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::probeOthers(out_list& out, time_point now)
+{
+    if (isDue(m_nextProbe, now, m_options.probeInterval)) {
+        const member_entry* entry = m_schedule.next(m_list);
+        if (entry && !m_probes.isOpen(entry->update.id))
+            startProbe(out, *entry, probe::purpose::OwnRegion, now);
+    }
+    if (m_options.testSwitches.noRegions || !isDue(m_nextCross, now, m_options.crossRegionInterval))
+        return;
+    std::set<region_id> others;
+    for (const auto& [id, entry] : m_list.entries()) {
+        if (!entry.update.status.isTerminal() && !isOwnRegion(entry))
+            others.insert(entry.update.region);
+    }
+    if (others.empty())
+        return;
+    const region_id region = *std::next(others.begin(), static_cast<std::ptrdiff_t>(m_crossTurn++ % others.size()));
+    const auto isThere = [&](const member_entry& entry) { return !entry.update.status.isTerminal() && entry.update.region == region; };
+    for (const member_entry* entry : m_schedule.sample(m_list, 1, isThere))
+        startProbe(out, *entry, probe::purpose::OtherRegion, now);
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::probeLost(out_list& out, time_point now)
+{
+    const bool isAlone = m_list.liveCount() <= 1;
+    const duration interval = isAlone ? std::chrono::seconds { 1 } : m_options.rejoinInterval;
+    if (!isDue(m_nextRejoin, now, interval) || (m_options.testSwitches.noRejoin && !isAlone))
+        return;
+    std::vector<probe> lost;
+    std::set<peer_address> known { m_options.address };
+    for (const auto& [id, entry] : m_list.entries()) {
+        known.insert(entry.update.address);
+        if (entry.update.status.state() == member_state::Dead && id != m_options.id)
+            lost.push_back({ .target = id, .address = entry.update.address, .reason = probe::purpose::Rejoin });
+    }
+    for (const seed_peer& peer : m_seeds) {
+        if (!known.contains(peer.address))
+            lost.push_back({ .target = {}, .address = peer.address, .reason = probe::purpose::Rejoin });
+    }
+    std::size_t count = std::min<std::size_t>(lost.size(), isAlone ? 3 : 1);
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(lost[i], lost[i + m_schedule.below(lost.size() - i)]);
+        if (const auto started = m_probes.start(lost[i], now))
+            sendPing(out, *started);
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::takeStep(out_list& out, const probe_step& step, time_point now)
+{
+    switch (step.due) {
+    case probe_step::action::Repeat:
+        if (step.subject.reason != probe::purpose::Rejoin)
+            sendPing(out, step.subject);
+        return;
+    case probe_step::action::AskOthers:
+        if (step.subject.reason != probe::purpose::OwnRegion)
+            return;
+        sendPing(out, step.subject);
+        askOthers(out, step.subject);
+        return;
+    case probe_step::action::Fail:
+        if (step.subject.reason == probe::purpose::OwnRegion)
+            judge(step.subject, now);
+        return;
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::askOthers(out_list& out, const probe& subject)
+{
+    if (m_options.testSwitches.noIndirectProbes)
+        return;
+    const auto isHelper = [&](const member_entry& entry) {
+        return entry.update.id != subject.target && entry.update.status.state() == member_state::Alive && isOwnRegion(entry);
+    };
+    for (const member_entry* helper : m_schedule.sample(m_list, m_options.indirectProbes, isHelper)) {
+        gossip_message request;
+        request.kind = message_kind::PingRequest;
+        request.sequence = subject.sequence;
+        request.target = subject.target;
+        request.targetAddress = subject.address;
+        send(out, helper->update.address, std::move(request), true);
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::judge(const probe& subject, time_point now)
+{
+    member_entry* entry = m_list.find(subject.target);
+    if (!entry || entry->update.status.isTerminal() || hasLeft())
+        return;
+    // Who hears nobody is probably cut off itself. With one other member there is nobody else to hear.
+    if (m_heardAt < subject.startedAt && m_list.liveCount() > 2)
+        return;
+    // A later probe was answered.
+    if (entry->answeredAt >= subject.startedAt)
+        return;
+    if (m_options.testSwitches.noSuspicion) {
+        declareDead(subject.target, now);
+        return;
+    }
+    if (entry->update.status.state() == member_state::Alive) {
+        member_update update = entry->update;
+        update.status.isSuspect = true;
+        m_list.merge(update, now);
+        ++m_counters.suspicions;
+        announce(subject.target, now);
+    }
+    if (!entry->isOwnSuspicion) {
+        entry->isOwnSuspicion = true;
+        entry->suspectedAt = now;
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+duration membership_table<Clock, Random>::suspicionTimeout(const member_entry& entry) const
+{
+    // News take longer to come around in a larger region.
+    const double scale = std::max(1.0, std::log10(static_cast<double>(m_list.liveCount(entry.update.region))));
+    const auto own = std::chrono::duration_cast<duration>(m_options.suspicionTimeout * scale);
+    return entry.isOwnSuspicion ? own : own * m_options.secondHandSuspicionFactor;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::checkSuspicions(out_list& out, time_point now)
+{
+    std::vector<daemon_id> dead;
+    for (const auto& [id, held] : m_list.entries()) {
+        if (held.update.status.state() != member_state::Suspect || !isOwnRegion(held) || hasLeft())
+            continue;
+        member_entry& entry = *m_list.find(id);
+        // The suspect answers but has not refuted yet; the silence starts anew.
+        entry.suspectedAt = std::max(entry.suspectedAt, entry.answeredAt);
+        const bool isCutOff = m_heardAt < entry.suspectedAt && m_list.liveCount() > 2;
+        if (!isCutOff && now - entry.suspectedAt >= suspicionTimeout(entry)) {
+            dead.push_back(id);
+            continue;
+        }
+        if (entry.isOwnSuspicion && now - entry.noticedAt >= m_options.reprobeInterval && !m_probes.isOpen(id)) {
+            entry.noticedAt = now;
+            startProbe(out, entry, probe::purpose::OwnRegion, now);
+        }
+    }
+    for (const daemon_id& id : dead)
+        declareDead(id, now);
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::declareDead(const daemon_id& id, time_point now)
+{
+    member_update update = m_list.find(id)->update;
+    update.status.terminal = member_status::terminal_state::Dead;
+    if (!m_list.merge(update, now))
+        return;
+    ++m_counters.deaths;
+    announce(id, now);
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::announce(const daemon_id& id, time_point now)
+{
+    m_newsAt = now;
+    member_entry& entry = *m_list.find(id);
+    m_regions.addRegion(entry.update.region, now);
+    const bool isFlapping = id != m_options.id && m_list.flapsOf(entry, now) > m_options.flapThreshold;
+    if (!isFlapping || m_options.testSwitches.noDamping) {
+        m_news.addMember(id);
+        return;
+    }
+    if (now >= entry.newsHeldUntil) {
+        entry.newsHeldUntil = now + m_options.flapHold;
+        m_news.addMember(id);
+        return;
+    }
+    ++m_counters.heldNews;
+    m_heldNews.insert(id);
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -0,0 +1,260 @@
+// Defines what membership_table does by itself: construction, publishing, ticks and views.
+#pragma once
+
+#include "radishflow/Membership/membership_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace radishflow {
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+membership_table<Clock, Random>::membership_table(membership_options options, const Clock& clock, Random& random)
+    : m_options(std::move(options))
+    , m_clock(clock)
+    , m_list(m_options)
+    , m_probes(m_options)
+    , m_schedule(m_options, random)
+    , m_loads(m_options)
+    , m_budget(m_options.newsBytesPerSecond, m_options.newsBurstBytes)
+{
+    assert(!m_options.id.empty() && "a member needs a name");
+    const time_point now = m_clock.now();
+    m_tickedAt = now;
+    m_heardAt = now;
+    m_list.merge(member_update { .id = m_options.id,
+                     .status = { .incarnation = m_options.incarnation },
+                     .address = m_options.address,
+                     .http = m_options.http,
+                     .zone = m_options.zone,
+                     .region = m_options.region },
+        now);
+    m_regions.addRegion(m_options.region, now);
+    m_news.addMember(m_options.id);
+    // Random phases keep daemons that start together from acting together.
+    const auto phase = [&](duration interval) { return now + interval * static_cast<std::int64_t>(m_schedule.below(1000)) / 1000; };
+    m_nextProbe = phase(m_options.probeInterval);
+    m_nextCross = phase(m_options.crossRegionInterval);
+    m_nextGossip = phase(m_options.gossipInterval);
+    m_nextLoad = phase(m_options.loadInterval);
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+std::vector<outgoing_message> membership_table<Clock, Random>::tick()
+{
+    const time_point now = m_clock.now();
+    noticePause(now);
+    m_budget.refill(now);
+    out_list out;
+    for (const probe_step& step : m_probes.advance(now))
+        takeStep(out, step, now);
+    checkSuspicions(out, now);
+    releaseHeldNews(now);
+    spreadRecords(now);
+    if (!hasLeft()) {
+        probeOthers(out, now);
+        probeLost(out, now);
+    }
+    gossip(out, now);
+    if (!hasLeft() && isDue(m_nextLoad, now, m_options.loadInterval)) {
+        for (outgoing_message& load : m_loads.tick(m_list, now))
+            send(out, load.to, std::move(load.message), false);
+    }
+    if (isDue(m_nextForget, now, std::chrono::seconds { 1 }))
+        m_list.forgetOld(now);
+    return out;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+bool membership_table<Clock, Random>::isDue(time_point& next, time_point now, duration interval)
+{
+    if (now < next)
+        return false;
+    // Missed turns are not made up for.
+    next = std::max(next + interval, now + interval / 2);
+    return true;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::noticePause(time_point now)
+{
+    const duration gap = now - m_tickedAt;
+    m_tickedAt = now;
+    if (gap < m_options.pauseThreshold || m_options.testSwitches.noPauseDetection)
+        return;
+    // Answers that came in during the pause are unread or lost, so silence says nothing about the others.
+    ++m_counters.pauses;
+    m_probes.clear();
+    m_regions.restart(now);
+    m_heardAt = now;
+    for (const auto& [id, entry] : m_list.entries()) {
+        if (entry.update.status.state() == member_state::Suspect)
+            m_list.find(id)->suspectedAt += gap;
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+std::size_t membership_table<Clock, Random>::retransmitLimit() const
+{
+    const double rounds = m_options.retransmitFactor * std::log2(static_cast<double>(m_list.liveCount()) + 1);
+    return std::max<std::size_t>(3, static_cast<std::size_t>(std::ceil(rounds)));
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::gossip(out_list& out, time_point now)
+{
+    if (!isDue(m_nextGossip, now, m_options.gossipInterval) || m_news.empty())
+        return;
+    const auto isOwn = [&](const member_entry& entry) { return !entry.update.status.isTerminal() && isOwnRegion(entry); };
+    const auto isForeign = [&](const member_entry& entry) { return !entry.update.status.isTerminal() && !isOwnRegion(entry); };
+    std::size_t foreign = 0;
+    for (std::size_t i = 0; i < m_options.gossipFanout; ++i)
+        foreign += m_schedule.isDrawn(m_options.crossRegionShare) ? 1 : 0;
+    auto targets = m_schedule.sample(m_list, foreign, isForeign);
+    const auto own = m_schedule.sample(m_list, m_options.gossipFanout - targets.size(), isOwn);
+    targets.insert(targets.end(), own.begin(), own.end());
+    for (const member_entry* target : targets) {
+        if (m_budget.isSpent() || m_news.empty())
+            return;
+        gossip_message message;
+        message.kind = message_kind::Gossip;
+        send(out, target->update.address, std::move(message), true);
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::spreadRecords(time_point now)
+{
+    const duration interval = m_options.recordIntervalPerMember * static_cast<std::int64_t>(m_list.liveCount());
+    for (auto& [key, own] : m_ownRecords) {
+        if (!own.isPending || hasLeft() || (own.spreadAt != time_point {} && now - own.spreadAt < interval))
+            continue;
+        own.isPending = false;
+        own.spreadAt = now;
+        ++own.wanted.version;
+        m_list.merge(record_update { .id = m_options.id, .incarnation = incarnation(), .key = key, .version = own.wanted.version, .bytes = own.wanted.bytes });
+        m_news.addRecord(m_options.id, key);
+        m_newsAt = now;
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::releaseHeldNews(time_point now)
+{
+    for (auto place = m_heldNews.begin(); place != m_heldNews.end();) {
+        member_entry* entry = m_list.find(*place);
+        if (entry && now < entry->newsHeldUntil) {
+            ++place;
+            continue;
+        }
+        if (entry) {
+            entry->newsHeldUntil = now + m_options.flapHold;
+            m_news.addMember(*place);
+        }
+        place = m_heldNews.erase(place);
+    }
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+bool membership_table<Clock, Random>::publish(const std::string& key, std::string bytes)
+{
+    if (key.empty() || key.size() > member_record::s_maxKeyBytes || bytes.size() > member_record::s_maxBytes)
+        return false;
+    if (!m_ownRecords.contains(key) && m_ownRecords.size() >= member_record::s_maxPerMember)
+        return false;
+    own_record& own = m_ownRecords[key];
+    const bool isNew = own.wanted.version == 0 && !own.isPending;
+    if (!isNew && own.wanted.bytes == bytes)
+        return true;
+    own.wanted.bytes = std::move(bytes);
+    own.isPending = true;
+    return true;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+bool membership_table<Clock, Random>::setRegister(const std::string& key, fleet_register value)
+{
+    if (key.empty() || key.size() > fleet_register::s_maxKeyBytes || value.bytes.size() > fleet_register::s_maxBytes)
+        return false;
+    if (!m_list.merge(register_update { .key = key, .value = std::move(value) }))
+        return false;
+    m_news.addRegister(key);
+    m_newsAt = m_clock.now();
+    return true;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+fleet_register membership_table<Clock, Random>::registerOf(const std::string& key) const
+{
+    const auto place = m_list.registers().find(key);
+    return place == m_list.registers().end() ? fleet_register {} : place->second;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+std::vector<outgoing_message> membership_table<Clock, Random>::leave()
+{
+    const time_point now = m_clock.now();
+    out_list out;
+    member_update update = self().update;
+    update.status.terminal = member_status::terminal_state::Left;
+    if (!m_list.merge(update, now))
+        return out;
+    m_news.addMember(m_options.id);
+    const auto isLive = [](const member_entry& entry) { return !entry.update.status.isTerminal(); };
+    for (const member_entry* target : m_schedule.sample(m_list, 2 * m_options.gossipFanout, isLive)) {
+        gossip_message message;
+        message.kind = message_kind::Gossip;
+        message.members.push_back(update);
+        send(out, target->update.address, std::move(message), false);
+    }
+    return out;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+bool membership_table<Clock, Random>::isIsolated() const
+{
+    return m_list.liveCount() > 1 && m_clock.now() - m_heardAt > 2 * m_options.probeTimeout;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+member membership_table<Clock, Random>::viewOf(const member_entry& entry, time_point now) const
+{
+    const member_update& update = entry.update;
+    const bool isForgotten = update.status.isTerminal() && now - entry.changedAt >= m_options.recordRetention;
+    const bool isLeaving = std::any_of(m_seeds.begin(), m_seeds.end(), [&](const seed_peer& peer) {
+        return peer.isLeaving && peer.address == update.address;
+    });
+    const bool isHeard = m_regions.isReachable(update.region, now, m_options.regionTimeout);
+    return { .id = update.id,
+        .incarnation = update.status.incarnation,
+        .state = update.status.state(),
+        .peer = update.address,
+        .http = update.http,
+        .zone = update.zone,
+        .region = update.region,
+        .records = isForgotten ? decltype(entry.records) {} : entry.records,
+        .isRegionReachable = update.id == m_options.id || isHeard,
+        .isLeavingHint = isLeaving,
+        .isFlapping = m_list.flapsOf(entry, now) > m_options.flapThreshold };
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+std::vector<member> membership_table<Clock, Random>::members() const
+{
+    const time_point now = m_clock.now();
+    std::vector<member> view;
+    view.reserve(m_list.entries().size());
+    for (const auto& [id, entry] : m_list.entries())
+        view.push_back(viewOf(entry, now));
+    return view;
+}
+
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+std::optional<member> membership_table<Clock, Random>::memberOf(const daemon_id& id) const
+{
+    const member_entry* entry = m_list.find(id);
+    return entry ? std::optional { viewOf(*entry, m_clock.now()) } : std::nullopt;
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Membership/outgoing_message.h
@@ -0,0 +1,13 @@
+// Declares outgoing_message, a datagram to be sent.
+#pragma once
+
+#include "radishflow/Membership/gossip_message.h"
+
+namespace radishflow {
+
+struct outgoing_message {
+    peer_address to;
+    gossip_message message;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Membership/probe_schedule.h
@@ -0,0 +1,103 @@
+// Declares probe_schedule, which chooses whom to probe next.
+#pragma once
+
+#include "radishflow/Membership/member_list.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace radishflow {
+
+/// Alternates between two neighbours on a ring of hashed names, which bounds the time until a dead member is
+/// probed, and a shuffled round over all, so that no group of neighbours is alone in judging. Not thread-safe.
+template <std::uniform_random_bit_generator Random>
+class probe_schedule {
+public:
+    probe_schedule(const membership_options& options, Random& random)
+        : m_options(options)
+        , m_random(random)
+    {
+    }
+
+    /// Returns the next member of the own region to probe, or null when there is none.
+    const member_entry* next(const member_list& list)
+    {
+        ++m_turn;
+        if (m_turn % 2 == 0)
+            return nextOnRing(list, m_turn / 2 % 2);
+        return nextInRound(list);
+    }
+
+    /// Returns up to `count` different live members for which isWanted(entry) holds.
+    template <typename Predicate>
+    std::vector<const member_entry*> sample(const member_list& list, std::size_t count, Predicate&& isWanted)
+    {
+        std::vector<const member_entry*> candidates;
+        for (const auto& [id, entry] : list.entries()) {
+            if (id != m_options.id && isWanted(entry))
+                candidates.push_back(&entry);
+        }
+        count = std::min(count, candidates.size());
+        for (std::size_t i = 0; i < count; ++i)
+            std::swap(candidates[i], candidates[i + below(candidates.size() - i)]);
+        candidates.resize(count);
+        return candidates;
+    }
+
+    /// Returns a random number below `bound`, which is at least 1.
+    std::size_t below(std::size_t bound)
+    {
+        return std::uniform_int_distribution<std::size_t> { 0, bound - 1 }(m_random);
+    }
+
+    bool isDrawn(double probability) { return std::bernoulli_distribution { probability }(m_random); }
+
+private:
+    bool isProbed(const member_entry& entry) const
+    {
+        if (entry.update.id == m_options.id || entry.update.status.isTerminal())
+            return false;
+        return m_options.testSwitches.noRegions || entry.update.region == m_options.region;
+    }
+
+    const member_entry* nextOnRing(const member_list& list, std::size_t neighbour)
+    {
+        std::vector<std::pair<std::uint32_t, const member_entry*>> ring;
+        const std::uint32_t own = member_list::memberHash(m_options.id);
+        for (const auto& [id, entry] : list.entries()) {
+            if (isProbed(entry))
+                ring.emplace_back(entry.keyHash - own, &entry); // Wraps around: distance on the ring.
+        }
+        if (ring.empty())
+            return nullptr;
+        neighbour = std::min(neighbour, ring.size() - 1);
+        std::nth_element(ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(neighbour), ring.end());
+        return ring[neighbour].second;
+    }
+
+    const member_entry* nextInRound(const member_list& list)
+    {
+        for (int refills = 0; refills < 2; ++refills) {
+            while (!m_round.empty()) {
+                const member_entry* entry = list.find(m_round.back());
+                m_round.pop_back();
+                if (entry && isProbed(*entry))
+                    return entry;
+            }
+            for (const auto& [id, entry] : list.entries()) {
+                if (isProbed(entry))
+                    m_round.push_back(id);
+            }
+            std::shuffle(m_round.begin(), m_round.end(), m_random);
+        }
+        return nullptr;
+    }
+
+    const membership_options& m_options;
+    Random& m_random;
+    std::vector<daemon_id> m_round;
+    std::size_t m_turn = 0;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Gossip/datagram_authenticator.cpp
@@ -0,0 +1,91 @@
+// Signs and checks datagrams with POCO's HMAC.
+#include "radishflow/Gossip/datagram_authenticator.h"
+
+#include <Poco/HMACEngine.h>
+#include <Poco/SHA2Engine.h>
+
+#include <algorithm>
+#include <array>
+
+namespace radishflow {
+
+namespace {
+    // POCO's HMACEngine takes its sizes from the engine's constants, which SHA2Engine lacks as it knows several sizes.
+    class sha256_engine : public Poco::SHA2Engine {
+    public:
+        // POCO's names.
+        // NOLINTNEXTLINE(readability-identifier-naming)
+        enum { BLOCK_SIZE = 64,
+            DIGEST_SIZE = 32 };
+
+        sha256_engine()
+            : Poco::SHA2Engine(Poco::SHA2Engine::SHA_256)
+        {
+        }
+    };
+} // namespace
+
+class datagram_authenticator::keyed_hash {
+public:
+    explicit keyed_hash(const std::string& key)
+        : m_engine(key)
+    {
+    }
+
+    std::array<char, s_codeBytes> codeOf(std::string_view message)
+    {
+        m_engine.update(message.data(), message.size());
+        const Poco::DigestEngine::Digest& digest = m_engine.digest();
+        std::array<char, s_codeBytes> code {};
+        std::copy_n(digest.begin(), s_codeBytes, code.begin());
+        return code;
+    }
+
+private:
+    Poco::HMACEngine<sha256_engine> m_engine;
+};
+
+datagram_authenticator::datagram_authenticator(const std::vector<std::string>& keys)
+{
+    for (const std::string& key : keys)
+        m_keys.push_back(std::make_unique<keyed_hash>(key));
+}
+
+datagram_authenticator::~datagram_authenticator() = default;
+datagram_authenticator::datagram_authenticator(datagram_authenticator&&) noexcept = default;
+datagram_authenticator& datagram_authenticator::operator=(datagram_authenticator&&) noexcept = default;
+
+void datagram_authenticator::sign(std::string& datagram)
+{
+    if (m_keys.empty())
+        return;
+    const auto code = m_keys.front()->codeOf(datagram);
+    datagram.append(code.data(), code.size());
+}
+
+// Takes the same time wherever the codes differ.
+static bool isEqual(std::string_view left, std::string_view right)
+{
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < left.size(); ++i)
+        difference |= static_cast<unsigned char>(left[i] ^ right[i]);
+    return difference == 0;
+}
+
+std::optional<std::string_view> datagram_authenticator::verify(std::string_view datagram)
+{
+    if (m_keys.empty())
+        return datagram;
+    if (datagram.size() <= s_codeBytes)
+        return std::nullopt;
+    const std::string_view message = datagram.substr(0, datagram.size() - s_codeBytes);
+    const std::string_view code = datagram.substr(message.size());
+    for (const auto& key : m_keys) {
+        const auto expected = key->codeOf(message);
+        if (isEqual(code, { expected.data(), expected.size() }))
+            return message;
+    }
+    return std::nullopt;
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/unittests/Membership/virtual_fleet.h
@@ -0,0 +1,249 @@
+// A fleet of membership tables in virtual time, over a small network with delay, loss and cuts.
+#pragma once
+
+#include "radishflow/Membership/membership_table.h"
+#include "radishflow/Support/manual_clock.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace radishflow {
+
+struct virtual_fleet_options {
+    std::size_t daemons = 7;
+    std::size_t regions = 1;
+    std::size_t zonesPerRegion = 3;
+    std::uint64_t randomSeed = 1;
+    double loss = 0; ///< Share of datagrams that vanish.
+    double duplication = 0; ///< Share that arrives twice.
+    duration minDelay = std::chrono::microseconds { 500 };
+    duration maxDelay = std::chrono::milliseconds { 3 };
+    duration crossRegionDelay = std::chrono::milliseconds { 40 };
+    duration tickInterval = std::chrono::milliseconds { 50 };
+    std::size_t seeds = 3; ///< Each daemon is given the addresses of the first so many.
+    membership_options base; ///< Times and switches of all daemons.
+};
+
+/// Daemons are numbered from 0. Not thread-safe.
+class virtual_fleet {
+public:
+    using table_type = membership_table<manual_clock, std::mt19937_64>;
+
+    explicit virtual_fleet(virtual_fleet_options options)
+        : m_options(std::move(options))
+        , m_random(m_options.randomSeed)
+    {
+        for (std::size_t i = 0; i < m_options.daemons; ++i) {
+            m_nodes.push_back({});
+            start(i);
+        }
+    }
+
+    /// Tells which datagrams vanish, by sender and receiver; empty lets all pass.
+    std::function<bool(std::size_t from, std::size_t to)> isCut;
+    /// Is called for each datagram sent.
+    std::function<void(std::size_t from, std::size_t to, const gossip_message&)> onSend;
+    /// Is called after each millisecond in which something happened.
+    std::function<void()> onStep;
+
+    table_type& table(std::size_t i) { return *m_nodes[i].table; }
+    const manual_clock& clock() const { return m_clock; }
+    std::size_t size() const { return m_nodes.size(); }
+    std::size_t regionOf(std::size_t i) const { return i % m_options.regions; }
+    static daemon_id idOf(std::size_t i) { return daemon_id { "d" + std::to_string(i) }; }
+    bool isRunning(std::size_t i) const { return m_nodes[i].table && !m_nodes[i].isFrozen; }
+
+    /// Starts a daemon, or starts it anew with a higher incarnation.
+    void start(std::size_t i)
+    {
+        node& started = m_nodes[i];
+        membership_options options = m_options.base;
+        const std::size_t zone = i / m_options.regions % m_options.zonesPerRegion;
+        options.id = idOf(i);
+        options.incarnation = incarnation_number { 1000 + static_cast<std::uint64_t>(m_clock.now().time_since_epoch() / std::chrono::milliseconds { 1 }) };
+        options.address = addressOf(i);
+        options.http = "10.0.0.1:" + std::to_string(30000 + i);
+        options.region = region_id { "r" + std::to_string(regionOf(i)) };
+        options.zone = zone_id { "r" + std::to_string(regionOf(i)) + "z" + std::to_string(zone) };
+        started.random = std::make_unique<std::mt19937_64>(m_random());
+        started.table = std::make_unique<table_type>(options, m_clock, *started.random);
+        started.isFrozen = false;
+        started.nextTick = m_clock.now() + m_options.tickInterval * static_cast<std::int64_t>(m_random() % 100) / 100;
+        std::vector<seed_peer> seeds;
+        for (std::size_t seed = 0; seed < m_options.seeds && seed < m_options.daemons; ++seed)
+            seeds.push_back({ .address = addressOf(seed) });
+        started.table->seed(seeds);
+    }
+
+    void kill(std::size_t i)
+    {
+        m_nodes[i].table.reset();
+        m_nodes[i].isFrozen = false;
+    }
+
+    void freeze(std::size_t i) { m_nodes[i].isFrozen = true; }
+
+    /// Lets a daemon run on; what its socket buffer held arrives first.
+    void thaw(std::size_t i)
+    {
+        m_nodes[i].isFrozen = false;
+        for (const delivery& waiting : std::exchange(m_nodes[i].buffer, {}))
+            deliver(waiting);
+    }
+
+    void leave(std::size_t i) { sendAll(i, table(i).leave()); }
+
+    void run(duration length)
+    {
+        const time_point end = m_clock.now() + length;
+        while (m_clock.now() < end) {
+            m_clock.advance(std::chrono::milliseconds { 1 });
+            step();
+            if (onStep)
+                onStep();
+        }
+    }
+
+    /// Runs until a condition holds; returns the time it took, or `limit` if it never held.
+    duration runUntil(const std::function<bool()>& condition, duration limit)
+    {
+        const time_point start = m_clock.now();
+        while (!condition() && m_clock.now() - start < limit)
+            run(std::chrono::milliseconds { 50 });
+        return m_clock.now() - start;
+    }
+
+    /// Returns daemon `of` in the view of daemon `viewer`; state Left and no name when it is unknown.
+    member view(std::size_t viewer, std::size_t of)
+    {
+        return table(viewer).memberOf(idOf(of)).value_or(member { .state = member_state::Left });
+    }
+
+    /// Returns whether every running daemon, `of` aside, sees `of` in a state.
+    bool allSee(std::size_t of, member_state state)
+    {
+        for (std::size_t viewer = 0; viewer < size(); ++viewer) {
+            if (viewer != of && isRunning(viewer) && view(viewer, of).state != state)
+                return false;
+        }
+        return true;
+    }
+
+    /// Returns whether all running daemons see each other alive and hold the same state.
+    bool hasConverged()
+    {
+        std::size_t running = 0;
+        for (std::size_t i = 0; i < size(); ++i)
+            running += isRunning(i) ? 1 : 0;
+        for (std::size_t i = 0; i < size(); ++i) {
+            if (isRunning(i) && (table(i).liveCount() != running || countOf(i, member_state::Alive) != running))
+                return false;
+        }
+        return true;
+    }
+
+    /// Counts the members in a state in the view of one daemon.
+    std::size_t countOf(std::size_t viewer, member_state state)
+    {
+        std::size_t count = 0;
+        for (const member& seen : table(viewer).members())
+            count += seen.state == state ? 1 : 0;
+        return count;
+    }
+
+    /// Sums one counter over the running daemons.
+    std::uint64_t sumOf(std::uint64_t membership_counters::*counter)
+    {
+        std::uint64_t sum = 0;
+        for (const node& each : m_nodes)
+            sum += each.table ? each.table->counters().*counter : 0;
+        return sum;
+    }
+
+private:
+    struct delivery {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        gossip_message message;
+    };
+    struct node {
+        std::unique_ptr<std::mt19937_64> random;
+        std::unique_ptr<table_type> table;
+        bool isFrozen = false;
+        time_point nextTick {};
+        std::vector<delivery> buffer;
+    };
+
+    static constexpr std::size_t s_bufferedDatagrams = 200;
+
+    static peer_address addressOf(std::size_t i) { return peer_address { "10.0.0.1:" + std::to_string(10000 + i) }; }
+
+    static std::size_t numberOf(const peer_address& address)
+    {
+        return static_cast<std::size_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1))) - 10000;
+    }
+
+    void step()
+    {
+        while (!m_inFlight.empty() && m_inFlight.begin()->first <= m_clock.now()) {
+            const delivery due = std::move(m_inFlight.begin()->second);
+            m_inFlight.erase(m_inFlight.begin());
+            deliver(due);
+        }
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (!isRunning(i) || m_clock.now() < m_nodes[i].nextTick)
+                continue;
+            m_nodes[i].nextTick = m_clock.now() + m_options.tickInterval;
+            sendAll(i, table(i).tick());
+        }
+    }
+
+    void deliver(const delivery& due)
+    {
+        node& receiver = m_nodes[due.to];
+        if (!receiver.table)
+            return;
+        if (receiver.isFrozen) {
+            if (receiver.buffer.size() < s_bufferedDatagrams)
+                receiver.buffer.push_back(due);
+            return;
+        }
+        sendAll(due.to, receiver.table->receive(addressOf(due.from), due.message));
+    }
+
+    bool isDrawn(double probability) { return probability > 0 && std::bernoulli_distribution { probability }(m_random); }
+
+    void sendAll(std::size_t from, const std::vector<outgoing_message>& messages)
+    {
+        for (const outgoing_message& outgoing : messages) {
+            const std::size_t to = numberOf(outgoing.to);
+            if (onSend)
+                onSend(from, to, outgoing.message);
+            if (to >= m_nodes.size() || (isCut && isCut(from, to)) || isDrawn(m_options.loss))
+                continue;
+            const int copies = isDrawn(m_options.duplication) ? 2 : 1;
+            for (int copy = 0; copy < copies; ++copy)
+                m_inFlight.emplace(m_clock.now() + delay(from, to), delivery { .from = from, .to = to, .message = outgoing.message });
+        }
+    }
+
+    duration delay(std::size_t from, std::size_t to)
+    {
+        std::uniform_int_distribution<std::int64_t> spread(m_options.minDelay.count(), m_options.maxDelay.count());
+        const duration base { spread(m_random) };
+        return regionOf(from) == regionOf(to) ? base : base + m_options.crossRegionDelay;
+    }
+
+    virtual_fleet_options m_options;
+    std::mt19937_64 m_random;
+    manual_clock m_clock;
+    std::vector<node> m_nodes;
+    std::multimap<time_point, delivery> m_inFlight;
+};
+
+} // namespace radishflow
