Add claims and tickets of orders

Cause: a non-idempotent call runs at most once, and a refusal that says "not run" is true, while daemons die or pause and the table loses replies or is dark.

Change: order_desk inserts a claim row before any dispatch; a claim is never taken over to run. "Not run" is said only when the key's row is this claim's own, ended before dispatch, or holds NotRun.

Ruled out: settling a lost reply by a read, since a read that finds no row says nothing of a request that is still under way; the same conditional write again settles it.

--- /dev/null
+++ b/include/radishflow/Orders/order_desk.h
@@ -0,0 +1,227 @@
+// Declares order_desk, which lets each order run at most once by fencing its key in the table.
+#pragma once
+
+#include "radishflow/Orders/order_claim.h"
+#include "radishflow/Orders/order_desk_options.h"
+#include "radishflow/Orders/order_reply.h"
+#include "radishflow/Orders/order_ticket.h"
+#include "radishflow/Orders/settled_write.h"
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace radishflow {
+
+/// Says whether a daemon still runs as an incarnation. A wrong answer costs knowledge, never a second run.
+template <typename T>
+concept liveness_oracle = std::predicate<const T&, const daemon_id&, incarnation_number>;
+
+/// Either the right to dispatch, or what to tell the caller.
+using claim_outcome = std::variant<order_claim, order_reply>;
+
+/// Claims orders for one daemon incarnation. Keeps nothing in memory, so it is as thread-safe as the
+/// table and the oracle are; every function may wait for the table.
+template <transactional_table Table, liveness_oracle IsAlive>
+class order_desk {
+public:
+    order_desk(Table& table, IsAlive isAlive, order_desk_options options)
+        : m_table(table)
+        , m_isAlive(std::move(isAlive))
+        , m_options(std::move(options))
+    {
+    }
+
+    /// Claims an order before anything is dispatched. The attempt id is unique for ever.
+    claim_outcome claim(const order& request, const attempt_id& attempt)
+    {
+        if (std::optional<order_reply> reply = replyToUnusable(request.key))
+            return *std::move(reply);
+        claim_record record = ownRecord(request, attempt, m_options.recordsDispatch ? claim_state::Claimed : claim_state::Dispatching);
+        const settled_write written = writeSettled(m_table, claimRowKey(request), 0, encode(record));
+        if (written.outcome == write_outcome::Written)
+            return order_claim { .request = request, .record = std::move(record), .modRevision = written.modRevision };
+        return replyTo(request, written);
+    }
+
+    /// Has to be called right before each dispatch. Returns true when the order may be dispatched once;
+    /// otherwise no dispatch may follow, and endNotRun says what the caller is told.
+    bool markDispatching(order_claim& claim)
+    {
+        if (!claim.latch.isIdle())
+            return false;
+        if (claim.record.state == claim_state::Claimed && !record(claim, claim_state::Dispatching, {})) {
+            claim.latch.end();
+            return false;
+        }
+        return claim.latch.open();
+    }
+
+    /// Stores the answer. Returns whether it is stored; when not, it may be called again.
+    bool recordDone(order_claim& claim, const stored_answer& answer)
+    {
+        claim.latch.end();
+        return record(claim, claim_state::Done, limitBody(answer, maximumStoredBody));
+    }
+
+    /// Gives up a claim of which nothing is in flight. What it returns is true even when the table can't
+    /// be written: the row that holds the key is this claim's, and this claim is ended. When something is
+    /// in flight the outcome is unknown instead.
+    order_reply endNotRun(order_claim& claim)
+    {
+        if (claim.latch.isInFlight())
+            return endUnknown(claim);
+        claim.latch.end();
+        const bool isStored = record(claim, claim_state::NotRun, {});
+        return { .reason = isStored ? reply_reason::Refused : reply_reason::NotDispatched, .execution = execution_state::NotRun };
+    }
+
+    /// The reply of a dispatch was lost or broken; no other dispatch follows.
+    order_reply endUnknown(order_claim& claim)
+    {
+        claim.latch.end();
+        record(claim, claim_state::Unknown, {});
+        return { .reason = reply_reason::OutcomeLost, .execution = execution_state::Unknown };
+    }
+
+    /// Refuses an order that was not claimed. Says "not run" only when the key is fenced.
+    order_reply refuse(const order& request, const attempt_id& attempt)
+    {
+        if (std::optional<order_reply> reply = replyToUnusable(request.key))
+            return *std::move(reply);
+        const claim_record fence = ownRecord(request, attempt, claim_state::NotRun);
+        const settled_write written = writeSettled(m_table, claimRowKey(request), 0, encode(fence));
+        if (written.outcome == write_outcome::Written)
+            return refused();
+        return replyTo(request, written);
+    }
+
+    /// Says what is known of an order and changes nothing.
+    order_reply lookUp(const order& request)
+    {
+        const std::string key = claimRowKey(request);
+        return valueOr(
+            [&]() -> result<order_reply> {
+                BOOST_LEAF_AUTO(page, m_table.readRange(key, 0));
+                if (page.rows.empty())
+                    return order_reply { .reason = reply_reason::NotSeen };
+                BOOST_LEAF_AUTO(record, decodeClaimRecord(page.rows.front().value));
+                return replyTo(request, record);
+            },
+            [](const failure& error) { return order_reply { .detail = describe(error) }; });
+    }
+
+private:
+    static constexpr std::size_t maximumStoredBody = 16 * std::size_t { 1024 };
+
+    static order_reply refused() { return { .reason = reply_reason::Refused, .execution = execution_state::NotRun }; }
+
+    // A ticket has its only home in its issuer's memory; a row for it would be a second one.
+    static std::optional<order_reply> replyToUnusable(const idempotency_key& key)
+    {
+        if (isTicket(key))
+            return order_reply { .reason = reply_reason::OtherDaemon };
+        if (!isValidKey(key))
+            return order_reply { .reason = reply_reason::InvalidKey, .execution = execution_state::NotRun };
+        return std::nullopt;
+    }
+
+    claim_record ownRecord(const order& request, const attempt_id& attempt, claim_state state) const
+    {
+        return { .state = state, .attempt = attempt, .holder = m_options.daemon, .incarnation = m_options.incarnation, .fingerprint = request.fingerprint };
+    }
+
+    order_reply replyTo(const order& request, const settled_write& written)
+    {
+        if (written.outcome == write_outcome::Unsettled)
+            return { .detail = written.detail };
+        return valueOr(
+            [&]() -> result<order_reply> {
+                BOOST_LEAF_AUTO(record, decodeClaimRecord(written.seen.value));
+                if (isAbandoned(request, record))
+                    return fence(request, std::move(record), written.seen);
+                return replyTo(request, record);
+            },
+            [](const failure& error) { return order_reply { .detail = describe(error) }; });
+    }
+
+    order_reply replyTo(const order& request, const claim_record& record) const
+    {
+        if (record.fingerprint != request.fingerprint)
+            return { .reason = reply_reason::KeyReused, .execution = execution_state::NotRun };
+        switch (record.state) {
+        case claim_state::Done:
+            return { .reason = record.answer.isBodyKept ? reply_reason::Replayed : reply_reason::AnswerNotKept, .execution = execution_state::Done, .answer = record.answer };
+        case claim_state::NotRun:
+            return refused();
+        case claim_state::Unknown:
+            return { .reason = reply_reason::OutcomeLost };
+        case claim_state::Claimed:
+        case claim_state::Dispatching:
+            break;
+        }
+        return { .reason = isHolderAlive(record) ? reply_reason::InProgress : reply_reason::HolderGone };
+    }
+
+    bool isHolderAlive(const claim_record& record) const { return m_isAlive(record.holder, record.incarnation); }
+
+    bool isAbandoned(const order& request, const claim_record& record) const
+    {
+        return record.state == claim_state::Claimed && record.fingerprint == request.fingerprint && !isHolderAlive(record);
+    }
+
+    // A holder that only seemed dead has to write Dispatching on the revision that this write replaces.
+    order_reply fence(const order& request, claim_record record, const table_row& row)
+    {
+        record.state = claim_state::NotRun;
+        const settled_write written = writeSettled(m_table, row.key, row.modRevision, encode(record));
+        if (written.outcome == write_outcome::Written)
+            return refused();
+        return replyTo(request, written);
+    }
+
+    // Moves the claim's own row on. Another daemon may have fenced it, which only a NotRun is content with.
+    bool record(order_claim& claim, claim_state state, const stored_answer& answer)
+    {
+        constexpr int maximumRevisions = 3;
+        claim_record next = claim.record;
+        next.state = state;
+        next.answer = answer;
+        const std::string value = encode(next);
+        for (int i = 0; i < maximumRevisions; ++i) {
+            const settled_write written = writeSettled(m_table, claimRowKey(claim.request), claim.modRevision, value);
+            if (written.outcome == write_outcome::Written) {
+                claim.record.state = state;
+                claim.modRevision = written.modRevision;
+                return true;
+            }
+            if (written.outcome == write_outcome::Unsettled || !adopt(claim, written.seen))
+                return false;
+        }
+        return false;
+    }
+
+    // Takes over the revision of an own write whose reply was lost; false when the row is final.
+    static bool adopt(order_claim& claim, const table_row& row)
+    {
+        return valueOr(
+            [&]() -> result<bool> {
+                BOOST_LEAF_AUTO(record, decodeClaimRecord(row.value));
+                const bool isFinal = record.state == claim_state::Done || record.state == claim_state::NotRun;
+                if (isFinal || record.attempt != claim.record.attempt)
+                    return false;
+                claim.record.state = record.state;
+                claim.modRevision = row.modRevision;
+                return true;
+            },
+            [](const failure&) { return false; });
+    }
+
+    Table& m_table;
+    IsAlive m_isAlive;
+    order_desk_options m_options;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Orders/settled_write.h
@@ -0,0 +1,61 @@
+// Declares writeSettled, a conditional write of one row whose lost replies are settled.
+#pragma once
+
+#include "radishflow/Support/transactional_table.h"
+
+#include <optional>
+#include <string>
+
+namespace radishflow {
+
+enum class write_outcome {
+    Written, ///< The row has the value.
+    Overtaken, ///< The row has another value; `seen` holds it.
+    Unsettled, ///< The write may take effect, now or later, or never.
+};
+
+struct settled_write {
+    write_outcome outcome = write_outcome::Unsettled;
+    table_row seen {}; ///< When Overtaken.
+    std::int64_t modRevision = 0; ///< When Written.
+    std::string detail {}; ///< When Unsettled.
+};
+
+/// Writes a row on the condition of its revision. The value must be one that only this write, or another
+/// with the same meaning, writes. A lost reply is settled by the same write again and not by a read: a
+/// read that finds nothing says nothing about a request that is still under way.
+template <transactional_table Table>
+settled_write writeSettled(Table& table, const std::string& key, std::int64_t modRevision, const std::string& value)
+{
+    constexpr int maximumTries = 3;
+    std::string detail;
+    for (int i = 0; i < maximumTries; ++i) {
+        failure_code code = failure_code::ReplyLost;
+        const std::optional<table_commit> commit = valueOr(
+            [&]() -> result<std::optional<table_commit>> {
+                BOOST_LEAF_AUTO(made, table.commit({ { .key = key, .modRevision = modRevision } }, { { .key = key, .value = value } }));
+                return made;
+            },
+            [&](const failure& error) -> std::optional<table_commit> {
+                code = error.code;
+                detail = describe(error);
+                return std::nullopt;
+            });
+        if (!commit) {
+            if (code != failure_code::ReplyLost)
+                break;
+            continue;
+        }
+        if (commit->succeeded)
+            return { .outcome = write_outcome::Written, .modRevision = commit->revision };
+        if (commit->seen.empty())
+            return { .detail = "the row was removed" };
+        const table_row& seen = commit->seen.front();
+        if (seen.value == value)
+            return { .outcome = write_outcome::Written, .modRevision = seen.modRevision };
+        return { .outcome = write_outcome::Overtaken, .seen = seen };
+    }
+    return { .detail = detail };
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Orders/order_reply.cpp
@@ -0,0 +1,73 @@
+// Implements what callers are told.
+#include "radishflow/Orders/order_reply.h"
+
+namespace radishflow {
+
+const char* nameOf(execution_state state)
+{
+    switch (state) {
+    case execution_state::NotRun:
+        return "not-run";
+    case execution_state::Unknown:
+        return "unknown";
+    case execution_state::Done:
+        return "done";
+    }
+    return "unknown";
+}
+
+stored_answer limitBody(stored_answer answer, std::size_t maximumBytes)
+{
+    if (answer.body.size() <= maximumBytes)
+        return answer;
+    answer.body = {};
+    answer.isBodyKept = false;
+    return answer;
+}
+
+// 409 and 422 are what the Idempotency-Key draft of the IETF names for a key in use and a key reused.
+int statusOf(const order_reply& reply)
+{
+    switch (reply.reason) {
+    case reply_reason::Replayed:
+        return reply.answer.status;
+    case reply_reason::AnswerNotKept:
+    case reply_reason::InProgress:
+        return 409;
+    case reply_reason::KeyReused:
+        return 422;
+    case reply_reason::InvalidKey:
+        return 400;
+    case reply_reason::TicketExpired:
+        return 410;
+    case reply_reason::NotSeen:
+        return 404;
+    case reply_reason::OtherDaemon:
+        return 421;
+    case reply_reason::HolderGone:
+    case reply_reason::OutcomeLost:
+        return 502;
+    case reply_reason::Refused:
+    case reply_reason::NotDispatched:
+    case reply_reason::TableUnavailable:
+    case reply_reason::TicketsFull:
+        return 503;
+    }
+    return 500;
+}
+
+bool isWorthAskingAgain(reply_reason reason)
+{
+    switch (reason) {
+    case reply_reason::InProgress:
+    case reply_reason::TableUnavailable:
+    case reply_reason::TicketsFull:
+    case reply_reason::OtherDaemon:
+    case reply_reason::NotSeen:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/unittests/Orders/order_desk_test.cpp
@@ -0,0 +1,244 @@
+// Tests the claims of orders through the interleavings of models/single_execution.pml.
+#include "radishflow/Orders/order_desk.h"
+
+#include "../Support/memory_table.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <ostream>
+#include <set>
+
+using namespace radishflow;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// Runs an action right before the next commit, as a daemon that is paused there sees it.
+struct hooked_table {
+    memory_table& table;
+    std::function<void()> beforeCommit {};
+
+    result<table_page> readRange(const std::string& prefix, std::int64_t minModRevision) { return table.readRange(prefix, minModRevision); }
+
+    result<table_commit> commit(const std::vector<row_condition>& conditions, const std::vector<row_write>& writes)
+    {
+        if (const auto hook = std::exchange(beforeCommit, nullptr))
+            hook();
+        return table.commit(conditions, writes);
+    }
+};
+
+struct dead_set {
+    const std::set<daemon_id>* dead;
+    bool operator()(const daemon_id& daemon, incarnation_number) const { return !dead->contains(daemon); }
+};
+
+using desk = order_desk<hooked_table, dead_set>;
+
+/// Two daemons before one table.
+struct fixture {
+    memory_table table;
+    std::set<daemon_id> dead;
+    hooked_table firstView { .table = table };
+    hooked_table secondView { .table = table };
+    bool recordsDispatch = false;
+    order request { .workspace = workspace_id { "w" }, .key = idempotency_key { "k" }, .fingerprint = 7 };
+
+    desk first() { return { firstView, { &dead }, { .daemon = daemon_id { "d1" }, .incarnation = incarnation_number { 1 }, .recordsDispatch = recordsDispatch } }; }
+    desk second() { return { secondView, { &dead }, { .daemon = daemon_id { "d2" }, .incarnation = incarnation_number { 1 }, .recordsDispatch = recordsDispatch } }; }
+
+    order_claim claimed() { return std::get<order_claim>(first().claim(request, attempt_id { "a1" })); }
+    order_reply resent() { return replyOf(second().claim(request, attempt_id { "a2" })); }
+
+    static order_reply replyOf(const claim_outcome& outcome)
+    {
+        BOOST_REQUIRE(std::holds_alternative<order_reply>(outcome));
+        return std::get<order_reply>(outcome);
+    }
+};
+
+} // namespace
+
+static void checkReply(const order_reply& reply, reply_reason reason, execution_state execution)
+{
+    BOOST_TEST((reply.reason == reason), "reason " << static_cast<int>(reply.reason) << " in place of " << static_cast<int>(reason));
+    BOOST_TEST(nameOf(reply.execution) == std::string(nameOf(execution)));
+}
+
+namespace {
+
+enum class holder_step {
+    Claims,
+    Marks,
+    RecordsDone,
+    EndsNotRun,
+    EndsUnknown,
+};
+
+struct resend_case {
+    const char* name;
+    bool recordsDispatch;
+    holder_step lastStep;
+    bool holderDies;
+    reply_reason reason;
+    execution_state execution;
+};
+
+std::ostream& operator<<(std::ostream& out, const resend_case& sample)
+{
+    return out << sample.name;
+}
+
+} // namespace
+
+static const std::vector<resend_case> resendCases {
+    { .name = "claimed, alive", .recordsDispatch = false, .lastStep = holder_step::Claims, .holderDies = false, .reason = reply_reason::InProgress, .execution = execution_state::Unknown },
+    { .name = "claimed, dead", .recordsDispatch = false, .lastStep = holder_step::Claims, .holderDies = true, .reason = reply_reason::HolderGone, .execution = execution_state::Unknown },
+    { .name = "claimed with dispatch record, dead", .recordsDispatch = true, .lastStep = holder_step::Claims, .holderDies = true, .reason = reply_reason::Refused, .execution = execution_state::NotRun },
+    { .name = "dispatching, alive", .recordsDispatch = true, .lastStep = holder_step::Marks, .holderDies = false, .reason = reply_reason::InProgress, .execution = execution_state::Unknown },
+    { .name = "dispatching, dead", .recordsDispatch = true, .lastStep = holder_step::Marks, .holderDies = true, .reason = reply_reason::HolderGone, .execution = execution_state::Unknown },
+    { .name = "done", .recordsDispatch = false, .lastStep = holder_step::RecordsDone, .holderDies = true, .reason = reply_reason::Replayed, .execution = execution_state::Done },
+    { .name = "not run", .recordsDispatch = false, .lastStep = holder_step::EndsNotRun, .holderDies = true, .reason = reply_reason::Refused, .execution = execution_state::NotRun },
+    { .name = "reply lost", .recordsDispatch = false, .lastStep = holder_step::EndsUnknown, .holderDies = false, .reason = reply_reason::OutcomeLost, .execution = execution_state::Unknown },
+};
+
+BOOST_DATA_TEST_CASE(whatAResentOrderIsTold, data::make(resendCases), sample)
+{
+    fixture orders;
+    orders.recordsDispatch = sample.recordsDispatch;
+    desk holder = orders.first();
+    order_claim claim = orders.claimed();
+    const stored_answer answer { .status = 201, .contentType = "text/plain", .body = std::string("a\0:b", 4) };
+    if (sample.lastStep == holder_step::Marks || sample.lastStep == holder_step::RecordsDone || sample.lastStep == holder_step::EndsUnknown)
+        BOOST_REQUIRE(holder.markDispatching(claim));
+    if (sample.lastStep == holder_step::RecordsDone)
+        BOOST_TEST(holder.recordDone(claim, answer));
+    if (sample.lastStep == holder_step::EndsNotRun)
+        checkReply(holder.endNotRun(claim), reply_reason::Refused, execution_state::NotRun);
+    if (sample.lastStep == holder_step::EndsUnknown)
+        checkReply(holder.endUnknown(claim), reply_reason::OutcomeLost, execution_state::Unknown);
+    if (sample.holderDies)
+        orders.dead.insert(daemon_id { "d1" });
+    const order_reply reply = orders.resent();
+    checkReply(reply, sample.reason, sample.execution);
+    BOOST_TEST((reply.reason != reply_reason::Replayed || reply.answer == answer));
+    checkReply(orders.second().refuse(orders.request, attempt_id { "a3" }), sample.reason, sample.execution);
+    checkReply(orders.second().lookUp(orders.request), sample.reason, sample.execution);
+}
+
+BOOST_FIXTURE_TEST_CASE(aPausedHolderThatWasFencedDoesNotDispatch, fixture)
+{
+    recordsDispatch = true;
+    order_claim claim = claimed();
+    dead.insert(daemon_id { "d1" });
+    firstView.beforeCommit = [&] { checkReply(resent(), reply_reason::Refused, execution_state::NotRun); };
+    BOOST_TEST(!first().markDispatching(claim));
+    checkReply(first().endNotRun(claim), reply_reason::Refused, execution_state::NotRun);
+}
+
+BOOST_FIXTURE_TEST_CASE(aHolderThatMarkedBeforeTheFenceLandsIsUnknown, fixture)
+{
+    recordsDispatch = true;
+    order_claim claim = claimed();
+    dead.insert(daemon_id { "d1" });
+    const auto markFirst = [&] { BOOST_TEST(first().markDispatching(claim)); };
+    int commits = 0;
+    secondView.beforeCommit = [&] { secondView.beforeCommit = markFirst; ++commits; };
+    checkReply(resent(), reply_reason::HolderGone, execution_state::Unknown);
+    BOOST_TEST(commits == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(oneOfTwoClaimsAtOnceWins, fixture)
+{
+    firstView.beforeCommit = [&] { BOOST_TEST(std::holds_alternative<order_claim>(second().claim(request, attempt_id { "a2" }))); };
+    checkReply(replyOf(first().claim(request, attempt_id { "a1" })), reply_reason::InProgress, execution_state::Unknown);
+}
+
+BOOST_FIXTURE_TEST_CASE(aLostReplyOfTheClaimIsSettledAsOwn, fixture)
+{
+    table.loseReplies = 1;
+    BOOST_TEST(std::holds_alternative<order_claim>(first().claim(request, attempt_id { "a1" })));
+    checkReply(resent(), reply_reason::InProgress, execution_state::Unknown);
+}
+
+BOOST_FIXTURE_TEST_CASE(anUnsettledClaimIsNeverCalledNotRun, fixture)
+{
+    table.loseReplies = 3;
+    checkReply(replyOf(first().claim(request, attempt_id { "a1" })), reply_reason::TableUnavailable, execution_state::Unknown);
+    table.isDown = true;
+    checkReply(first().refuse(request, attempt_id { "a2" }), reply_reason::TableUnavailable, execution_state::Unknown);
+    checkReply(first().lookUp(request), reply_reason::TableUnavailable, execution_state::Unknown);
+}
+
+BOOST_FIXTURE_TEST_CASE(aClaimGivenUpInTheDarkIsNotRun, fixture)
+{
+    recordsDispatch = true;
+    order_claim claim = claimed();
+    table.isDown = true;
+    BOOST_TEST(!first().markDispatching(claim));
+    checkReply(first().endNotRun(claim), reply_reason::NotDispatched, execution_state::NotRun);
+    table.isDown = false;
+    BOOST_TEST(!first().markDispatching(claim));
+    checkReply(first().endNotRun(claim), reply_reason::Refused, execution_state::NotRun);
+}
+
+BOOST_FIXTURE_TEST_CASE(nothingFollowsALostDispatch, fixture)
+{
+    order_claim claim = claimed();
+    BOOST_TEST(first().markDispatching(claim));
+    BOOST_TEST(!first().markDispatching(claim));
+    claim.latch.noteRefused();
+    BOOST_TEST(first().markDispatching(claim));
+    checkReply(first().endNotRun(claim), reply_reason::OutcomeLost, execution_state::Unknown);
+    BOOST_TEST(!first().markDispatching(claim));
+}
+
+BOOST_FIXTURE_TEST_CASE(anOutcomeIsStoredAfterLostReplies, fixture)
+{
+    recordsDispatch = true;
+    order_claim claim = claimed();
+    table.loseReplies = 3;
+    BOOST_TEST(!first().markDispatching(claim));
+    table.isDown = true;
+    checkReply(first().endNotRun(claim), reply_reason::NotDispatched, execution_state::NotRun);
+    table.isDown = false;
+    checkReply(first().endNotRun(claim), reply_reason::Refused, execution_state::NotRun);
+    checkReply(resent(), reply_reason::Refused, execution_state::NotRun);
+}
+
+BOOST_FIXTURE_TEST_CASE(keysAreOneOrderEach, fixture)
+{
+    order_claim claim = claimed();
+    order other = request;
+    other.fingerprint = 8;
+    checkReply(replyOf(second().claim(other, attempt_id { "a2" })), reply_reason::KeyReused, execution_state::NotRun);
+    for (const char* key : { "k2", "K", "k/", "2:k" }) {
+        other.key = idempotency_key { key };
+        checkReply(second().lookUp(other), reply_reason::NotSeen, execution_state::Unknown);
+    }
+    for (const char* key : { "", "a b", "\x7f" }) {
+        other.key = idempotency_key { key };
+        checkReply(replyOf(first().claim(other, attempt_id { "a3" })), reply_reason::InvalidKey, execution_state::NotRun);
+    }
+    other.key = idempotency_key { "rft1:d1:1:1:1:00" };
+    checkReply(replyOf(first().claim(other, attempt_id { "a3" })), reply_reason::OtherDaemon, execution_state::Unknown);
+}
+
+BOOST_FIXTURE_TEST_CASE(aLongAnswerIsDoneWithoutItsBody, fixture)
+{
+    order_claim claim = claimed();
+    BOOST_TEST(first().markDispatching(claim));
+    BOOST_TEST(first().recordDone(claim, { .status = 200, .contentType = "t", .body = std::string(16 * 1024 + 1, 'x') }));
+    checkReply(resent(), reply_reason::AnswerNotKept, execution_state::Done);
+}
+
+BOOST_AUTO_TEST_CASE(aBrokenRowIsUnknown)
+{
+    const claim_record record { .attempt = attempt_id { "a" }, .holder = daemon_id { "d" } };
+    const std::string good = encode(record);
+    for (std::size_t length = 0; length < good.size(); ++length)
+        BOOST_TEST(valueOr([&]() -> result<bool> { BOOST_LEAF_AUTO(read, decodeClaimRecord(good.substr(0, length))); return read == record; }, [](const failure&) { return true; }));
+    BOOST_TEST(valueOr([&]() -> result<bool> { BOOST_LEAF_AUTO(read, decodeClaimRecord(good)); return read == record; }, [](const failure&) { return false; }));
+}
