Test that no key is read as the start of another

Cause: with the length before the key taken out of the row's key, all 26 cases still passed: the test looked up keys that start with the claimed one, and a range read finds only the other way round.

Change: a claim of "key" stands beside the look-up of "ke". The same mutant now fails the case with 2 errors; 26 cases pass without it.

--- a/unittests/Orders/order_desk_test.cpp
+++ b/unittests/Orders/order_desk_test.cpp
@@ -212,9 +212,12 @@
 {
     order_claim claim = claimed();
     order other = request;
+    other.key = idempotency_key { "key" };
+    BOOST_TEST(std::holds_alternative<order_claim>(first().claim(other, attempt_id { "a0" })));
+    other = request;
     other.fingerprint = 8;
     checkReply(replyOf(second().claim(other, attempt_id { "a2" })), reply_reason::KeyReused, execution_state::NotRun);
-    for (const char* key : { "k2", "K", "k/", "2:k" }) {
+    for (const char* key : { "ke", "key2", "K", "k/", "2:k" }) {
         other.key = idempotency_key { key };
         checkReply(second().lookUp(other), reply_reason::NotSeen, execution_state::Unknown);
     }
