Add runs over several seeds to the placement benchmark

Cause: one run of 150 s has too few seconds for worst figures, and requests given up in the warm-up were counted among the attempts.

--- a/benchmarks/placement/fleet_simulation.h
+++ b/benchmarks/placement/fleet_simulation.h
@@ -195,7 +195,7 @@
         const sim_time pause = firstBackoff * static_cast<double>(1U << std::min(request.backoffs, 4U));
         ++request.backoffs;
         if (m_now + pause > request.deadline)
-            return m_figures.countFailure(request.attempts);
+            return m_figures.countFailure(m_turns[id].arrival, request.attempts);
         schedule(m_now + pause, event_kind::Dispatch, id);
     }
 
@@ -266,7 +266,7 @@
                 continue;
             }
             m_fleet.dropLoad(server);
-            m_figures.countFailure(m_requests[id].attempts);
+            m_figures.countFailure(m_turns[id].arrival, m_requests[id].attempts);
         }
     }
 
--- a/benchmarks/placement/fleet_state.cpp
+++ b/benchmarks/placement/fleet_state.cpp
@@ -71,9 +71,19 @@
     return least;
 }
 
+// Arrivals and ends are independent of each other, so in the age of the mean the sum of running requests changes
+// with a variance of about twice the ends in that time.
+double fleet_state::lowMean(std::size_t group) const
+{
+    constexpr sim_time meanAnswer { 8.5 };
+    const service_load& known = m_loadHistory.front()[group];
+    const double ends = known.running * ((m_options.meanDelay + tickLength) / meanAnswer);
+    return std::max(0.0, knownMean(group) - m_options.meanDeviations * std::sqrt(2 * ends) / std::max(1.0, known.weight));
+}
+
 double fleet_state::limitOf(std::size_t index) const
 {
-    const double bound = std::floor(m_options.loadMultiple * knownMean(groupOf(index)) + 1);
+    const double bound = std::floor(m_options.loadMultiple * lowMean(groupOf(index)) + 1);
     return std::min({ bound, std::floor(m_engines[index].allowance), static_cast<double>(m_options.engine.slots) });
 }
 
--- a/benchmarks/placement/fleet_state.h
+++ b/benchmarks/placement/fleet_state.h
@@ -63,6 +63,7 @@
     bool isServing(std::size_t index) const;
     std::size_t groupOf(std::size_t index) const;
     double knownMean(std::size_t group) const;
+    double lowMean(std::size_t group) const;
     double limitOf(std::size_t index) const;
     placement_server& updateHints(placement_server&, std::size_t index) const;
 
--- a/benchmarks/placement/measurements.cpp
+++ b/benchmarks/placement/measurements.cpp
@@ -31,9 +31,10 @@
     m_attempts.push_back(attempts);
 }
 
-void measurements::countFailure(std::uint32_t attempts)
+void measurements::countFailure(sim_time arrival, std::uint32_t attempts)
 {
-    m_attempts.push_back(attempts);
+    if (counts(arrival))
+        m_attempts.push_back(attempts);
 }
 
 void measurements::countSkew(sim_time at, double maxOverMean)
@@ -80,19 +81,24 @@
            "  over-adm over-s  over-slots cold-x  exports";
 }
 
-std::string measurements::row(const std::string& policy, const scenario& events) const
+void measurements::closeRun(const scenario& events)
 {
-    double worst = 1;
-    int short99 = 0;
     for (auto second = static_cast<std::size_t>(m_warmUp.count()); second < static_cast<std::size_t>(m_length.count()); ++second) {
-        worst = std::min(worst, shareOf(second));
-        short99 += shareOf(second) < answeredTarget ? 1 : 0;
+        m_worstShare = std::min(m_worstShare, shareOf(second));
+        m_shortSeconds += shareOf(second) < answeredTarget ? 1 : 0;
     }
+    m_longestRecovery = std::max(m_longestRecovery, secondsToRecover(events));
+    std::fill(m_arrived.begin(), m_arrived.end(), 0);
+    std::fill(m_answered.begin(), m_answered.end(), 0);
+}
+
+std::string measurements::row(const std::string& policy) const
+{
     const double meanAttempts = ratio(std::accumulate(m_attempts.begin(), m_attempts.end(), std::uint64_t { 0 }), m_attempts.size());
     char text[256];
-    std::snprintf(text, sizeof text, "%-20s %5.1f  %5.1f   %6.2f   %6.2f   %6.1f   %4d   %6zu    %7.2f   %6.2f   %5.0f   %7llu %6llu   %8llu %6llu  %7llu",
+    std::snprintf(text, sizeof text, "%-20s %5.1f  %5.1f   %6.2f   %6.2f   %6.1f   %4zu   %6zu    %7.2f   %6.2f   %5.0f   %7llu %6llu   %8llu %6llu  %7llu",
         policy.c_str(), 100 * ratio(hits, returns), 100 * ratio(savedTokens, returnTokens), percentile(m_skews, 0.99),
-        percentile(m_skews, 1), 100 * worst, short99, secondsToRecover(events), percentile(m_firstTokens, 0.95),
+        percentile(m_skews, 1), 100 * m_worstShare, m_shortSeconds, m_longestRecovery, percentile(m_firstTokens, 0.95),
         meanAttempts, percentile(m_attempts, 0.99), static_cast<unsigned long long>(overAtAdmission),
         static_cast<unsigned long long>(overSampled), static_cast<unsigned long long>(overSlots),
         static_cast<unsigned long long>(coldExceeded), static_cast<unsigned long long>(exports));
--- a/benchmarks/placement/measurements.h
+++ b/benchmarks/placement/measurements.h
@@ -10,7 +10,7 @@
 
 namespace radishflow {
 
-/// Counters of one run; only what happens between the warm-up and the last arrival counts.
+/// Counters of one or more runs; only what happens between the warm-up and the last arrival counts.
 class measurements {
 public:
     measurements(sim_time warmUp, sim_time length);
@@ -28,11 +28,14 @@
     bool counts(sim_time at) const { return at >= m_warmUp && at < m_length; }
     void countArrival(sim_time at);
     void countAnswer(sim_time arrival, sim_time untilFirstToken, std::uint32_t attempts);
-    void countFailure(std::uint32_t attempts);
+    void countFailure(sim_time arrival, std::uint32_t attempts);
     void countSkew(sim_time at, double maxOverMean);
 
+    /// Ends a run: takes its worst seconds into the totals.
+    void closeRun(const scenario&);
+
     static std::string header();
-    std::string row(const std::string& policy, const scenario&) const;
+    std::string row(const std::string& policy) const;
 
 private:
     double shareOf(std::size_t second) const;
@@ -40,7 +43,10 @@
 
     sim_time m_warmUp;
     sim_time m_length;
-    std::vector<std::uint32_t> m_arrived;
+    double m_worstShare = 1;
+    std::size_t m_shortSeconds = 0;
+    std::size_t m_longestRecovery = 0;
+    std::vector<std::uint32_t> m_arrived; ///< By second of the current run.
     std::vector<std::uint32_t> m_answered;
     std::vector<double> m_firstTokens;
     std::vector<std::uint32_t> m_attempts;
--- a/benchmarks/placement/placement_benchmark.cpp
+++ b/benchmarks/placement/placement_benchmark.cpp
@@ -19,6 +19,8 @@
 DEFINE_string(policies, "rendezvous,rendezvous-held,random,round-robin,least-load,plain-ring", "policies, separated by commas");
 DEFINE_uint64(deciders, 7, "daemons that choose servers");
 DEFINE_uint64(seed, 1, "seed of arrivals, churn and random choices");
+DEFINE_uint64(runs, 1, "runs with seeds from --seed on; counters add up, worst figures are over all");
+DEFINE_double(mean_deviations, 0, "standard deviations by which owners take the mean lower");
 DEFINE_double(load_multiple, 1.25, "bound of a server's load as a multiple of the mean");
 DEFINE_double(per_server, 1.154, "requests a second for each server");
 DEFINE_double(seconds, 220, "virtual length of a run");
@@ -40,47 +42,84 @@
     return words;
 }
 
-static fleet_options optionsOf(const std::string& policy)
+static fleet_options optionsOf(const std::string& policy, std::uint64_t seed)
 {
     fleet_options options;
     options.loadMultiple = FLAGS_load_multiple;
     options.keepsBound = policy != "plain-ring";
     options.meanPerRegion = FLAGS_mean_per_region;
+    options.meanDeviations = FLAGS_mean_deviations;
     options.meanWindow = sim_time { FLAGS_mean_window };
     options.deciders = FLAGS_deciders;
     options.mostAttempts = FLAGS_attempts;
     options.prefersHeld = policy == "rendezvous-held";
     options.exportsPerSecond = policy.starts_with("rendezvous") ? FLAGS_exports : 0;
-    options.seed = FLAGS_seed;
+    options.seed = seed;
     return options;
 }
 
+/// What all policies of a run are given alike.
+struct run_inputs {
+    const fleet_layout& layout;
+    std::uint64_t seed;
+    scenario events;
+    std::vector<chat_turn> turns;
+};
+
+static run_inputs makeInputs(const std::string& scenarioName, const fleet_layout& layout, std::uint64_t seed)
+{
+    const sim_time length { FLAGS_seconds };
+    run_inputs inputs { .layout = layout, .seed = seed, .events = findScenario(scenarioName, layout, length, seed), .turns = {} };
+    inputs.turns = makeArrivals({ .perSecond = FLAGS_per_server * static_cast<double>(layout.servers),
+        .length = length,
+        .surgeShare = inputs.events.surgeShare,
+        .surgeFrom = inputs.events.eventAt,
+        .surgeTo = inputs.events.eventEnd,
+        .seed = seed });
+    return inputs;
+}
+
 template <typename MakePolicy>
-static measurements runPolicy(const std::string& name, const fleet_layout& layout, const scenario& events,
-    const std::vector<chat_turn>& turns, MakePolicy&& makePolicy)
+static void runPolicy(const std::string& name, const run_inputs& inputs, measurements& figures, MakePolicy&& makePolicy)
 {
-    const fleet_options options = optionsOf(name);
-    measurements figures { warmUp, sim_time { FLAGS_seconds } };
+    const fleet_options options = optionsOf(name, inputs.seed);
     using policy_type = decltype(makePolicy(std::size_t { 0 }));
-    fleet_simulation<policy_type> simulation { layout, options, events, turns, makePolicy, figures };
+    fleet_simulation<policy_type> simulation { inputs.layout, options, inputs.events, inputs.turns, makePolicy, figures };
     simulation.run(sim_time { FLAGS_seconds });
-    return figures;
+    figures.closeRun(inputs.events);
 }
 
-static measurements runNamed(const std::string& name, const fleet_layout& layout, const scenario& events,
-    const std::vector<chat_turn>& turns)
+static void runNamed(const std::string& name, const run_inputs& inputs, measurements& figures)
 {
-    std::mt19937_64 random { FLAGS_seed };
     using random_type = std::mt19937_64;
+    random_type random { inputs.seed };
     if (name == "random")
-        return runPolicy(name, layout, events, turns, [&](std::size_t) { return random_choice<random_type> { random }; });
+        return runPolicy(name, inputs, figures, [&](std::size_t) { return random_choice<random_type> { random }; });
     if (name == "round-robin")
-        return runPolicy(name, layout, events, turns, [&](std::size_t) { return round_robin { random() }; });
+        return runPolicy(name, inputs, figures, [&](std::size_t) { return round_robin { random() }; });
     if (name == "least-load")
-        return runPolicy(name, layout, events, turns, [&](std::size_t) { return least_known_load<random_type> { random }; });
+        return runPolicy(name, inputs, figures, [&](std::size_t) { return least_known_load<random_type> { random }; });
     if (name == "plain-ring")
-        return runPolicy(name, layout, events, turns, [](std::size_t) { return plain_ring {}; });
-    return runPolicy(name, layout, events, turns, [](std::size_t) { return bounded_rendezvous {}; });
+        return runPolicy(name, inputs, figures, [](std::size_t) { return plain_ring {}; });
+    return runPolicy(name, inputs, figures, [](std::size_t) { return bounded_rendezvous {}; });
+}
+
+static void runScenario(const std::string& name, const fleet_layout& layout)
+{
+    const std::vector<std::string> policies = splitList(FLAGS_policies);
+    std::vector<measurements> figures(policies.size(), measurements { warmUp, sim_time { FLAGS_seconds } });
+    std::size_t requests = 0;
+    for (std::uint64_t run = 0; run < FLAGS_runs; ++run) {
+        const run_inputs inputs = makeInputs(name, layout, FLAGS_seed + run);
+        requests += inputs.turns.size();
+        for (std::size_t i = 0; i < policies.size(); ++i)
+            runNamed(policies[i], inputs, figures[i]);
+    }
+    std::printf("\n%s, %s, %zu servers, %zu deciders, %zu requests, c %.2f\n%s\n", layout.name.c_str(), name.c_str(), layout.servers,
+        static_cast<std::size_t>(FLAGS_deciders), requests, FLAGS_load_multiple, measurements::header().c_str());
+    for (std::size_t i = 0; i < policies.size(); ++i)
+        std::printf("%s\n", figures[i].row(policies[i]).c_str());
+    std::fflush(stdout);
 }
 
 static int runAll()
@@ -91,23 +130,11 @@
         return 1;
     }
     for (const std::string& name : splitList(FLAGS_scenarios)) {
-        const scenario events = findScenario(name, layout, sim_time { FLAGS_seconds }, FLAGS_seed);
-        if (events.name.empty()) {
+        if (findScenario(name, layout, sim_time { FLAGS_seconds }, FLAGS_seed).name.empty()) {
             std::fprintf(stderr, "no scenario %s\n", name.c_str());
             return 1;
         }
-        const std::vector<chat_turn> turns = makeArrivals({ .perSecond = FLAGS_per_server * static_cast<double>(layout.servers),
-            .length = sim_time { FLAGS_seconds },
-            .surgeShare = events.surgeShare,
-            .surgeFrom = events.eventAt,
-            .surgeTo = events.eventEnd,
-            .seed = FLAGS_seed });
-        std::printf("\n%s, %s, %zu servers, %zu deciders, %zu requests, c %.2f\n%s\n", layout.name.c_str(), name.c_str(),
-            layout.servers, static_cast<std::size_t>(FLAGS_deciders), turns.size(), FLAGS_load_multiple, measurements::header().c_str());
-        for (const std::string& policy : splitList(FLAGS_policies)) {
-            std::printf("%s\n", runNamed(policy, layout, events, turns).row(policy, events).c_str());
-            std::fflush(stdout);
-        }
+        runScenario(name, layout);
     }
     return 0;
 }
