Let the benchmark's bound grow from an idle fleet

Cause: with a mean taken lower by two deviations no fleet of 20 ever started. Ruled out: a least bound in slots (it breaks the multiple at low load). Change: the low mean is never below mean / c, so the bound stays at or above the known mean plus one slot.

--- a/benchmarks/placement/fleet_state.cpp
+++ b/benchmarks/placement/fleet_state.cpp
@@ -78,7 +78,10 @@
     constexpr sim_time meanAnswer { 8.5 };
     const service_load& known = m_loadHistory.front()[group];
     const double ends = known.running * ((m_options.meanDelay + tickLength) / meanAnswer);
-    return std::max(0.0, knownMean(group) - m_options.meanDeviations * std::sqrt(2 * ends) / std::max(1.0, known.weight));
+    const double deviation = std::sqrt(2 * ends) / std::max(1.0, known.weight);
+    // A bound below the mean plus one slot would keep an idle fleet from ever taking more.
+    const double mean = knownMean(group);
+    return std::max(mean / m_options.loadMultiple, mean - m_options.meanDeviations * deviation);
 }
 
 double fleet_state::limitOf(std::size_t index) const
