Let terms, gossip and placement decide in the daemon

Cause: each daemon computed owners from the platform's lagging list alone, so two daemons with different lists could both send to one server. One thread each for the platform, the terms, the directory and the reports, so that a platform that hangs does not hold up a renewal. Ruled out: the check at submission only, since a worker can be paused before its write while a successor takes the server over. The stand-in engine now counts waiting requests by origin too and always says that it reports origins; the enum execution_state stood twice and moved to Support.

--- a/include/radishflow/Backend/backend_client.h
+++ b/include/radishflow/Backend/backend_client.h
@@ -3,6 +3,7 @@
 
 #include "radishflow/Backend/backend_client_options.h"
 #include "radishflow/Backend/exchange_outcome.h"
+#include "radishflow/Backend/write_gate.h"
 #include "radishflow/Requests/answer_buffer.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Support/ids.h"
@@ -22,7 +23,7 @@
 
     /// Sends a request and copies its answer into the buffer, which is ended in every case. Blocks until
     /// the answer's end, the deadline, or the reader's leaving.
-    exchange_outcome run(const request_submission&, term_number, answer_buffer&) const;
+    exchange_outcome run(const request_submission&, const write_gate&, answer_buffer&) const;
 
     /// Reads the server's metrics page.
     result<std::string> readMetrics(const server_id&) const;
--- a/include/radishflow/Daemon/daemon_options.h
+++ b/include/radishflow/Daemon/daemon_options.h
@@ -24,7 +24,10 @@
     int requestLimit = 1024; ///< Requests at owned servers at once.
     std::size_t bodyLimitBytes = 1 << 20;
     std::chrono::milliseconds pollInterval { 500 }; ///< Between looks at the platform.
-    std::chrono::seconds addressKeep { 10 }; ///< How long callers keep an address answer.
+    std::chrono::milliseconds termLength { 12000 }; ///< How long a renewal lasts; the same at every daemon.
+    std::chrono::milliseconds reportLag { 3000 }; ///< Longest time by which an engine's load report is late.
+    std::chrono::seconds longestRequest { 120 }; ///< No request runs for longer; the same at every daemon.
+    std::chrono::seconds addressKeep { 4 }; ///< How long callers keep an address answer.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/own_pages.h
+++ b/include/radishflow/Daemon/own_pages.h
@@ -4,6 +4,7 @@
 #include "radishflow/Config/config_store.h"
 #include "radishflow/Daemon/daemon_options.h"
 #include "radishflow/Daemon/fleet_directory.h"
+#include "radishflow/Daemon/fleet_watch.h"
 #include "radishflow/Daemon/request_runner.h"
 #include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Edge/document.h"
@@ -14,27 +15,34 @@
 /// Addresses for callers, health, metrics and the state dump. Thread-safe.
 class own_pages {
 public:
-    own_pages(const daemon_options& options, const config_store& configuration, const fleet_directory& directory, const server_gates& gates, const request_runner& runner)
-        : m_options(options)
-        , m_configuration(configuration)
-        , m_directory(directory)
-        , m_gates(gates)
-        , m_runner(runner)
+    /// Every reference outlives the pages.
+    struct parts {
+        const daemon_options& options;
+        const config_store& configuration;
+        const fleet_directory& directory;
+        const server_gates& gates;
+        const request_runner& runner;
+        const ownership_keeper& ownership;
+        gossip_transport& gossip;
+        fleet_watch& watch;
+    };
+
+    explicit own_pages(const parts& theParts)
+        : m_parts(theParts)
+        , m_zones(theParts.gossip)
     {
     }
 
-    document answer(const document_request&) const;
+    document answer(const document_request&);
 
 private:
     document addresses(const document_request&) const;
+    document changeZone(const document_request&);
     document state() const;
     bool isReady() const;
 
-    const daemon_options& m_options;
-    const config_store& m_configuration;
-    const fleet_directory& m_directory;
-    const server_gates& m_gates;
-    const request_runner& m_runner;
+    parts m_parts;
+    zone_register<gossip_transport> m_zones;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/request_router.h
+++ b/include/radishflow/Daemon/request_router.h
@@ -7,6 +7,7 @@
 #include "radishflow/Daemon/owner_link.h"
 #include "radishflow/Edge/caller_answer.h"
 #include "radishflow/Edge/caller_request.h"
+#include "radishflow/Placement/bounded_rendezvous.h"
 #include "radishflow/Support/ids.h"
 
 #include <vector>
@@ -33,6 +34,7 @@
     const fleet_directory& m_directory;
     owner_link& m_link;
     region_id m_region;
+    bounded_rendezvous m_placement;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/server_gates.h
+++ b/include/radishflow/Daemon/server_gates.h
@@ -2,38 +2,47 @@
 #pragma once
 
 #include "radishflow/Backend/exchange_outcome.h"
+#include "radishflow/Backend/write_gate.h"
+#include "radishflow/Config/config_store.h"
+#include "radishflow/Daemon/ownership_keeper.h"
 #include "radishflow/Requests/refusal.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Support/ids.h"
 #include "radishflow/Support/ranked_mutex.h"
 
+#include <optional>
 #include <unordered_map>
-#include <variant>
 
 namespace radishflow {
 
-class config_store;
-
-/// Counts the work at the servers that this daemon owns. Thread-safe; rank Admission.
+/// Counts the work at the servers that this daemon owns. Thread-safe; rank Admission, after Ownership.
 class server_gates {
 public:
-    explicit server_gates(const config_store& configuration)
+    server_gates(const config_store& configuration, ownership_keeper& ownership)
         : m_configuration(configuration)
+        , m_ownership(ownership)
     {
     }
 
-    /// Admits one request to a server and returns the term under which it runs, or refuses it. Each
-    /// admission is followed by one call of finish.
-    std::variant<term_number, refusal> admit(const request_submission&);
+    /// Reserves a place at a server or says why there is none. Each reservation is followed by one call of
+    /// finish; nothing may be written without the gate.
+    std::optional<refusal> reserve(const request_submission&);
+
+    /// The last check around each write to the server; the submission outlives it.
+    write_gate gateFor(const request_submission&);
 
-    /// Ends an admission with what was seen of the server.
+    /// Ends a reservation with what was seen of the server.
     void finish(const request_submission&, const exchange_outcome&);
 
-    /// Requests at each server now.
+    /// Places that are reserved at each server now.
     std::unordered_map<server_id, int> running() const;
 
 private:
+    std::optional<int> limitOf(const request_submission&) const;
+    std::variant<term_number, refusal> acquire(const request_submission&);
+
     const config_store& m_configuration;
+    ownership_keeper& m_ownership;
     mutable ranked_mutex m_mutex { lock_rank::Admission };
     std::unordered_map<server_id, int> m_running;
 };
--- a/include/radishflow/Orders/order_reply.h
+++ b/include/radishflow/Orders/order_reply.h
@@ -1,8 +1,8 @@
 // Declares order_reply, what a caller is told in place of a fresh run.
 #pragma once
 
-#include "radishflow/Orders/execution_state.h"
 #include "radishflow/Orders/stored_answer.h"
+#include "radishflow/Support/execution_state.h"
 
 #include <string>
 
--- a/include/radishflow/Requests/refusal.h
+++ b/include/radishflow/Requests/refusal.h
@@ -1,7 +1,7 @@
 // Declares refusal, the reason that a caller is given for a request that was not answered.
 #pragma once
 
-#include "radishflow/Requests/execution_state.h"
+#include "radishflow/Support/execution_state.h"
 
 #include <chrono>
 #include <string>
--- a/include/radishflow/Requests/submit_outcome.h
+++ b/include/radishflow/Requests/submit_outcome.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "radishflow/Requests/refusal.h"
-#include "radishflow/Support/ids.h"
 
 #include <optional>
 #include <string>
@@ -13,7 +12,6 @@
 struct submit_outcome {
     std::string streamId; ///< Empty when refused.
     std::optional<refusal> refused;
-    term_number term; ///< The owner's term for the server.
 
     bool isAccepted() const { return !refused.has_value(); }
 };
--- a/include/radishflow/Support/lock_rank.h
+++ b/include/radishflow/Support/lock_rank.h
@@ -6,6 +6,7 @@
 /// A thread may only take a lock of a higher rank than each one that it holds.
 enum class lock_rank : int {
     Configuration = 10,
+    HostList = 15,
     Membership = 20,
     Ownership = 30,
     Admission = 40,
--- a/lib/Backend/backend_client.cpp
+++ b/lib/Backend/backend_client.cpp
@@ -10,9 +10,9 @@
 
 namespace radishflow {
 
-exchange_outcome backend_client::run(const request_submission& submission, term_number term, answer_buffer& answer) const
+exchange_outcome backend_client::run(const request_submission& submission, const write_gate& gate, answer_buffer& answer) const
 {
-    return backend_exchange { m_options, submission, term, answer }.run();
+    return backend_exchange { m_options, submission, gate, answer }.run();
 }
 
 result<std::string> backend_client::readMetrics(const server_id& server) const
--- a/lib/Backend/backend_exchange.cpp
+++ b/lib/Backend/backend_exchange.cpp
@@ -22,10 +22,10 @@
     return Poco::Timespan { std::max<Poco::Timespan::TimeDiff>(1, time.count()) * Poco::Timespan::MILLISECONDS };
 }
 
-backend_exchange::backend_exchange(const backend_client_options& options, const request_submission& submission, term_number term, answer_buffer& answer)
+backend_exchange::backend_exchange(const backend_client_options& options, const request_submission& submission, const write_gate& gate, answer_buffer& answer)
     : m_options(options)
     , m_submission(submission)
-    , m_term(term)
+    , m_gate(gate)
     , m_answer(answer)
     , m_started(boottime_clock {}.now())
     , m_lastEvent(submission.resumeAfter)
@@ -65,7 +65,7 @@
     });
 }
 
-void backend_exchange::sendRequest(Poco::Net::HTTPClientSession& session) const
+void backend_exchange::sendRequest(Poco::Net::HTTPClientSession& session, term_number term) const
 {
     Poco::Net::HTTPRequest request { m_submission.method, m_submission.path, Poco::Net::HTTPMessage::HTTP_1_1 };
     request.setHost(m_submission.server.value());
@@ -74,7 +74,7 @@
     if (!m_submission.contentType.empty())
         request.setContentType(m_submission.contentType);
     request.set("X-Request-Id", m_submission.request.value());
-    request.set("X-Fencing-Term", std::to_string(m_term.value()));
+    request.set("X-Fencing-Term", std::to_string(term.value()));
     request.set("Priority", "u=" + std::to_string(m_submission.priority));
     if (!m_submission.key.empty())
         request.set("Idempotency-Key", m_submission.key.value());
@@ -166,13 +166,39 @@
     return copyPlain(in, response);
 }
 
+// The check is the last step before the write: between the two, only the window that successors leave free
+// may be outstanding, however long this thread is paused.
+backend_exchange::step backend_exchange::tryThroughGate(Poco::Net::HTTPClientSession& session)
+{
+    const auto admission = m_gate.acquire();
+    if (const auto* reason = std::get_if<refusal>(&admission)) {
+        m_answer.breakOff(*reason);
+        return step::Ended;
+    }
+    const term_number term = std::get<term_number>(admission);
+    m_outcome.wasConnected = m_outcome.wasSent = true;
+    bool isWritten = false;
+    try {
+        sendRequest(session, term);
+        m_gate.written(term);
+        isWritten = true;
+        const step end = copyAnswer(session);
+        m_gate.released(term);
+        return end;
+    } catch (const Poco::Exception&) {
+        // A write that failed may have carried bytes, so it counts as written.
+        if (!isWritten)
+            m_gate.written(term);
+        m_gate.released(term);
+        throw;
+    }
+}
+
 backend_exchange::step backend_exchange::tryOnce()
 {
     try {
         std::unique_ptr<Poco::Net::HTTPClientSession> session = openSession();
-        m_outcome.wasConnected = m_outcome.wasSent = true;
-        sendRequest(*session);
-        return copyAnswer(*session);
+        return tryThroughGate(*session);
     } catch (const Poco::Exception& error) {
         m_outcome.wasReset = m_outcome.wasConnected;
         if (!m_hasBegun)
--- a/lib/Backend/backend_exchange.h
+++ b/lib/Backend/backend_exchange.h
@@ -3,6 +3,7 @@
 
 #include "radishflow/Backend/backend_client_options.h"
 #include "radishflow/Backend/exchange_outcome.h"
+#include "radishflow/Backend/write_gate.h"
 #include "radishflow/Requests/answer_buffer.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Support/monotonic_clock.h"
@@ -21,7 +22,7 @@
 /// Runs one submission; used once, by one thread.
 class backend_exchange {
 public:
-    backend_exchange(const backend_client_options&, const request_submission&, term_number, answer_buffer&);
+    backend_exchange(const backend_client_options&, const request_submission&, const write_gate&, answer_buffer&);
 
     exchange_outcome run();
 
@@ -33,7 +34,8 @@
 
     std::unique_ptr<Poco::Net::HTTPClientSession> openSession() const;
     step tryOnce();
-    void sendRequest(Poco::Net::HTTPClientSession&) const;
+    step tryThroughGate(Poco::Net::HTTPClientSession&);
+    void sendRequest(Poco::Net::HTTPClientSession&, term_number) const;
     step copyAnswer(Poco::Net::HTTPClientSession&);
     step copyEvents(std::istream&, const Poco::Net::HTTPResponse&);
     step copyPlain(std::istream&, const Poco::Net::HTTPResponse&);
@@ -44,7 +46,7 @@
 
     const backend_client_options& m_options;
     const request_submission& m_submission;
-    term_number m_term;
+    const write_gate& m_gate;
     answer_buffer& m_answer;
     exchange_outcome m_outcome;
     time_point m_started;
--- /dev/null
+++ b/lib/Daemon/fleet_watch.cpp
@@ -0,0 +1,158 @@
+// Implements the watch over the fleet.
+#include "radishflow/Daemon/fleet_watch.h"
+
+#include <spdlog/spdlog.h>
+
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+namespace radishflow {
+
+static const std::string leavingRecord = "leaving";
+
+fleet_watch::fleet_watch(const daemon_options& options, platform_client& platform, gossip_transport& gossip, ownership_keeper& ownership, fleet_directory& directory, config_store& configuration)
+    : m_options(options)
+    , m_platform(platform)
+    , m_gossip(gossip)
+    , m_ownership(ownership)
+    , m_directory(directory)
+    , m_follower(platform, platform, configuration)
+    , m_zones(gossip)
+{
+}
+
+// Runs one look at the platform; a failure is logged and leaves what was known.
+template <typename Look>
+static void tryLook(Look&& look)
+{
+    valueOr(
+        [&]() -> result<bool> {
+            BOOST_LEAF_AUTO(isNew, look());
+            return isNew;
+        },
+        [](const failure& error) {
+            spdlog::warn("step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, describe(error));
+            return false;
+        });
+}
+
+void fleet_watch::pollPlatform()
+{
+    pollHosts();
+    pollConfiguration();
+    pollZones();
+}
+
+void fleet_watch::pollHosts()
+{
+    tryLook([&]() -> result<bool> {
+        BOOST_LEAF_AUTO(listed, m_platform.listHosts());
+        std::vector<seed_peer> seeds;
+        for (const listed_host& host : listed) {
+            if (host.role == "daemon")
+                seeds.push_back({ .address = peer_address { host.target }, .isLeaving = host.leaving });
+        }
+        m_gossip.seed(std::move(seeds));
+        const std::lock_guard lock { m_mutex };
+        m_hosts = std::move(listed);
+        return true;
+    });
+}
+
+void fleet_watch::pollConfiguration()
+{
+    tryLook([&]() -> result<bool> {
+        BOOST_LEAF_AUTO(isNew, m_follower.poll());
+        if (isNew)
+            spdlog::info("step=\"take configuration\" daemon={}", m_options.name.value());
+        return isNew;
+    });
+}
+
+void fleet_watch::pollZones()
+{
+    tryLook([&]() -> result<bool> {
+        BOOST_LEAF_AUTO(outcome, m_zones.reconcile(m_platform));
+        return outcome.learned + outcome.written > 0;
+    });
+}
+
+std::vector<listed_host> fleet_watch::hosts() const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_hosts;
+}
+
+// The gossip says who is there now; the platform's list lags and only hints who leaves.
+std::vector<known_daemon> fleet_watch::daemons(const std::vector<listed_host>& listed) const
+{
+    std::unordered_map<std::string, bool> isListedLeaving;
+    for (const listed_host& host : listed) {
+        if (host.role == "daemon")
+            isListedLeaving[host.target] = host.leaving;
+    }
+    std::vector<known_daemon> known;
+    for (const member& seen : m_gossip.members()) {
+        const bool isSelf = seen.id == m_options.name;
+        const auto hint = isListedLeaving.find(seen.peer.value());
+        known.push_back({
+            .id = seen.id,
+            .zone = seen.zone,
+            .region = seen.region,
+            .peer = seen.peer.value(),
+            .http = seen.http,
+            .isAlive = isSelf || seen.state == member_state::Alive || seen.state == member_state::Suspect,
+            .isLeaving = seen.records.contains(leavingRecord) || (isSelf && m_isLeaving) || (hint != isListedLeaving.end() && hint->second),
+        });
+    }
+    return known;
+}
+
+void fleet_watch::refresh()
+{
+    const std::vector<listed_host> listed = hosts();
+    fleet_snapshot fleet { .daemons = daemons(listed) };
+    for (const auto& [key, value] : m_gossip.registers()) {
+        if (key.starts_with(zoneKeyPrefix) && zoneStateOf(value) == zone_state::Out)
+            fleet.zonesOut.insert(zone_id { key.substr(zoneKeyPrefix.size()) });
+    }
+    std::unordered_map<daemon_id, const known_daemon*> byName;
+    for (const known_daemon& daemon : fleet.daemons) {
+        if (daemon.isAlive)
+            byName[daemon.id] = &daemon;
+    }
+    for (const listed_host& host : listed) {
+        if (host.role != "backend")
+            continue;
+        known_server server { .id = server_id { host.target }, .service = host.service, .zone = host.zone, .region = host.region, .isLeaving = host.leaving, .isZoneOut = fleet.zonesOut.contains(host.zone) };
+        const auto owner = byName.find(m_ownership.ownerOf(server.id).value_or(daemon_id {}));
+        if (owner != byName.end()) {
+            server.owner = owner->first;
+            server.ownerPeer = owner->second->peer;
+        }
+        fleet.servers[server.service].push_back(std::move(server));
+    }
+    m_directory.replace(std::move(fleet));
+}
+
+fleet_view fleet_watch::view() const
+{
+    const std::vector<listed_host> listed = hosts();
+    fleet_view fleet;
+    for (const known_daemon& daemon : daemons(listed))
+        fleet.daemons.push_back({ .daemon = daemon.id, .zone = daemon.zone, .region = daemon.region, .isAlive = daemon.isAlive && !daemon.isLeaving });
+    for (const listed_host& host : listed) {
+        if (host.role == "backend")
+            fleet.servers.push_back({ .server = server_id { host.target }, .service = host.service, .zone = host.zone, .region = host.region, .isLeaving = host.leaving });
+    }
+    return fleet;
+}
+
+void fleet_watch::beginLeaving()
+{
+    m_isLeaving = true;
+    m_gossip.publish(leavingRecord, "1");
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Daemon/load_reader.cpp
@@ -0,0 +1,82 @@
+// Implements the reading of engines' load reports.
+#include "radishflow/Daemon/load_reader.h"
+
+#include "radishflow/Support/boottime_clock.h"
+
+#include <spdlog/spdlog.h>
+
+#include <charconv>
+#include <sstream>
+#include <string_view>
+
+namespace radishflow {
+
+static double numberAfter(std::string_view text)
+{
+    while (text.starts_with(' '))
+        text.remove_prefix(1);
+    double value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+static void readOrigin(std::string_view rest, engine_report& report)
+{
+    std::uint64_t term = 0;
+    std::from_chars(rest.data(), rest.data() + rest.size(), term);
+    const std::size_t end = rest.find('}');
+    if (end != std::string_view::npos)
+        report.runningByOrigin[term_number { term }] += static_cast<int>(numberAfter(rest.substr(end + 1)));
+}
+
+std::optional<engine_report> parseEngineReport(const std::string& text)
+{
+    static constexpr std::string_view running = "engine_requests_running ";
+    static constexpr std::string_view byOrigin = "engine_requests_running_by_origin{origin=\"";
+    static constexpr std::string_view completed = "engine_requests_completed_total ";
+    static constexpr std::string_view startTime = "process_start_time_seconds ";
+    engine_report report;
+    bool hasRunning = false;
+    std::istringstream lines { text };
+    std::string line;
+    while (std::getline(lines, line)) {
+        const std::string_view view { line };
+        if (view.starts_with(running)) {
+            hasRunning = true;
+            report.running = static_cast<int>(numberAfter(view.substr(running.size())));
+        } else if (view.starts_with(byOrigin)) {
+            readOrigin(view.substr(byOrigin.size()), report);
+        } else if (view.starts_with("# TYPE engine_requests_running_by_origin")) {
+            report.hasOrigins = true;
+        } else if (view.starts_with(completed)) {
+            report.completed = static_cast<long>(numberAfter(view.substr(completed.size())));
+        } else if (view.starts_with(startTime)) {
+            report.startTime = numberAfter(view.substr(startTime.size()));
+        }
+    }
+    return hasRunning ? std::optional { report } : std::nullopt;
+}
+
+void load_reader::readOne(const server_id& server)
+{
+    const time_point askedAt = boottime_clock {}.now();
+    const std::optional<engine_report> report = valueOr(
+        [&]() -> result<std::optional<engine_report>> {
+            BOOST_LEAF_AUTO(text, m_client.readMetrics(server));
+            return parseEngineReport(text);
+        },
+        [](const failure& error) -> std::optional<engine_report> {
+            spdlog::debug("step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, describe(error));
+            return std::nullopt;
+        });
+    if (report)
+        m_ownership.acceptReport(server, { .takenAfter = askedAt - m_reportLag, .running = report->running, .hasOrigins = report->hasOrigins, .runningByOrigin = report->runningByOrigin });
+}
+
+void load_reader::readAll()
+{
+    for (const server_id& server : m_ownership.ownedServers())
+        readOne(server);
+}
+
+} // namespace radishflow
--- a/lib/Daemon/own_pages.cpp
+++ b/lib/Daemon/own_pages.cpp
@@ -1,6 +1,8 @@
 // Implements the pages that a daemon answers itself.
 #include "radishflow/Daemon/own_pages.h"
 
+#include "radishflow/Edge/problem_details.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 
@@ -18,33 +20,46 @@
     return text.str();
 }
 
+static document problem(const refusal& reason)
+{
+    return { .status = reason.status, .contentType = "application/problem+json", .body = problemDetails(reason, request_id {}) };
+}
+
+static std::string parameter(const document_request& request, const char* name)
+{
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? std::string {} : found->second;
+}
+
 bool own_pages::isReady() const
 {
-    return m_configuration.current() != nullptr;
+    return m_parts.configuration.current() != nullptr;
 }
 
-document own_pages::answer(const document_request& request) const
+document own_pages::answer(const document_request& request)
 {
     if (request.path == "/v1/addresses")
         return addresses(request);
+    if (request.path == "/v1/operator/zones")
+        return changeZone(request);
     if (request.path == "/healthz")
         return { .contentType = "text/plain", .body = "ok\n" };
     if (request.path == "/readyz")
         return { .status = isReady() ? 200 : 503, .contentType = "text/plain", .body = isReady() ? "ready\n" : "no configuration in force\n" };
     if (request.path == "/v1/version")
-        return { .body = "{\"config_version\":" + std::to_string(m_configuration.version().value()) + "}\n" };
+        return { .body = "{\"config_version\":" + std::to_string(m_parts.configuration.version().value()) + "}\n" };
     if (request.path == "/debug/state")
         return state();
-    return { .status = 404, .contentType = "application/problem+json", .body = R"({"title":"No such page","status":404,"execution":"not_run"})" };
+    return problem({ .status = 404, .title = "No such page", .detail = request.path });
 }
 
 // The caller's own zone comes first; the other zones follow so that a caller has somewhere to go when its
 // zone is lost before it asks again.
 document own_pages::addresses(const document_request& request) const
 {
-    const auto fleet = m_directory.current();
+    const auto fleet = m_parts.directory.current();
     const auto wanted = request.query.find("zone");
-    const zone_id own { wanted == request.query.end() ? m_options.zone.value() : wanted->second };
+    const zone_id own { wanted == request.query.end() ? m_parts.options.zone.value() : wanted->second };
     std::vector<const known_daemon*> usable;
     for (const known_daemon& daemon : fleet->daemons) {
         if (daemon.isAlive && !daemon.isLeaving && !fleet->zonesOut.contains(daemon.zone))
@@ -60,18 +75,43 @@
     }
     Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
     object.set("addresses", list);
-    object.set("keep_seconds", static_cast<int>(m_options.addressKeep.count()));
+    object.set("keep_seconds", static_cast<int>(m_parts.options.addressKeep.count()));
     return { .body = textOf(object) };
 }
 
+// The change takes effect here at once and spreads from here, also while the platform's table is dark.
+document own_pages::changeZone(const document_request& request)
+{
+    const zone_id zone { parameter(request, "zone") };
+    const std::string state = parameter(request, "state");
+    if (request.method != "POST" || zone.empty() || (state != "in" && state != "out"))
+        return problem({ .status = 400, .title = "Bad request", .detail = "POST with zone=ZONE and state=in or state=out" });
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    const zone_state wanted = state == "out" ? zone_state::Out : zone_state::In;
+    return valueOr(
+        [&]() -> result<document> {
+            BOOST_LEAF_AUTO(value, m_zones.change(zone, wanted, m_zones.versionOf(zone), now.count()));
+            m_parts.watch.refresh();
+            Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
+            object.set("zone", zone.value());
+            object.set("state", state);
+            object.set("version", value.version);
+            return document { .body = textOf(object) };
+        },
+        [](const failure& error) { return problem({ .status = 409, .title = "Another change came first", .detail = describe(error) }); });
+}
+
 document own_pages::state() const
 {
-    const auto fleet = m_directory.current();
+    const auto fleet = m_parts.directory.current();
     Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
-    object.set("daemon", m_options.name.value());
-    object.set("zone", m_options.zone.value());
-    object.set("config_version", m_configuration.version().value());
-    object.set("streams", static_cast<int>(m_runner.streams()));
+    object.set("daemon", m_parts.options.name.value());
+    object.set("zone", m_parts.options.zone.value());
+    object.set("config_version", m_parts.configuration.version().value());
+    object.set("term", m_parts.ownership.phase() == term_phase::Running ? "running" : m_parts.ownership.phase() == term_phase::Dark ? "dark"
+                                                                                                                                    : "ended");
+    object.set("ready", isReady());
+    object.set("streams", static_cast<int>(m_parts.runner.streams()));
     Poco::JSON::Array daemons;
     for (const known_daemon& daemon : fleet->daemons) {
         Poco::JSON::Object entry { Poco::JSON_PRESERVE_KEY_ORDER };
@@ -84,7 +124,7 @@
         daemons.add(entry);
     }
     object.set("daemons", daemons);
-    const auto running = m_gates.running();
+    const auto running = m_parts.gates.running();
     Poco::JSON::Array servers;
     for (const auto& [service, members] : fleet->servers) {
         for (const known_server& server : members) {
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -4,63 +4,109 @@
 #include "radishflow/Backend/backend_client.h"
 #include "radishflow/Config/config_store.h"
 #include "radishflow/Daemon/fleet_directory.h"
+#include "radishflow/Daemon/fleet_watch.h"
+#include "radishflow/Daemon/load_reader.h"
 #include "radishflow/Daemon/own_pages.h"
 #include "radishflow/Daemon/owner_link.h"
-#include "radishflow/Daemon/platform_watch.h"
+#include "radishflow/Daemon/ownership_keeper.h"
+#include "radishflow/Daemon/periodic_task.h"
 #include "radishflow/Daemon/request_router.h"
 #include "radishflow/Daemon/request_runner.h"
 #include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Edge/edge_server.h"
+#include "radishflow/Gossip/gossip_transport.h"
 #include "radishflow/Peer/peer_client.h"
 #include "radishflow/Peer/peer_server.h"
 #include "radishflow/Platform/platform_client.h"
 
-#include <atomic>
-#include <condition_variable>
-#include <mutex>
+#include <Poco/Exception.h>
+
+#include <random>
 #include <string>
-#include <thread>
 
 namespace radishflow {
 
+// Others watch a row a quarter longer than its holder counts it, which allows for clocks that drift apart.
+static term_options termOptionsOf(const daemon_options& options)
+{
+    return {
+        .termLength = options.termLength,
+        .renewInterval = options.termLength / 3,
+        .observeLength = options.termLength * 5 / 4,
+        .pollInterval = std::min<duration>(options.pollInterval, std::chrono::seconds { 1 }),
+        .longestRequest = options.longestRequest,
+    };
+}
+
+static std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
 // Members stand in the order of their dependence: a later one uses earlier ones and is destroyed before them.
 struct radishflow_daemon::state {
     daemon_options options;
     platform_client platform { platform_options { .address = options.platform } };
     config_store configuration;
     fleet_directory directory;
-    server_gates gates { configuration };
+    ownership_keeper ownership { platform, options.name, termOptionsOf(options), randomNumber() };
+    server_gates gates { configuration, ownership };
     backend_client backends { backend_client_options {} };
     request_runner runner { gates, backends, options.requestLimit };
     peer_server peerInterface;
+    std::string peerAddress;
     peer_client peers { peer_client_options {} };
     owner_link link;
     request_router router { configuration, directory, link, options.region };
-    own_pages pages { options, configuration, directory, gates, runner };
     edge_server edge;
-    platform_watch watch { options, platform, directory, configuration };
-    std::mutex stopMutex;
-    std::condition_variable stopChanged;
-    bool isStopping = false;
-    std::thread background;
+    std::unique_ptr<gossip_transport> gossip;
+    fleet_watch watch;
+    own_pages pages;
+    load_reader loads { backends, ownership, options.reportLag };
+    periodic_task platformTask;
+    periodic_task ownershipTask;
+    periodic_task refreshTask;
+    periodic_task loadTask;
 
     explicit state(const daemon_options& theOptions)
         : options(theOptions)
         , peerInterface({ .host = options.address, .port = options.peerPort }, handlersForPeers())
-        , link(runner, peers, options.address + ':' + std::to_string(peerInterface.port()))
+        , peerAddress(options.address + ':' + std::to_string(peerInterface.port()))
+        , link(runner, peers, peerAddress)
         , edge({ .host = options.address, .port = options.httpPort, .connectionLimit = options.callerLimit, .bodyLimitBytes = options.bodyLimitBytes }, handlersForCallers())
-        , background([this] { runBackground(); })
+        , gossip(startGossip())
+        , watch(options, platform, *gossip, ownership, directory, configuration)
+        , pages({ options, configuration, directory, gates, runner, ownership, *gossip, watch })
+        , platformTask(options.pollInterval, [this] { watch.pollPlatform(); })
+        , ownershipTask(std::min(options.pollInterval, std::chrono::milliseconds { 500 }), [this] { ownership.step(watch.view()); })
+        , refreshTask(std::chrono::milliseconds { 100 }, [this] {
+            watch.refresh();
+            runner.sweep();
+        })
+        , loadTask(std::chrono::milliseconds { 1000 }, [this] { loads.readAll(); })
     {
+        isComplete = true;
     }
 
-    ~state()
+    // The fleet's clock of incarnations is wall time: a daemon that starts anew has no disk to remember the last.
+    std::unique_ptr<gossip_transport> startGossip() const
     {
-        {
-            const std::lock_guard lock { stopMutex };
-            isStopping = true;
-        }
-        stopChanged.notify_all();
-        background.join();
+        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+        gossip_transport_options gossipOptions {
+            .membership = {
+                .id = options.name,
+                .incarnation = incarnation_number { static_cast<std::uint64_t>(now.count()) },
+                .address = peer_address { peerAddress },
+                .http = options.address + ':' + std::to_string(edge.port()),
+                .zone = options.zone,
+                .region = options.region,
+            },
+            .randomSeed = randomNumber(),
+        };
+        return valueOr(
+            [&] { return gossip_transport::start(gossipOptions); },
+            [](const failure& error) -> std::unique_ptr<gossip_transport> { throw Poco::RuntimeException { describe(error) }; });
     }
 
     peer_handlers handlersForPeers()
@@ -72,25 +118,16 @@
         };
     }
 
+    // The interface listens before the pages exist, since the gossip tells others its port.
     edge_handlers handlersForCallers()
     {
         return {
             .call = [this](const caller_request& request) { return router.route(request); },
-            .answer = [this](const document_request& request) { return pages.answer(request); },
+            .answer = [this](const document_request& request) { return isComplete ? pages.answer(request) : document { .status = 503, .contentType = "text/plain", .body = "starting\n" }; },
         };
     }
 
-    void runBackground()
-    {
-        std::unique_lock lock { stopMutex };
-        while (!isStopping) {
-            lock.unlock();
-            watch.poll();
-            runner.sweep();
-            lock.lock();
-            stopChanged.wait_for(lock, options.pollInterval, [&] { return isStopping; });
-        }
-    }
+    std::atomic<bool> isComplete = false;
 };
 
 radishflow_daemon::radishflow_daemon(const daemon_options& options)
--- a/lib/Daemon/request_router.cpp
+++ b/lib/Daemon/request_router.cpp
@@ -8,7 +8,6 @@
 #include <Poco/JSON/Parser.h>
 
 #include <algorithm>
-#include <cmath>
 #include <memory>
 #include <utility>
 
@@ -44,17 +43,16 @@
     const auto found = fleet->servers.find(service.id);
     if (found == fleet->servers.end())
         return {};
-    const std::string key = request.chat.empty() ? request.request.value() : request.workspace.value() + '/' + request.chat.value();
-    std::vector<std::pair<double, const known_server*>> scored;
-    for (const known_server& server : found->second) {
-        if (server.takesNewWork())
-            scored.emplace_back(unitInterval(stableHash(key, server.id.value())), &server);
-    }
-    std::sort(scored.begin(), scored.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+    std::vector<placement_server> candidates;
+    for (const known_server& server : found->second)
+        candidates.push_back({ .id = server.id, .zone = server.zone, .region = server.region, .admitsNew = server.takesNewWork() });
+    // A request without a chat returns to nothing, so each gets a rank of its own.
+    const chat_id chat { request.chat.empty() ? request.request.value() : request.workspace.value() + '/' + request.chat.value() };
+    const placement_request wanted { .chatHash = hashOfChat(service.id, chat), .region = m_region };
     std::vector<known_server> rank;
-    for (const auto& [score, server] : scored) {
-        if (rank.size() < longestWalk)
-            rank.push_back(*server);
+    for (const std::uint32_t index : m_placement.rank(wanted, candidates, longestWalk)) {
+        if (candidates[index].admitsNew)
+            rank.push_back(found->second[index]);
     }
     return rank;
 }
--- a/lib/Daemon/request_runner.cpp
+++ b/lib/Daemon/request_runner.cpp
@@ -23,21 +23,19 @@
     auto answer = std::make_shared<answer_buffer>(answerBufferBytes);
     if (!m_streams.add(streamId, answer, boottime_clock {}.now()))
         return { .refused = refusal { .status = 409, .title = "Attempt seen before", .detail = streamId, .execution = execution_state::Unknown } };
-    const auto admission = m_gates.admit(submission);
-    if (const auto* reason = std::get_if<refusal>(&admission)) {
+    if (std::optional<refusal> reason = m_gates.reserve(submission)) {
         m_streams.abandon(streamId);
-        return { .refused = *reason };
+        return { .refused = *std::move(reason) };
     }
-    const term_number term = std::get<term_number>(admission);
-    const bool isStarted = m_workers.tryStart([this, submission, term, answer] {
-        m_gates.finish(submission, m_client.run(submission, term, *answer));
+    const bool isStarted = m_workers.tryStart([this, submission, answer] {
+        m_gates.finish(submission, m_client.run(submission, m_gates.gateFor(submission), *answer));
     });
     if (!isStarted) {
         m_gates.finish(submission, exchange_outcome {});
         m_streams.abandon(streamId);
         return { .refused = refusal { .status = 503, .title = "Daemon is full", .detail = "every worker is busy", .retryAfter = std::chrono::milliseconds { 500 }, .tryNextServer = true } };
     }
-    return { .streamId = streamId, .term = term };
+    return { .streamId = streamId };
 }
 
 answer_part request_runner::read(const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most)
--- a/lib/Emulator/engine_batch.cpp
+++ b/lib/Emulator/engine_batch.cpp
@@ -186,6 +186,8 @@
     std::map<std::uint64_t, int> counts;
     for (const generation_ptr& each : m_running)
         ++counts[each->request.originTerm];
+    for (const generation_ptr& each : m_waiting)
+        ++counts[each->request.originTerm];
     return counts;
 }
 
--- a/lib/Emulator/engine_core.cpp
+++ b/lib/Emulator/engine_core.cpp
@@ -298,7 +298,7 @@
         + "\nengine_requests_waiting " + std::to_string(m_batch.waiting())
         + "\nengine_slots " + std::to_string(m_options.slots)
         + "\nengine_requests_completed_total " + std::to_string(m_batch.completedInLife())
-        + "\nprocess_start_time_seconds " + start.data() + "\n";
+        + "\nprocess_start_time_seconds " + start.data() + "\n# TYPE engine_requests_running_by_origin gauge\n";
     for (const auto& [term, count] : m_batch.runningByOrigin())
         text += "engine_requests_running_by_origin{origin=\"" + std::to_string(term) + "\"} " + std::to_string(count) + "\n";
     return text;
--- a/lib/Orders/order_reply.cpp
+++ b/lib/Orders/order_reply.cpp
@@ -3,19 +3,6 @@
 
 namespace radishflow {
 
-const char* nameOf(execution_state state)
-{
-    switch (state) {
-    case execution_state::NotRun:
-        return "not-run";
-    case execution_state::Unknown:
-        return "unknown";
-    case execution_state::Done:
-        return "done";
-    }
-    return "unknown";
-}
-
 stored_answer limitBody(stored_answer answer, std::size_t maximumBytes)
 {
     if (answer.body.size() <= maximumBytes)
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -101,7 +101,6 @@
     wire::SubmitReply message;
     message.__set_accepted(outcome.isAccepted());
     message.__set_streamId(outcome.streamId);
-    message.__set_term(static_cast<std::int64_t>(outcome.term.value()));
     if (outcome.refused)
         message.__set_refusal(toWire(*outcome.refused));
     return message;
@@ -109,7 +108,7 @@
 
 submit_outcome fromWire(const wire::SubmitReply& message)
 {
-    submit_outcome outcome { .streamId = message.streamId, .term = term_number { static_cast<std::uint64_t>(message.term) } };
+    submit_outcome outcome { .streamId = message.streamId };
     if (message.__isset.refusal)
         outcome.refused = fromWire(message.refusal);
     else if (!message.accepted)
--- a/test/Fleet/test_fleet.cpp
+++ b/test/Fleet/test_fleet.cpp
@@ -73,7 +73,7 @@
         addBackend(m_plains, "plain", "records", index, options.plainArguments);
     for (int index = 0; index < options.daemons; ++index) {
         fleet_member member { .name = "d" + std::to_string(index), .role = "daemon", .zone = zoneOf(index) };
-        member.arguments = { "--name=" + member.name, "--zone=" + member.zone, "--region=ra", "--platform=" + m_platformAddress, "--poll_interval_ms=100" };
+        member.arguments = { "--name=" + member.name, "--zone=" + member.zone, "--region=ra", "--platform=" + m_platformAddress, "--poll_interval_ms=100", "--term_ms=3000", "--report_lag_ms=1200", "--longest_request_seconds=20" };
         member.arguments.insert(member.arguments.end(), options.daemonArguments.begin(), options.daemonArguments.end());
         startMember(member);
         m_daemons.push_back(std::move(member));
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -43,7 +43,6 @@
   1: bool accepted
   2: string streamId
   3: optional Refusal refusal
-  4: i64 term              // the owner's term for this server
 }
 
 // A part of an answer; offsets count the bytes of the answer's body.
--- a/tools/radishflowd/settings.cpp
+++ b/tools/radishflowd/settings.cpp
@@ -20,12 +20,15 @@
 DEFINE_int32(request_limit, 1024, "Requests at owned servers at once, 1 to 65536.");
 DEFINE_int32(body_limit_bytes, 1 << 20, "Largest request body in bytes, 1024 to 67108864.");
 DEFINE_int32(poll_interval_ms, 500, "Time between looks at the platform in milliseconds, 50 to 5000.");
-DEFINE_int32(address_keep_seconds, 10, "Time that callers keep an address answer, 1 to 3600 s.");
+DEFINE_int32(term_ms, 12000, "How long one renewal of the ownership lasts in milliseconds, 1000 to 60000; the same at every daemon.");
+DEFINE_int32(report_lag_ms, 3000, "Longest time by which an engine's load report is late in milliseconds, 0 to 60000.");
+DEFINE_int32(longest_request_seconds, 120, "No request runs for longer, 1 to 3600 s; the same at every daemon.");
+DEFINE_int32(address_keep_seconds, 4, "Time that callers keep an address answer, 1 to 3600 s.");
 DEFINE_string(log_level, "info", "trace, debug, info, warn, err or off.");
 
 namespace radishflow {
 
-static const std::vector<std::string> ownFlags { "name", "host", "zone", "region", "address", "http_port", "peer_port", "platform", "caller_limit", "request_limit", "body_limit_bytes", "poll_interval_ms", "address_keep_seconds", "log_level" };
+static const std::vector<std::string> ownFlags { "name", "host", "zone", "region", "address", "http_port", "peer_port", "platform", "caller_limit", "request_limit", "body_limit_bytes", "poll_interval_ms", "term_ms", "report_lag_ms", "longest_request_seconds", "address_keep_seconds", "log_level" };
 
 static void requireText(const char* flag, const std::string& value, std::vector<std::string>& problems)
 {
@@ -67,6 +70,9 @@
     requireRange("request_limit", FLAGS_request_limit, 1, 65536, problems);
     requireRange("body_limit_bytes", FLAGS_body_limit_bytes, 1024, 64 << 20, problems);
     requireRange("poll_interval_ms", FLAGS_poll_interval_ms, 50, 5000, problems);
+    requireRange("term_ms", FLAGS_term_ms, 1000, 60000, problems);
+    requireRange("report_lag_ms", FLAGS_report_lag_ms, 0, 60000, problems);
+    requireRange("longest_request_seconds", FLAGS_longest_request_seconds, 1, 3600, problems);
     requireRange("address_keep_seconds", FLAGS_address_keep_seconds, 1, 3600, problems);
     static const std::set<std::string> levels { "trace", "debug", "info", "warn", "err", "off" };
     if (!levels.contains(FLAGS_log_level))
@@ -100,6 +106,9 @@
         .requestLimit = FLAGS_request_limit,
         .bodyLimitBytes = static_cast<std::size_t>(FLAGS_body_limit_bytes),
         .pollInterval = std::chrono::milliseconds { FLAGS_poll_interval_ms },
+        .termLength = std::chrono::milliseconds { FLAGS_term_ms },
+        .reportLag = std::chrono::milliseconds { FLAGS_report_lag_ms },
+        .longestRequest = std::chrono::seconds { FLAGS_longest_request_seconds },
         .addressKeep = std::chrono::seconds { FLAGS_address_keep_seconds },
     };
     return outcome;
