--- a/lib/Terms/server_gate.cpp
+++ b/lib/Terms/server_gate.cpp
@@ -171,18 +171,19 @@
         const term_count& count = m_counts.at(former.share.term);
         return count.window + count.running;
     }
+    const int window = m_options.rules.reserveWindow ? m_options.window : 0;
+    const int most = former.share.running ? dark : dark + window;
     if (former.goneAt) {
         if (now >= *former.goneAt + m_options.longestRequest)
             return 0;
-        return hasReportAfter(*former.goneAt) ? std::min(dark, reportedRunning(former.share)) : dark;
+        return hasReportAfter(*former.goneAt) ? std::min(most, reportedRunning(former.share)) : most;
     }
-    const int window = m_options.rules.reserveWindow ? m_options.window : 0;
     // The former holder's clock may be slower than this one.
     const time_point darkEnd = m_ownedSince + m_options.darkLimit + m_options.darkLimit / 8;
     const bool isDarkOver = now >= darkEnd + m_options.longestRequest
         || (now >= darkEnd && hasReportAfter(darkEnd) && reportedRunning(former.share) == 0);
     // A request in the window escapes every clock, so the window stays until the holder is known to be gone.
-    return isDarkOver ? window : dark + window;
+    return isDarkOver ? window : most;
 }
 
 int server_gate::allowed(int limit, const limit_division& division, term_phase phase, time_point now) const
