--- a/include/radishflow/Membership/member_entry.h
+++ b/include/radishflow/Membership/member_entry.h
@@ -19,6 +19,7 @@
     time_point suspectedAt {};
     bool isOwnSuspicion = false; ///< This daemon's own probes failed.
     time_point noticedAt {}; ///< When it was last told what is said of it.
+    time_point reprobedAt {};
     time_point newsHeldUntil {};
     double flaps = 0; ///< Changes of state, decayed up to flapsAt.
     time_point flapsAt {};
--- a/include/radishflow/Membership/member_list.h
+++ b/include/radishflow/Membership/member_list.h
@@ -7,6 +7,7 @@
 #include "radishflow/Membership/state_digest.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace radishflow {
@@ -33,7 +34,8 @@
     const member_entry* find(const daemon_id&) const;
     const register_map& registers() const { return m_registers; }
     const state_digest& digest() const { return m_digest; }
-    time_point changedAt() const { return m_changedAt; }
+    /// Names the members in state Suspect.
+    const std::set<daemon_id>& suspects() const { return m_suspects; }
 
     /// Returns the changes of state of a member in recent time, decayed.
     double flapsOf(const member_entry&, time_point now) const;
@@ -77,7 +79,7 @@
     state_digest m_digest;
     std::size_t m_liveCount = 0;
     std::map<region_id, std::size_t> m_liveByRegion;
-    time_point m_changedAt {};
+    std::set<daemon_id> m_suspects;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Membership/membership_options.h
+++ b/include/radishflow/Membership/membership_options.h
@@ -56,7 +56,7 @@
 
     duration flapHalfLife = std::chrono::seconds { 60 };
     double flapThreshold = 6; ///< Changes of state, decayed, from which on a member flaps.
-    duration flapHold = std::chrono::seconds { 5 }; ///< Least time between news of a flapping member.
+    duration flapHold = std::chrono::seconds { 10 }; ///< Least time between news of a flapping member.
 
     duration recordRetention = std::chrono::seconds { 30 }; ///< Records of the dead vanish after this.
     duration deadRetention = std::chrono::hours { 1 };
--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -79,7 +79,8 @@
     void send(out_list&, const peer_address& to, gossip_message, bool withNews);
     void sendPing(out_list&, const probe&);
     void startProbe(out_list&, const member_entry&, probe::purpose, time_point now);
-    void askOthers(out_list&, const probe&);
+    void askOthers(out_list&, const probe&, std::size_t count);
+    void reprobe(out_list&, const member_entry&, time_point now);
     void takeStep(out_list&, const probe_step&, time_point now);
 
     void noticePause(time_point now);
--- a/include/radishflow/Membership/membership_table_probes.h
+++ b/include/radishflow/Membership/membership_table_probes.h
@@ -124,7 +124,7 @@
         if (step.subject.reason != probe::purpose::OwnRegion)
             return;
         sendPing(out, step.subject);
-        askOthers(out, step.subject);
+        askOthers(out, step.subject, m_options.indirectProbes);
         return;
     case probe_step::action::Fail:
         if (step.subject.reason == probe::purpose::OwnRegion)
@@ -134,14 +134,14 @@
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
-void membership_table<Clock, Random>::askOthers(out_list& out, const probe& subject)
+void membership_table<Clock, Random>::askOthers(out_list& out, const probe& subject, std::size_t count)
 {
     if (m_options.testSwitches.noIndirectProbes)
         return;
     const auto isHelper = [&](const member_entry& entry) {
         return entry.update.id != subject.target && entry.update.status.state() == member_state::Alive && isOwnRegion(entry);
     };
-    for (const member_entry* helper : m_schedule.sample(m_list, m_options.indirectProbes, isHelper)) {
+    for (const member_entry* helper : m_schedule.sample(m_list, count, isHelper)) {
         gossip_message request;
         request.kind = message_kind::PingRequest;
         request.sequence = subject.sequence;
@@ -193,10 +193,10 @@
 void membership_table<Clock, Random>::checkSuspicions(out_list& out, time_point now)
 {
     std::vector<daemon_id> dead;
-    for (const auto& [id, held] : m_list.entries()) {
-        if (held.update.status.state() != member_state::Suspect || !isOwnRegion(held) || hasLeft())
-            continue;
+    for (const daemon_id& id : m_list.suspects()) {
         member_entry& entry = *m_list.find(id);
+        if (!isOwnRegion(entry) || hasLeft())
+            continue;
         // The suspect answers but has not refuted yet; the silence starts anew.
         entry.suspectedAt = std::max(entry.suspectedAt, entry.answeredAt);
         const bool isCutOff = m_heardAt < entry.suspectedAt && m_list.liveCount() > 2;
@@ -204,15 +204,31 @@
             dead.push_back(id);
             continue;
         }
-        if (entry.isOwnSuspicion && now - entry.noticedAt >= m_options.reprobeInterval && !m_probes.isOpen(id)) {
-            entry.noticedAt = now;
-            startProbe(out, entry, probe::purpose::OwnRegion, now);
+        if (entry.isOwnSuspicion && now - entry.reprobedAt >= m_options.reprobeInterval) {
+            entry.reprobedAt = now;
+            reprobe(out, entry, now);
         }
     }
     for (const daemon_id& id : dead)
         declareDead(id, now);
 }
 
+// Whoever is about to declare a member dead asks as many others as the fleet may have on the far side of a cut.
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::reprobe(out_list& out, const member_entry& entry, time_point now)
+{
+    const auto started = m_probes.start({ .target = entry.update.id,
+                                            .address = entry.update.address,
+                                            .reason = probe::purpose::OwnRegion,
+                                            .stage = probe::s_indirectStage },
+        now);
+    if (!started)
+        return;
+    ++m_counters.probes;
+    sendPing(out, *started);
+    askOthers(out, *started, 2 * m_options.indirectProbes);
+}
+
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 void membership_table<Clock, Random>::declareDead(const daemon_id& id, time_point now)
 {
@@ -235,6 +251,12 @@
         m_news.addMember(id);
         return;
     }
+    // The suspicion of a flapping member stays with those whose probes failed: news of its refutation, which
+    // are held back, would come too late for the others.
+    if (entry.update.status.state() == member_state::Suspect) {
+        ++m_counters.heldNews;
+        return;
+    }
     if (now >= entry.newsHeldUntil) {
         entry.newsHeldUntil = now + m_options.flapHold;
         m_news.addMember(id);
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -88,10 +88,8 @@
     m_probes.clear();
     m_regions.restart(now);
     m_heardAt = now;
-    for (const auto& [id, entry] : m_list.entries()) {
-        if (entry.update.status.state() == member_state::Suspect)
-            m_list.find(id)->suspectedAt += gap;
-    }
+    for (const daemon_id& id : m_list.suspects())
+        m_list.find(id)->suspectedAt += gap;
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
--- a/include/radishflow/Membership/probe_table.h
+++ b/include/radishflow/Membership/probe_table.h
@@ -22,12 +22,14 @@
         Rejoin, ///< Looks for a dead member or a seed that is back.
     };
 
+    static constexpr int s_indirectStage = 2;
+
     std::uint64_t sequence = 0;
     daemon_id target; ///< Empty when only the address is known.
     peer_address address;
     purpose reason = purpose::OwnRegion;
     time_point startedAt {};
-    int stage = 0; ///< 0 first ping, 1 repeated, 2 indirect.
+    int stage = 0; ///< 0 first ping, 1 repeated, s_indirectStage through others.
     peer_address requester; ///< Relay only.
     std::uint64_t requesterSequence = 0;
 };
--- a/lib/Membership/load_aggregator.cpp
+++ b/lib/Membership/load_aggregator.cpp
@@ -104,17 +104,13 @@
         return;
     load_sums sums { .loads = {}, .measuredAt = now - std::chrono::milliseconds { message.ageMs } };
     addLoads(sums.loads, message.loads);
-    // Ages may run backwards when datagrams are reordered; the fresher sum stays.
-    const auto keepFresher = [&](load_sums& held) {
-        if (sums.measuredAt >= held.measuredAt)
-            held = std::move(sums);
-    };
+    // A reordered datagram does no harm, the next one follows within loadInterval.
     if (message.kind == message_kind::MemberLoad && sender->update.zone == m_options.zone)
-        keepFresher(m_members[message.sender]);
-    if (message.kind == message_kind::ZoneLoad && message.zone == sender->update.zone && message.zone != m_options.zone)
-        keepFresher(m_zones[message.zone]);
-    if (message.kind == message_kind::FleetLoad && sender->update.zone == m_options.zone)
-        keepFresher(m_fleet);
+        m_members[message.sender] = std::move(sums);
+    else if (message.kind == message_kind::ZoneLoad && message.zone == sender->update.zone && message.zone != m_options.zone)
+        m_zones[message.zone] = std::move(sums);
+    else if (message.kind == message_kind::FleetLoad && sender->update.zone == m_options.zone)
+        m_fleet = std::move(sums);
 }
 
 std::optional<load_sums> load_aggregator::fleetSums(time_point now) const
--- a/lib/Membership/member_list.cpp
+++ b/lib/Membership/member_list.cpp
@@ -46,7 +46,6 @@
         entry.changedAt = now;
         entry.keyHash = memberHash(update.id);
         refreshDigest(entry);
-        m_changedAt = now;
         return true;
     }
     member_entry& entry = place->second;
@@ -64,7 +63,6 @@
         countFlap(entry, now);
     }
     refreshDigest(entry);
-    m_changedAt = now;
     return true;
 }
 
@@ -112,6 +110,10 @@
     }
     m_digest.replace(entry.keyHash, entry.versionHash, hash);
     entry.versionHash = hash;
+    if (status.state() == member_state::Suspect)
+        m_suspects.insert(entry.update.id);
+    else
+        m_suspects.erase(entry.update.id);
     recount();
 }
 
--- a/lib/Membership/probe_table.cpp
+++ b/lib/Membership/probe_table.cpp
@@ -32,7 +32,7 @@
             steps.push_back({ .due = probe_step::action::Repeat, .subject = subject });
         }
         if (subject.stage == 1 && age >= m_options.indirectAfter) {
-            subject.stage = 2;
+            subject.stage = probe::s_indirectStage;
             steps.push_back({ .due = probe_step::action::AskOthers, .subject = subject });
         }
         ++place;
--- /dev/null
+++ b/unittests/Membership/registers_test.cpp
@@ -0,0 +1,181 @@
+// Tests in virtual time that registers and records reach all, and that the greatest value holds.
+#include "radishflow/Membership/zone_register.h"
+
+#include "../Support/memory_table.h"
+#include "virtual_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+static const zone_id testZone { "za" };
+
+static bool allAgree(virtual_fleet& fleet, const std::string& key)
+{
+    for (std::size_t i = 1; i < fleet.size(); ++i) {
+        if (fleet.table(i).registerOf(key) != fleet.table(0).registerOf(key))
+            return false;
+    }
+    return true;
+}
+
+// Two operators change a zone from the same version at opposite ends; returns whether it is out everywhere.
+static bool racingOperatorsAgreeOnOut(std::uint64_t seed, membership_test_switches switches)
+{
+    virtual_fleet_options options { .daemons = 25, .randomSeed = seed, .loss = 0.2, .duplication = 0.1, .maxDelay = 100ms };
+    options.base.testSwitches = switches;
+    virtual_fleet fleet(options);
+    fleet.run(20s);
+    zone_register first(fleet.table(seed % 25));
+    zone_register second(fleet.table((seed + 12) % 25));
+    BOOST_TEST(first.change(testZone, zone_state::Out, 0, 1).has_value());
+    BOOST_TEST(second.change(testZone, zone_state::In, 0, 2).has_value());
+    fleet.run(15s);
+    return allAgree(fleet, zoneKeyOf(testZone)) && zone_register(fleet.table(0)).stateOf(testZone) == zone_state::Out;
+}
+
+BOOST_DATA_TEST_CASE(outWinsARace, data::xrange(1, 6), seed)
+{
+    BOOST_TEST(racingOperatorsAgreeOnOut(seed, {}));
+}
+
+BOOST_AUTO_TEST_CASE(lastWriteDoesNotConverge)
+{
+    BOOST_TEST(!racingOperatorsAgreeOnOut(1, { .lastRegisterWriteWins = true }));
+}
+
+BOOST_AUTO_TEST_CASE(staleOperatorIsTold)
+{
+    virtual_fleet fleet({ .daemons = 1 });
+    zone_register zones(fleet.table(0));
+    BOOST_TEST(zones.change(testZone, zone_state::Out, 0, 1).has_value());
+    BOOST_TEST(zones.change(testZone, zone_state::In, 1, 2).has_value());
+    const failure_code code = valueOr([&]() -> result<failure_code> {
+        BOOST_LEAF_CHECK(zones.change(testZone, zone_state::Out, 0, 3));
+        return failure_code::InvalidInput; }, [](const failure& error) { return error.code; });
+    BOOST_TEST((code == failure_code::Conflict));
+    BOOST_TEST((zones.stateOf(testZone) == zone_state::In));
+}
+
+// Config versions are set in rising order at different daemons; returns whether a daemon ever went back.
+static bool goesBack(membership_test_switches switches)
+{
+    virtual_fleet_options options { .daemons = 15, .randomSeed = 3, .loss = 0.2, .duplication = 0.3, .maxDelay = 500ms };
+    options.base.testSwitches = switches;
+    virtual_fleet fleet(options);
+    fleet.run(20s);
+    bool wentBack = false;
+    std::vector<std::uint64_t> highest(15);
+    fleet.onStep = [&] {
+        for (std::size_t i = 0; i < highest.size(); ++i) {
+            const std::uint64_t version = fleet.table(i).registerOf("config").version;
+            wentBack = wentBack || version < highest[i];
+            highest[i] = std::max(highest[i], version);
+        }
+    };
+    for (std::uint64_t version = 1; version <= 40; ++version) {
+        fleet.table(version % 15).setRegister("config", { .version = version, .bytes = "", .stamp = 0 });
+        fleet.run(500ms);
+    }
+    fleet.run(15s);
+    BOOST_TEST((switches.lastRegisterWriteWins || highest == std::vector<std::uint64_t>(15, 40)));
+    return wentBack;
+}
+
+BOOST_AUTO_TEST_CASE(configVersionNeverGoesBack)
+{
+    BOOST_TEST(!goesBack({}));
+    BOOST_TEST(goesBack({ .lastRegisterWriteWins = true }));
+}
+
+// A register is set while a daemon can't be reached; returns whether it hears of it afterwards.
+static bool healsMissedNews(membership_test_switches switches)
+{
+    virtual_fleet_options options { .daemons = 9 };
+    options.base.testSwitches = switches;
+    virtual_fleet fleet(options);
+    fleet.run(20s);
+    // Pings pass, so that nobody is taken for dead; news are torn off.
+    fleet.isCut = [](std::size_t, std::size_t to) { return to == 4; };
+    fleet.table(0).setRegister("config", { .version = 7, .bytes = "", .stamp = 0 });
+    BOOST_TEST(fleet.table(1).publish("load", "17"));
+    fleet.run(1500ms);
+    fleet.isCut = nullptr;
+    fleet.run(15s);
+    return fleet.table(4).registerOf("config").version == 7 && fleet.view(4, 1).records["load"].bytes == "17";
+}
+
+BOOST_AUTO_TEST_CASE(missedNewsAreHealed)
+{
+    BOOST_TEST(healsMissedNews({}));
+    BOOST_TEST(!healsMissedNews({ .noAntiEntropy = true }));
+}
+
+BOOST_AUTO_TEST_CASE(recordsVanishWithTheDead)
+{
+    virtual_fleet fleet({ .daemons = 7 });
+    fleet.run(10s);
+    BOOST_TEST(fleet.table(3).publish("owned", "4"));
+    BOOST_TEST(!fleet.table(3).publish("owned", std::string(member_record::s_maxBytes + 1, 'x')));
+    fleet.run(5s);
+    BOOST_TEST(fleet.view(0, 3).records["owned"].bytes == "4");
+    fleet.kill(3);
+    fleet.run(10s);
+    BOOST_TEST(fleet.view(0, 3).records.contains("owned"));
+    fleet.run(30s);
+    BOOST_TEST(!fleet.view(0, 3).records.contains("owned"));
+    fleet.start(3);
+    BOOST_TEST(fleet.table(3).publish("owned", "0"));
+    fleet.run(5s);
+    BOOST_TEST(fleet.view(0, 3).records["owned"].bytes == "0");
+}
+
+BOOST_AUTO_TEST_CASE(zonesAndTableAreReconciled)
+{
+    memory_table table;
+    virtual_fleet fleet({ .daemons = 2 });
+    zone_register first(fleet.table(0));
+    zone_register second(fleet.table(1));
+    table.isDown = true;
+    BOOST_TEST(first.change(testZone, zone_state::Out, 0, 1).has_value());
+    BOOST_TEST(!first.reconcile(table).has_value());
+    table.isDown = false;
+    // A tie: the row says in, the fleet says out.
+    BOOST_TEST(table.commit({}, { { .key = "zones/za", .value = "1 in 5" }, { .key = "zones/zb", .value = "9 out 5" } }).has_value());
+    table.loseReplies = 1;
+    BOOST_TEST(!first.reconcile(table).has_value());
+    BOOST_TEST(first.reconcile(table).has_value());
+    BOOST_TEST(table.readRange("zones/za", 0)->rows.front().value == "1 out 1");
+    BOOST_TEST((first.stateOf(zone_id { "zb" }) == zone_state::Out));
+    BOOST_TEST((second.stateOf(testZone) == zone_state::In));
+    BOOST_TEST(second.reconcile(table)->learned == 2);
+    BOOST_TEST((second.stateOf(testZone) == zone_state::Out));
+    // A higher version in the table beats an older one of the fleet, whatever it says.
+    const std::int64_t revision = table.readRange("zones/za", 0)->rows.front().modRevision;
+    BOOST_TEST(table.commit({ { .key = "zones/za", .modRevision = revision } }, { { .key = "zones/za", .value = "2 in 6" } }).has_value());
+    BOOST_TEST(first.reconcile(table)->learned == 1);
+    BOOST_TEST((first.stateOf(testZone) == zone_state::In));
+}
+
+BOOST_DATA_TEST_CASE(brokenRowsAreRefused, data::make({ "", "1", "1 out", "x out 1", "1 off 1", "0 out 1", "1 out x", "99999999999999999999 in 1" }), text)
+{
+    BOOST_TEST(!parseZoneRow(text).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(loadsAreSummedOverZones)
+{
+    virtual_fleet fleet({ .daemons = 24, .regions = 2 });
+    fleet.run(15s);
+    const std::uint32_t service = loadKeyOf(service_id { "assistant" });
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.table(i).setLoads({ { .service = service, .running = 10, .servers = 2 } });
+    fleet.run(8s);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const auto sums = fleet.table(i).fleetLoads();
+        BOOST_TEST((sums && sums->loads == std::vector<service_load> { { .service = service, .running = 240, .servers = 48 } }));
+    }
+}
--- /dev/null
+++ b/unittests/Membership/survival_test.cpp
@@ -0,0 +1,212 @@
+// Tests in virtual time that loss, cuts, pauses and flapping kill nobody who can be reached, and cost little.
+#include "virtual_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+namespace data = boost::unit_test::data;
+
+static virtual_fleet_options fleetOf(std::size_t daemons, std::uint64_t seed, membership_test_switches switches = {})
+{
+    virtual_fleet_options options { .daemons = daemons, .randomSeed = seed };
+    options.base.testSwitches = switches;
+    return options;
+}
+
+static std::uint64_t deathsUnderLoss(std::uint64_t seed, membership_test_switches switches)
+{
+    virtual_fleet_options options = fleetOf(7, seed, switches);
+    options.loss = 0.2;
+    options.duplication = 0.05;
+    options.maxDelay = 30ms;
+    virtual_fleet fleet(options);
+    fleet.run(300s);
+    return fleet.sumOf(&membership_counters::deaths);
+}
+
+BOOST_DATA_TEST_CASE(lossKillsNobody, data::xrange(1, 5), seed)
+{
+    BOOST_TEST(deathsUnderLoss(static_cast<std::uint64_t>(seed), {}) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(lossKillsWithoutSuspicion)
+{
+    BOOST_TEST(deathsUnderLoss(1, { .noSuspicion = true, .noIndirectProbes = true }) > 0);
+}
+
+static std::uint64_t deathsUnderOneWayCut(bool isToVictim, membership_test_switches switches)
+{
+    virtual_fleet fleet(fleetOf(7, 1, switches));
+    fleet.run(10s);
+    // Half of the others lose one direction of their path to daemon 3.
+    fleet.isCut = [&](std::size_t from, std::size_t to) { return isToVictim ? to == 3 && from % 2 == 0 : from == 3 && to % 2 == 0; };
+    fleet.run(120s);
+    return fleet.sumOf(&membership_counters::deaths);
+}
+
+BOOST_DATA_TEST_CASE(oneWayCutKillsNobody, data::make({ false, true }), isToVictim)
+{
+    BOOST_TEST(deathsUnderOneWayCut(isToVictim, {}) == 0);
+    BOOST_TEST(deathsUnderOneWayCut(isToVictim, { .noIndirectProbes = true }) > 0);
+}
+
+BOOST_DATA_TEST_CASE(pausedDaemonComesBackAsNewIncarnation, data::xrange(1, 4) * data::make({ false, true }), seed, wasHostAsleep)
+{
+    virtual_fleet fleet(fleetOf(7, static_cast<std::uint64_t>(seed)));
+    fleet.run(10s);
+    const incarnation_number before = fleet.table(2).incarnation();
+    fleet.freeze(2);
+    fleet.run(30s);
+    BOOST_TEST(fleet.allSee(2, member_state::Dead));
+    fleet.thaw(2, wasHostAsleep);
+    fleet.run(10s);
+    BOOST_TEST(fleet.hasConverged());
+    BOOST_TEST((fleet.table(2).incarnation() > before));
+    BOOST_TEST(fleet.table(2).counters().suspicions == 0);
+}
+
+// A daemon sleeps while it suspects another, who is fine again; returns how many it declares dead when it wakes.
+static std::uint64_t deathsAfterPause(membership_test_switches switches)
+{
+    virtual_fleet fleet(fleetOf(7, 1, switches));
+    fleet.run(10s);
+    fleet.isCut = [](std::size_t from, std::size_t to) { return from == 5 || to == 5; };
+    fleet.runUntil([&] { return fleet.view(2, 5).state == member_state::Suspect; }, 10s);
+    fleet.freeze(2);
+    fleet.isCut = nullptr;
+    fleet.run(30s);
+    fleet.thaw(2, true);
+    fleet.run(10s);
+    return fleet.table(2).counters().deaths;
+}
+
+BOOST_AUTO_TEST_CASE(pauseIsNotHeldAgainstOthers)
+{
+    BOOST_TEST(deathsAfterPause({}) == 0);
+    BOOST_TEST(deathsAfterPause({ .noPauseDetection = true }) > 0);
+}
+
+// One daemon drops off and comes back for two minutes; returns the bytes of news about it.
+static std::size_t newsOfFlapping(membership_test_switches switches)
+{
+    virtual_fleet fleet(fleetOf(25, 1, switches));
+    fleet.run(10s);
+    std::size_t news = 0;
+    fleet.onSend = [&](std::size_t, std::size_t, const gossip_message& message) {
+        for (const member_update& update : message.members)
+            news += update.id == virtual_fleet::idOf(5) && message.kind == message_kind::Gossip ? encodedBound(update) : 0;
+    };
+    bool isOff = false;
+    fleet.isCut = [&](std::size_t from, std::size_t to) { return isOff && (from == 5 || to == 5); };
+    for (int turn = 0; turn < 60; ++turn) {
+        isOff = turn % 2 == 0;
+        fleet.run(2s);
+    }
+    isOff = false;
+    fleet.run(20s);
+    BOOST_TEST(fleet.hasConverged());
+    BOOST_TEST(fleet.sumOf(&membership_counters::deaths) == fleet.table(5).counters().newIncarnations);
+    return news;
+}
+
+BOOST_AUTO_TEST_CASE(flappingIsDamped)
+{
+    const std::size_t damped = newsOfFlapping({});
+    const std::size_t plain = newsOfFlapping({ .noDamping = true });
+    BOOST_TEST_MESSAGE("news of a flapping member: " << damped << " bytes damped, " << plain << " not");
+    BOOST_TEST(damped * 2 < plain);
+}
+
+namespace {
+// What a cut of two minutes between two regions did.
+struct region_cut_outcome {
+    std::uint64_t deaths = 0;
+    std::uint64_t newIncarnations = 0;
+    bool isMarked = false;
+    bool isHealed = false;
+    std::size_t peakBytesPerSecond = 0; ///< Most that one daemon sent in a second.
+};
+} // namespace
+
+static region_cut_outcome cutRegions(membership_test_switches switches)
+{
+    virtual_fleet_options options = fleetOf(24, 1, switches);
+    options.regions = 2;
+    virtual_fleet fleet(options);
+    fleet.run(20s);
+    std::vector<std::size_t> sent(24);
+    fleet.onSend = [&](std::size_t from, std::size_t, const gossip_message& message) {
+        sent[from] += messageHeaderBound / 3;
+        for (const member_update& update : message.members)
+            sent[from] += encodedBound(update);
+    };
+    region_cut_outcome outcome;
+    const auto runMeasured = [&](int seconds) {
+        for (int second = 0; second < seconds; ++second) {
+            std::fill(sent.begin(), sent.end(), 0);
+            fleet.run(1s);
+            outcome.peakBytesPerSecond = std::max(outcome.peakBytesPerSecond, *std::max_element(sent.begin(), sent.end()));
+        }
+    };
+    fleet.isCut = [&](std::size_t from, std::size_t to) { return fleet.regionOf(from) != fleet.regionOf(to); };
+    runMeasured(120);
+    outcome.isMarked = !fleet.view(0, 1).isRegionReachable && fleet.view(0, 2).isRegionReachable;
+    fleet.isCut = nullptr;
+    runMeasured(20);
+    outcome.deaths = fleet.sumOf(&membership_counters::deaths);
+    outcome.newIncarnations = fleet.sumOf(&membership_counters::newIncarnations);
+    outcome.isHealed = fleet.hasConverged() && fleet.view(0, 1).isRegionReachable;
+    return outcome;
+}
+
+BOOST_AUTO_TEST_CASE(cutBetweenRegionsKillsNobodyAndHeals)
+{
+    const region_cut_outcome outcome = cutRegions({});
+    BOOST_TEST(outcome.deaths == 0);
+    BOOST_TEST(outcome.newIncarnations == 0);
+    BOOST_TEST(outcome.isMarked);
+    BOOST_TEST(outcome.isHealed);
+    BOOST_TEST_MESSAGE("peak of one daemon: " << outcome.peakBytesPerSecond << " bytes/s");
+    BOOST_TEST(outcome.peakBytesPerSecond < 10000);
+}
+
+BOOST_AUTO_TEST_CASE(cutBetweenRegionsKillsWithoutRegions)
+{
+    BOOST_TEST(cutRegions({ .noRegions = true }).deaths >= 24);
+}
+
+static bool healsAfterCutInside(membership_test_switches switches)
+{
+    virtual_fleet fleet(fleetOf(9, 1, switches));
+    fleet.run(10s);
+    fleet.isCut = [](std::size_t from, std::size_t to) { return (from < 4) != (to < 4); };
+    fleet.run(60s);
+    BOOST_TEST(fleet.countOf(0, member_state::Dead) == 5);
+    fleet.isCut = nullptr;
+    fleet.run(30s);
+    return fleet.hasConverged();
+}
+
+BOOST_AUTO_TEST_CASE(cutInsideRegionHeals)
+{
+    BOOST_TEST(healsAfterCutInside({}));
+    BOOST_TEST(!healsAfterCutInside({ .noRejoin = true }));
+}
+
+BOOST_AUTO_TEST_CASE(leavingIsSeenAtOnce)
+{
+    virtual_fleet fleet(fleetOf(7, 1));
+    fleet.run(10s);
+    fleet.leave(3);
+    fleet.run(1s);
+    BOOST_TEST(fleet.allSee(3, member_state::Left));
+    fleet.kill(3);
+    fleet.run(10s);
+    BOOST_TEST(fleet.allSee(3, member_state::Left));
+    fleet.start(3);
+    fleet.run(5s);
+    BOOST_TEST(fleet.hasConverged());
+}
--- a/unittests/Membership/virtual_fleet.h
+++ b/unittests/Membership/virtual_fleet.h
@@ -88,12 +88,14 @@
 
     void freeze(std::size_t i) { m_nodes[i].isFrozen = true; }
 
-    /// Lets a daemon run on; what its socket buffer held arrives first.
-    void thaw(std::size_t i)
+    /// Lets a daemon run on; what its socket buffer held arrives first, unless the whole host was asleep.
+    void thaw(std::size_t i, bool wasHostAsleep = false)
     {
         m_nodes[i].isFrozen = false;
-        for (const delivery& waiting : std::exchange(m_nodes[i].buffer, {}))
-            deliver(waiting);
+        for (const delivery& waiting : std::exchange(m_nodes[i].buffer, {})) {
+            if (!wasHostAsleep)
+                deliver(waiting);
+        }
     }
 
     void leave(std::size_t i) { sendAll(i, table(i).leave()); }
