Measure what gossip costs by fleet size and message kind

membership-benchmark runs fleets in virtual time through codec and authentication, and transports over loopback.

--- /dev/null
+++ b/benchmarks/membership/traffic_meter.h
@@ -0,0 +1,39 @@
+// Declares traffic_meter, bytes and processor time of gossip by message kind.
+#pragma once
+
+#include "radishflow/Gossip/datagram_authenticator.h"
+#include "radishflow/Gossip/gossip_traffic.h"
+#include "radishflow/Membership/gossip_message.h"
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace radishflow {
+
+/// Encodes, signs, checks and decodes each datagram as the transport does. Not thread-safe.
+class traffic_meter {
+public:
+    /// Bytes of the headers of IPv4 and UDP.
+    static constexpr std::size_t s_headerBytes = 28;
+
+    explicit traffic_meter(std::size_t daemons);
+
+    void reset();
+    void countSent(std::size_t from, std::size_t to, const gossip_message&);
+    void runMeasured(const gossip_message*, const std::function<void()>& action);
+
+    /// Returns datagrams, bytes with headers, and processor time over all daemons.
+    const gossip_traffic& total() const { return m_total; }
+    /// Returns the bytes sent and received by the daemon with the most.
+    std::size_t mostBytes() const;
+    std::size_t largestDatagram() const { return m_largest; }
+
+private:
+    gossip_traffic m_total;
+    std::vector<std::size_t> m_bytes; ///< By daemon, both directions.
+    std::size_t m_largest = 0;
+    datagram_authenticator m_authenticator;
+};
+
+} // namespace radishflow
--- a/unittests/Membership/virtual_fleet.h
+++ b/unittests/Membership/virtual_fleet.h
@@ -48,6 +48,8 @@
     std::function<bool(std::size_t from, std::size_t to)> isCut;
     /// Is called for each datagram sent.
     std::function<void(std::size_t from, std::size_t to, const gossip_message&)> onSend;
+    /// Runs each tick (no message) and each receipt, for measurements; has to call the action.
+    std::function<void(std::size_t daemon, const gossip_message*, const std::function<void()>& action)> around;
     /// Is called after each millisecond in which something happened.
     std::function<void()> onStep;
 
@@ -201,7 +203,7 @@
             if (!isRunning(i) || m_clock.now() < m_nodes[i].nextTick)
                 continue;
             m_nodes[i].nextTick = m_clock.now() + m_options.tickInterval;
-            sendAll(i, table(i).tick());
+            perform(i, nullptr, [&] { return table(i).tick(); });
         }
     }
 
@@ -215,7 +217,18 @@
                 receiver.buffer.push_back(due);
             return;
         }
-        sendAll(due.to, receiver.table->receive(addressOf(due.from), due.message));
+        perform(due.to, &due.message, [&] { return receiver.table->receive(addressOf(due.from), due.message); });
+    }
+
+    template <typename Action>
+    void perform(std::size_t daemon, const gossip_message* message, Action&& action)
+    {
+        std::vector<outgoing_message> out;
+        if (around)
+            around(daemon, message, [&] { out = action(); });
+        else
+            out = action();
+        sendAll(daemon, out);
     }
 
     bool isDrawn(double probability) { return probability > 0 && std::bernoulli_distribution { probability }(m_random); }
