Ask the home ranks' owners for the prefix before placing a chat

Cause: a chat that its full first rank sent on has its prefix at the second, but the next turn went to the first again; and with 1% of events lost every gap made the whole sketch useless, as listed prefixes became "uncertain". Change: server_walk asks the first two owners whether they hold the prefix and offers the request to the less loaded one if neither does; prefix_state tells Likely (stored before a gap) from Unknown. preferHeldPrefix goes with its tests; the tests of the walk take their place. Each case seen to fail with the mechanism off (asking, order of offers, room, Likely).

--- a/benchmarks/placement/fleet_options.h
+++ b/benchmarks/placement/fleet_options.h
@@ -21,7 +21,8 @@
     sim_time shortestViewDelay { 0.5 };
     sim_time longestViewDelay { 5 };
     std::size_t mostAttempts = 8;
-    bool prefersHeld = false; ///< The walk heeds sketches of the engines' caches.
+    bool asksHomes = false; ///< The walk asks the owners of the home ranks for the prefix first.
+    std::size_t homeRanks = 2;
     double exportsPerSecond = 0; ///< Of each engine, before and while a server leaves or returns.
     sim_time leaveLead { 2 }; ///< Time from the operator's order until a leaving server takes no new work.
     std::uint64_t seed = 1;
--- a/benchmarks/placement/fleet_state.h
+++ b/benchmarks/placement/fleet_state.h
@@ -35,6 +35,9 @@
     /// Whether the owner admits one more.
     bool admits(std::size_t index) const;
 
+    /// Load as a share of what its owner admits now.
+    double loadShare(std::size_t index) const;
+
     /// Whether the server stands above loadMultiple x the true mean + 1 slot now.
     bool isAboveBound(std::size_t index) const;
 
--- a/benchmarks/placement/placement_benchmark.cpp
+++ b/benchmarks/placement/placement_benchmark.cpp
@@ -16,11 +16,13 @@
 
 DEFINE_string(layout, "port-louis", "port-louis (20 workers, 4 zones), digitising-office (12, 3) or large (1300, 9)");
 DEFINE_string(scenarios, "steady,churn,zone-planned,zone-lost,surge", "scenarios, separated by commas");
-DEFINE_string(policies, "rendezvous,rendezvous-held,random,round-robin,least-load,plain-ring", "policies, separated by commas");
+DEFINE_string(policies, "rendezvous,rendezvous-unasked,random,round-robin,least-load,plain-ring", "policies, separated by commas");
 DEFINE_uint64(deciders, 7, "daemons that choose servers");
 DEFINE_uint64(seed, 1, "seed of arrivals, churn and random choices");
 DEFINE_uint64(runs, 1, "runs with seeds from --seed on; counters add up, worst figures are over all");
 DEFINE_double(mean_deviations, 0, "standard deviations by which owners take the mean lower");
+DEFINE_uint64(homes, 2, "ranks that are asked for the prefix first");
+DEFINE_double(mean_delay, 1, "age in seconds of the mean that owners know, and up to 0.5 s more");
 DEFINE_double(load_multiple, 1.25, "bound of a server's load as a multiple of the mean");
 DEFINE_double(per_server, 1.154, "requests a second for each server");
 DEFINE_double(seconds, 220, "virtual length of a run");
@@ -52,7 +54,9 @@
     options.meanWindow = sim_time { FLAGS_mean_window };
     options.deciders = FLAGS_deciders;
     options.mostAttempts = FLAGS_attempts;
-    options.prefersHeld = policy == "rendezvous-held";
+    options.asksHomes = policy == "rendezvous";
+    options.homeRanks = FLAGS_homes;
+    options.meanDelay = sim_time { FLAGS_mean_delay };
     options.exportsPerSecond = policy.starts_with("rendezvous") ? FLAGS_exports : 0;
     options.seed = seed;
     return options;
--- a/include/radishflow/Placement/cache_sketch.h
+++ b/include/radishflow/Placement/cache_sketch.h
@@ -13,7 +13,8 @@
 /// What is known of a prefix. Only a hint: events are late.
 enum class prefix_state : std::uint8_t {
     NotHeld,
-    Uncertain, ///< Events were missed, or the sketch had no room for it.
+    Unknown, ///< Events were missed, or the sketch had no room for it.
+    Likely, ///< It was stored, and then events were missed.
     Held,
 };
 
@@ -22,7 +23,7 @@
 };
 
 /// Follows the cache events of one engine in bounded memory: 8-way buckets of whole hashes, each bucket in
-/// order of last use. After a gap all that it knew is uncertain until events confirm it. Not thread-safe.
+/// order of last use. After a gap nothing that it knew is certain until events confirm it. Not thread-safe.
 class cache_sketch {
 public:
     explicit cache_sketch(cache_sketch_options);
@@ -35,7 +36,7 @@
 
     prefix_state stateOf(std::uint64_t prefix) const;
 
-    /// All prefixes that are held or uncertain, the most recently stored first (exact within a bucket,
+    /// All prefixes that are held or likely, the most recently stored first (exact within a bucket,
     /// approximate between buckets).
     std::vector<std::uint64_t> prefixes() const;
 
--- /dev/null
+++ b/include/radishflow/Placement/walk_step.h
@@ -0,0 +1,28 @@
+// Declares one attempt of a walk over a chat's servers and the refusal that may answer it.
+#pragma once
+
+#include "radishflow/Placement/cache_sketch.h"
+
+#include <cstdint>
+
+namespace radishflow {
+
+/// What the entry asks the owner of one server.
+struct walk_step {
+    std::uint32_t server = 0; ///< Index into the servers that were ranked.
+    bool onlyIfHeld = false; ///< The owner takes the request only when it believes the prefix to be held.
+};
+
+/// Why an owner did not take the request; as it stands for an owner that can't be reached.
+struct owner_refusal {
+    bool hasRoom = false; ///< It would take the request although the prefix is not held.
+    double load = 1; ///< Its exact load as a share of what it admits now.
+};
+
+/// Whether an owner that has room takes the request of this step.
+constexpr bool takesStep(const walk_step& step, prefix_state state)
+{
+    return !step.onlyIfHeld || state == prefix_state::Held || state == prefix_state::Likely;
+}
+
+} // namespace radishflow
--- a/lib/Placement/cache_sketch.cpp
+++ b/lib/Placement/cache_sketch.cpp
@@ -51,9 +51,9 @@
     const bucket& place = m_buckets[indexOf(prefix)];
     for (std::size_t way = 0; way < place.used; ++way) {
         if (place.prefixes[way] == prefix)
-            return (place.certain >> way) & 1U ? prefix_state::Held : prefix_state::Uncertain;
+            return (place.certain >> way) & 1U ? prefix_state::Held : prefix_state::Likely;
     }
-    return place.isComplete ? prefix_state::NotHeld : prefix_state::Uncertain;
+    return place.isComplete ? prefix_state::NotHeld : prefix_state::Unknown;
 }
 
 std::vector<std::uint64_t> cache_sketch::prefixes() const
--- a/lib/Placement/move_planner.cpp
+++ b/lib/Placement/move_planner.cpp
@@ -5,7 +5,7 @@
 
 namespace radishflow {
 
-// Prefixes that are uncertain are planned too: an export that finds nothing costs one request to an engine
+// Prefixes that are only likely to be held are planned too: an export that finds nothing costs one request to an engine
 // that is about to idle, and a prefix left behind costs a whole prefill.
 void move_planner::plan(const cache_sketch& sketch, const placement_server& from,
     std::span<const placement_server> coming, time_point now)
--- /dev/null
+++ b/unittests/Placement/server_walk_test.cpp
@@ -0,0 +1,63 @@
+// Tests the order in which owners are asked.
+#include "radishflow/Placement/server_walk.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace radishflow;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+struct walk_case {
+    const char* name;
+    server_ranking ranking;
+    std::vector<owner_refusal> homes; ///< What the owners answer, by rank; later steps are refused too.
+    std::string steps; ///< "h3" asks server 3 whether it holds the prefix, "t3" offers it the request.
+};
+
+std::ostream& operator<<(std::ostream& out, const walk_case& example)
+{
+    return out << example.name;
+}
+
+const owner_refusal full { .hasRoom = false, .load = 1 };
+const owner_refusal halfFull { .hasRoom = true, .load = 0.5 };
+const owner_refusal idle { .hasRoom = true, .load = 0 };
+
+const std::vector<walk_case> walkCases {
+    { "no server", {}, {}, "" },
+    { "one server", { 4 }, { idle }, "h4 t4 " },
+    { "both full", { 4, 2, 7, 1 }, { full, full }, "h4 h2 t7 t1 " },
+    { "first has more room", { 4, 2, 7 }, { idle, halfFull }, "h4 h2 t4 t2 t7 " },
+    { "second has more room", { 4, 2, 7 }, { halfFull, idle }, "h4 h2 t2 t4 t7 " },
+    { "equal room", { 4, 2, 7 }, { idle, idle }, "h4 h2 t4 t2 t7 " },
+    { "only the second has room", { 4, 2, 7 }, { full, halfFull }, "h4 h2 t2 t7 " },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(ownersAreAskedInOrder, data::make(walkCases), example)
+{
+    server_walk walk { example.ranking };
+    std::string steps;
+    std::size_t asked = 0;
+    while (const auto step = walk.next()) {
+        steps += (step->onlyIfHeld ? "h" : "t") + std::to_string(step->server) + " ";
+        walk.refused(asked < example.homes.size() ? example.homes[asked] : full);
+        ++asked;
+    }
+    BOOST_TEST(steps == example.steps);
+}
+
+BOOST_DATA_TEST_CASE(onlyAHeldOrLikelyPrefixIsTakenAsHeld, data::make({ 0, 1, 2, 3 }), state)
+{
+    const auto held = static_cast<prefix_state>(state);
+    BOOST_TEST(takesStep({ .onlyIfHeld = true }, held) == (held == prefix_state::Held || held == prefix_state::Likely));
+    BOOST_TEST(takesStep({ .onlyIfHeld = false }, held));
+}
