Refuse transactions that etcd refuses, before anything is applied

Cause: the table in memory applied the operations before an unknown one, and took two puts of one key and any number of operations, all of which etcd answers with an error; code that passes here could fail there. Change: unknown operations, duplicate put keys and more than 128 operations are 400 and change nothing. Also: the engine's producer wakes every 20 ms instead of 2 ms while nothing runs.

--- a/lib/Emulator/engine_core.cpp
+++ b/lib/Emulator/engine_core.cpp
@@ -18,8 +18,9 @@
 using Poco::Net::HTTPServerResponse;
 
 static constexpr std::chrono::milliseconds producerStep { 2 };
+static constexpr std::chrono::milliseconds idleStep { 20 };
 static constexpr std::chrono::milliseconds metricsStep { 50 };
-static constexpr std::chrono::milliseconds waitStep { 100 };
+static constexpr std::chrono::milliseconds waitStep { 500 };
 
 engine_core::engine_core(const engine_emulator_options& options)
     : m_options(options)
@@ -58,7 +59,7 @@
             m_metrics.set(metricsText());
             metricsDue = now + metricsStep;
         }
-        m_wake.wait_for(lock, producerStep);
+        m_wake.wait_for(lock, m_batch.running() > 0 ? producerStep : idleStep);
     }
 }
 
@@ -131,6 +132,7 @@
     }
     if (taken.held)
         taken.held->changed.notify_all();
+    m_wake.notify_all();
     signalChanged();
     return taken;
 }
--- a/lib/Emulator/etcd_table.cpp
+++ b/lib/Emulator/etcd_table.cpp
@@ -7,6 +7,7 @@
 #include <Poco/StreamCopier.h>
 
 #include <compare>
+#include <set>
 #include <sstream>
 
 namespace radishflow {
@@ -14,6 +15,8 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+static constexpr std::size_t mostOperations = 128; // etcd's --max-txn-ops.
+
 static std::string toBase64(const std::string& bytes)
 {
     std::ostringstream text;
@@ -160,8 +163,28 @@
     throw Poco::DataFormatException("unknown operation");
 }
 
+// Refuses before anything is applied what etcd refuses: unknown operations, too many, and two puts of one key.
+static void checkOperations(const Array::Ptr& operations)
+{
+    if (!operations)
+        return;
+    if (operations->size() > mostOperations)
+        throw Poco::DataFormatException("too many operations");
+    std::set<std::string> keys;
+    for (unsigned index = 0; index < operations->size(); ++index) {
+        const Object::Ptr operation = operations->getObject(index);
+        if (!operation || (!operation->has("request_put") && !operation->has("request_range") && !operation->has("request_delete_range")))
+            throw Poco::DataFormatException("unknown operation");
+        const Object::Ptr put = operation->getObject("request_put");
+        if (put && !keys.insert(bytesOf(*put, "key")).second)
+            throw Poco::DataFormatException("duplicate key");
+    }
+}
+
 Object::Ptr etcd_table::transact(const Object& request)
 {
+    checkOperations(request.getArray("success"));
+    checkOperations(request.getArray("failure"));
     const std::lock_guard lock { m_mutex };
     bool succeeded = true;
     if (const Array::Ptr comparisons = request.getArray("compare")) {
