Run each order at most once under a claim or a ticket

Change: order_runner fences each non-idempotent call by order_desk before any dispatch, tries another server only after an explicit refusal, and answers a repeated key from the stored answer. Tickets from the address answer work without the table. Liveness of holders comes from the gossip. A daemon claims servers only once the gossip had time to show the others: before, the first two of six daemons took all eight servers.

--- a/include/radishflow/Daemon/fleet_watch.h
+++ b/include/radishflow/Daemon/fleet_watch.h
@@ -9,6 +9,7 @@
 #include "radishflow/Gossip/gossip_transport.h"
 #include "radishflow/Membership/zone_register.h"
 #include "radishflow/Platform/platform_client.h"
+#include "radishflow/Support/monotonic_clock.h"
 #include "radishflow/Support/ranked_mutex.h"
 
 #include <atomic>
@@ -39,6 +40,7 @@
     void pollHosts();
     void pollConfiguration();
     void pollZones();
+    bool hasJoined() const;
     std::vector<listed_host> hosts() const;
     std::vector<known_daemon> daemons(const std::vector<listed_host>&) const;
 
@@ -51,6 +53,7 @@
     zone_register<gossip_transport> m_zones;
     mutable ranked_mutex m_mutex { lock_rank::HostList };
     std::vector<listed_host> m_hosts;
+    time_point m_firstListed; ///< When the host list first named anybody.
     std::atomic<bool> m_isLeaving = false;
 };
 
--- /dev/null
+++ b/include/radishflow/Daemon/member_liveness.h
@@ -0,0 +1,26 @@
+// Declares member_liveness, which says whether the holder of a claim still runs.
+#pragma once
+
+#include "radishflow/Gossip/gossip_transport.h"
+#include "radishflow/Support/ids.h"
+
+namespace radishflow {
+
+/// Record by which a daemon publishes the incarnation of its process.
+inline constexpr const char* processRecord = "process";
+
+/// Compares with the process's incarnation: the gossip's own grows without a restart.
+class member_liveness {
+public:
+    explicit member_liveness(const gossip_transport& gossip)
+        : m_gossip(&gossip)
+    {
+    }
+
+    bool operator()(const daemon_id&, incarnation_number) const;
+
+private:
+    const gossip_transport* m_gossip;
+};
+
+} // namespace radishflow
--- a/include/radishflow/Daemon/own_pages.h
+++ b/include/radishflow/Daemon/own_pages.h
@@ -5,11 +5,14 @@
 #include "radishflow/Daemon/daemon_options.h"
 #include "radishflow/Daemon/fleet_directory.h"
 #include "radishflow/Daemon/fleet_watch.h"
+#include "radishflow/Daemon/order_runner.h"
 #include "radishflow/Daemon/request_runner.h"
 #include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Edge/document.h"
 #include "radishflow/Edge/document_request.h"
 
+#include <string>
+
 namespace radishflow {
 
 /// Addresses for callers, health, metrics and the state dump. Thread-safe.
@@ -25,6 +28,8 @@
         const ownership_keeper& ownership;
         gossip_transport& gossip;
         fleet_watch& watch;
+        order_runner& orders;
+        std::string ownHttp; ///< "IP:port" of the callers' interface.
     };
 
     explicit own_pages(const parts& theParts)
@@ -36,7 +41,8 @@
     document answer(const document_request&);
 
 private:
-    document addresses(const document_request&) const;
+    document addresses(const document_request&);
+    document order(const document_request&);
     document changeZone(const document_request&);
     document state() const;
     bool isReady() const;
--- a/include/radishflow/Orders/order_desk.h
+++ b/include/radishflow/Orders/order_desk.h
@@ -98,8 +98,8 @@
         return replyTo(request, written);
     }
 
-    /// Says what is known of an order and changes nothing.
-    order_reply lookUp(const order& request)
+    /// Says what is known of the order with this workspace and key, whatever its fingerprint; changes nothing.
+    order_reply lookUp(order request)
     {
         const std::string key = claimRowKey(request);
         return valueOr(
@@ -108,6 +108,7 @@
                 if (page.rows.empty())
                     return order_reply { .reason = reply_reason::NotSeen };
                 BOOST_LEAF_AUTO(record, decodeClaimRecord(page.rows.front().value));
+                request.fingerprint = record.fingerprint;
                 return replyTo(request, record);
             },
             [](const failure& error) { return order_reply { .detail = describe(error) }; });
--- a/lib/Daemon/fleet_watch.cpp
+++ b/lib/Daemon/fleet_watch.cpp
@@ -1,6 +1,8 @@
 // Implements the watch over the fleet.
 #include "radishflow/Daemon/fleet_watch.h"
 
+#include "radishflow/Support/boottime_clock.h"
+
 #include <spdlog/spdlog.h>
 
 #include <mutex>
@@ -10,6 +12,7 @@
 namespace radishflow {
 
 static const std::string leavingRecord = "leaving";
+static constexpr std::chrono::milliseconds joinTime { 1500 };
 
 fleet_watch::fleet_watch(const daemon_options& options, platform_client& platform, gossip_transport& gossip, ownership_keeper& ownership, fleet_directory& directory, config_store& configuration)
     : m_options(options)
@@ -56,6 +59,8 @@
         m_gossip.seed(std::move(seeds));
         const std::lock_guard lock { m_mutex };
         m_hosts = std::move(listed);
+        if (!m_hosts.empty() && m_firstListed == time_point {})
+            m_firstListed = boottime_clock {}.now();
         return true;
     });
 }
@@ -136,10 +141,20 @@
     m_directory.replace(std::move(fleet));
 }
 
+// A daemon that has just started knows only itself and would claim every server that is free; servers come
+// into its view once the gossip had time to show the others.
+bool fleet_watch::hasJoined() const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_firstListed != time_point {} && boottime_clock {}.now() - m_firstListed >= joinTime;
+}
+
 fleet_view fleet_watch::view() const
 {
     const std::vector<listed_host> listed = hosts();
     fleet_view fleet;
+    if (!hasJoined())
+        return fleet;
     for (const known_daemon& daemon : daemons(listed))
         fleet.daemons.push_back({ .daemon = daemon.id, .zone = daemon.zone, .region = daemon.region, .isAlive = daemon.isAlive && !daemon.isLeaving });
     for (const listed_host& host : listed) {
--- /dev/null
+++ b/lib/Daemon/order_runner.cpp
@@ -0,0 +1,194 @@
+// Implements the entry's side of a non-idempotent call.
+#include "radishflow/Daemon/order_runner.h"
+
+#include "radishflow/Daemon/answer_route.h"
+
+#include <Poco/UUIDGenerator.h>
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace radishflow {
+
+using std::chrono::milliseconds;
+
+static constexpr std::size_t longestAnswer = 8 << 20;
+static constexpr milliseconds readWait { 500 };
+static constexpr milliseconds askAgainAfter { 1000 };
+
+order_runner::order_runner(options theOptions, platform_client& platform, gossip_transport& gossip, owner_link& link)
+    : m_link(link)
+    , m_desk(platform, member_liveness { gossip }, { .daemon = theOptions.daemon, .incarnation = theOptions.process, .recordsDispatch = true })
+    , m_tickets(m_clock, { .daemon = theOptions.daemon, .incarnation = theOptions.process, .secret = std::move(theOptions.secret) })
+{
+    gossip.publish(processRecord, std::to_string(theOptions.process.value()));
+}
+
+static caller_answer answerWith(const request_id& request, const stored_answer& answer)
+{
+    const answer_part whole { .data = answer.body, .finished = true, .status = answer.status, .contentType = answer.contentType };
+    return {
+        .request = request,
+        .read = [whole](std::uint64_t, milliseconds) { return whole; },
+        .cancel = [] {},
+    };
+}
+
+static const char* titleOf(reply_reason reason)
+{
+    switch (reason) {
+    case reply_reason::Replayed:
+    case reply_reason::AnswerNotKept:
+        return "It ran, but its answer was too long to keep";
+    case reply_reason::InProgress:
+        return "Another call with this key is in progress";
+    case reply_reason::KeyReused:
+        return "The key belongs to another order";
+    case reply_reason::Refused:
+        return "Not run; a new try needs a new key";
+    case reply_reason::NotDispatched:
+        return "Not run";
+    case reply_reason::HolderGone:
+        return "The daemon that handled it is gone";
+    case reply_reason::OutcomeLost:
+        return "The backend server's answer was lost";
+    case reply_reason::TableUnavailable:
+        return "The platform's table did not settle it";
+    case reply_reason::InvalidKey:
+        return "The key is not valid";
+    case reply_reason::TicketsFull:
+        return "Too many tickets are in use";
+    case reply_reason::OtherDaemon:
+        return "The ticket belongs to another daemon";
+    case reply_reason::TicketExpired:
+        return "The ticket has expired";
+    case reply_reason::NotSeen:
+        return "No daemon has seen this key";
+    }
+    return "Not known";
+}
+
+static refusal refusalOf(const order_reply& reply, const std::string& detail)
+{
+    return {
+        .status = statusOf(reply),
+        .title = titleOf(reply.reason),
+        .detail = reply.detail.empty() ? detail : reply.detail,
+        .execution = reply.execution,
+        .retryAfter = isWorthAskingAgain(reply.reason) ? askAgainAfter : milliseconds { 0 },
+    };
+}
+
+static caller_answer answerWith(const request_id& request, const order_reply& reply, const std::string& detail)
+{
+    if (reply.reason == reply_reason::Replayed)
+        return answerWith(request, reply.answer);
+    return { .refused = refusalOf(reply, detail), .request = request };
+}
+
+// Reads an answer to its end. Returns nothing, with the reason, when it did not arrive whole.
+static std::optional<stored_answer> readWhole(answer_route& route, refusal& reason)
+{
+    stored_answer whole;
+    while (true) {
+        answer_part part = route.read(whole.body.size(), readWait);
+        whole.body += part.data;
+        if (part.finished) {
+            whole.status = part.status;
+            whole.contentType = part.contentType;
+            return whole;
+        }
+        if (part.broken || whole.body.size() > longestAnswer) {
+            reason = part.refused.value_or(refusal { .title = "Answer too long", .execution = execution_state::Unknown });
+            return std::nullopt;
+        }
+    }
+}
+
+caller_answer order_runner::dispatch(const request_submission& submission, const std::vector<known_server>& rank, const order_steps& steps)
+{
+    refusal last { .title = "No server available", .detail = submission.service.value(), .retryAfter = askAgainAfter };
+    for (const known_server& server : rank) {
+        if (!steps.markDispatching())
+            break;
+        answer_route route { m_link, submission, { server }, false };
+        std::optional<refusal> reason = route.start();
+        std::optional<stored_answer> answer;
+        if (!reason) {
+            refusal broken;
+            answer = readWhole(route, broken);
+            reason = broken;
+        }
+        if (answer) {
+            steps.recordDone(*answer);
+            return answerWith(submission.request, *answer);
+        }
+        if (reason->execution != execution_state::NotRun)
+            return answerWith(submission.request, steps.endUnknown(), reason->detail);
+        steps.noteRefused();
+        last = *std::move(reason);
+        if (!last.tryNextServer)
+            break;
+    }
+    caller_answer ended = answerWith(submission.request, steps.endNotRun(), last.title + ": " + last.detail);
+    if (ended.refused)
+        ended.refused->retryAfter = std::max(ended.refused->retryAfter, last.retryAfter);
+    return ended;
+}
+
+caller_answer order_runner::runClaimed(const request_submission& submission, const order& request, const std::vector<known_server>& rank)
+{
+    const attempt_id attempt { Poco::UUIDGenerator::defaultGenerator().createRandom().toString() };
+    claim_outcome outcome = m_desk.claim(request, attempt);
+    if (const auto* reply = std::get_if<order_reply>(&outcome))
+        return answerWith(submission.request, *reply, request.key.value());
+    auto& claim = std::get<order_claim>(outcome);
+    return dispatch(submission, rank,
+        {
+            .markDispatching = [&] { return m_desk.markDispatching(claim); },
+            .noteRefused = [&] { claim.latch.noteRefused(); },
+            .recordDone = [&](const stored_answer& answer) { m_desk.recordDone(claim, answer); },
+            .endNotRun = [&] { return m_desk.endNotRun(claim); },
+            .endUnknown = [&] { return m_desk.endUnknown(claim); },
+        });
+}
+
+caller_answer order_runner::runTicket(const request_submission& submission, const order& request, const std::vector<known_server>& rank)
+{
+    ticket_outcome outcome = m_tickets.redeem(request);
+    if (const auto* reply = std::get_if<order_reply>(&outcome))
+        return answerWith(submission.request, *reply, request.key.value());
+    auto& permit = std::get<ticket_permit>(outcome);
+    return dispatch(submission, rank,
+        {
+            .markDispatching = [&] { return permit.latch.open(); },
+            .noteRefused = [&] { permit.latch.noteRefused(); },
+            .recordDone = [&](const stored_answer& answer) { m_tickets.recordDone(permit, answer); },
+            .endNotRun = [&] { return m_tickets.endNotRun(permit); },
+            .endUnknown = [&] { return m_tickets.endUnknown(permit); },
+        });
+}
+
+caller_answer order_runner::run(const request_submission& submission, const std::vector<known_server>& rank)
+{
+    const order request { .workspace = submission.workspace, .key = submission.key, .fingerprint = submission.fingerprint };
+    if (isTicket(request.key))
+        return runTicket(submission, request, rank);
+    return runClaimed(submission, request, rank);
+}
+
+order_reply order_runner::lookUp(const workspace_id& workspace, const idempotency_key& key)
+{
+    return m_desk.lookUp({ .workspace = workspace, .key = key });
+}
+
+std::vector<idempotency_key> order_runner::issueTickets(const workspace_id& workspace, int count)
+{
+    std::vector<idempotency_key> tickets;
+    for (int index = 0; index < count; ++index)
+        tickets.push_back(m_tickets.issue(workspace));
+    return tickets;
+}
+
+} // namespace radishflow
--- a/lib/Daemon/own_pages.cpp
+++ b/lib/Daemon/own_pages.cpp
@@ -7,6 +7,7 @@
 #include <Poco/JSON/Object.h>
 
 #include <algorithm>
+#include <charconv>
 #include <sstream>
 #include <vector>
 
@@ -40,6 +41,8 @@
 {
     if (request.path == "/v1/addresses")
         return addresses(request);
+    if (request.path == "/v1/orders")
+        return order(request);
     if (request.path == "/v1/operator/zones")
         return changeZone(request);
     if (request.path == "/healthz")
@@ -55,7 +58,7 @@
 
 // The caller's own zone comes first; the other zones follow so that a caller has somewhere to go when its
 // zone is lost before it asks again.
-document own_pages::addresses(const document_request& request) const
+document own_pages::addresses(const document_request& request)
 {
     const auto fleet = m_parts.directory.current();
     const auto wanted = request.query.find("zone");
@@ -75,10 +78,39 @@
     }
     Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
     object.set("addresses", list);
+    // Tickets are bound to this daemon: an order that carries one as its key is sent here, table or no table.
+    const std::string wantedTickets = parameter(request, "tickets");
+    const workspace_id workspace { parameter(request, "workspace") };
+    if (!wantedTickets.empty() && !workspace.empty()) {
+        constexpr int mostTickets = 16;
+        int count = 0;
+        std::from_chars(wantedTickets.data(), wantedTickets.data() + wantedTickets.size(), count);
+        Poco::JSON::Array tickets;
+        for (const idempotency_key& ticket : m_parts.orders.issueTickets(workspace, std::clamp(count, 0, mostTickets)))
+            tickets.add(ticket.value());
+        object.set("tickets", tickets);
+        object.set("tickets_address", m_parts.ownHttp);
+    }
     object.set("keep_seconds", static_cast<int>(m_parts.options.addressKeep.count()));
     return { .body = textOf(object) };
 }
 
+document own_pages::order(const document_request& request)
+{
+    const workspace_id workspace { parameter(request, "workspace") };
+    const idempotency_key key { parameter(request, "key") };
+    if (workspace.empty() || key.empty())
+        return problem({ .status = 400, .title = "Bad request", .detail = "workspace and key are needed" });
+    const order_reply reply = m_parts.orders.lookUp(workspace, key);
+    Poco::JSON::Object object { Poco::JSON_PRESERVE_KEY_ORDER };
+    object.set("workspace", workspace.value());
+    object.set("key", key.value());
+    object.set("execution", nameOf(reply.execution));
+    object.set("status", statusOf(reply));
+    object.set("detail", reply.detail);
+    return { .body = textOf(object) };
+}
+
 // The change takes effect here at once and spreads from here, also while the platform's table is dark.
 document own_pages::changeZone(const document_request& request)
 {
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -38,15 +38,31 @@
     };
 }
 
+// Incarnations count on wall time: a daemon that starts anew has no disk to remember the last one.
+static incarnation_number incarnationNow()
+{
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    return incarnation_number { static_cast<std::uint64_t>(now.count()) };
+}
+
 static std::uint64_t randomNumber()
 {
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+static std::string randomSecret()
+{
+    std::string secret;
+    for (int part = 0; part < 4; ++part)
+        secret += std::to_string(randomNumber()) + '.';
+    return secret;
+}
+
 // Members stand in the order of their dependence: a later one uses earlier ones and is destroyed before them.
 struct radishflow_daemon::state {
     daemon_options options;
+    incarnation_number processIncarnation = incarnationNow();
     platform_client platform { platform_options { .address = options.platform } };
     config_store configuration;
     fleet_directory directory;
@@ -58,9 +74,10 @@
     std::string peerAddress;
     peer_client peers { peer_client_options {} };
     owner_link link;
-    request_router router { configuration, directory, link, options.region };
     edge_server edge;
     std::unique_ptr<gossip_transport> gossip;
+    order_runner orders;
+    request_router router { configuration, directory, link, orders, options };
     fleet_watch watch;
     own_pages pages;
     load_reader loads { backends, ownership, options.reportLag };
@@ -76,8 +93,9 @@
         , link(runner, peers, peerAddress)
         , edge({ .host = options.address, .port = options.httpPort, .connectionLimit = options.callerLimit, .bodyLimitBytes = options.bodyLimitBytes }, handlersForCallers())
         , gossip(startGossip())
+        , orders({ .daemon = options.name, .process = processIncarnation, .secret = randomSecret() }, platform, *gossip, link)
         , watch(options, platform, *gossip, ownership, directory, configuration)
-        , pages({ options, configuration, directory, gates, runner, ownership, *gossip, watch })
+        , pages({ options, configuration, directory, gates, runner, ownership, *gossip, watch, orders, ownHttp() })
         , platformTask(options.pollInterval, [this] { watch.pollPlatform(); })
         , ownershipTask(std::min(options.pollInterval, std::chrono::milliseconds { 500 }), [this] { ownership.step(watch.view()); })
         , refreshTask(std::chrono::milliseconds { 100 }, [this] {
@@ -89,16 +107,16 @@
         isComplete = true;
     }
 
-    // The fleet's clock of incarnations is wall time: a daemon that starts anew has no disk to remember the last.
+    std::string ownHttp() const { return options.address + ':' + std::to_string(edge.port()); }
+
     std::unique_ptr<gossip_transport> startGossip() const
     {
-        const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         gossip_transport_options gossipOptions {
             .membership = {
                 .id = options.name,
-                .incarnation = incarnation_number { static_cast<std::uint64_t>(now.count()) },
+                .incarnation = processIncarnation,
                 .address = peer_address { peerAddress },
-                .http = options.address + ':' + std::to_string(edge.port()),
+                .http = ownHttp(),
                 .zone = options.zone,
                 .region = options.region,
             },
@@ -122,11 +140,16 @@
     edge_handlers handlersForCallers()
     {
         return {
-            .call = [this](const caller_request& request) { return router.route(request); },
+            .call = [this](const caller_request& request) { return isComplete ? router.route(request) : starting(request); },
             .answer = [this](const document_request& request) { return isComplete ? pages.answer(request) : document { .status = 503, .contentType = "text/plain", .body = "starting\n" }; },
         };
     }
 
+    static caller_answer starting(const caller_request& request)
+    {
+        return { .refused = refusal { .title = "Starting", .detail = "the daemon is not ready yet", .retryAfter = std::chrono::milliseconds { 1000 } }, .request = request.request };
+    }
+
     std::atomic<bool> isComplete = false;
 };
 
--- a/lib/Daemon/request_router.cpp
+++ b/lib/Daemon/request_router.cpp
@@ -48,7 +48,7 @@
         candidates.push_back({ .id = server.id, .zone = server.zone, .region = server.region, .admitsNew = server.takesNewWork() });
     // A request without a chat returns to nothing, so each gets a rank of its own.
     const chat_id chat { request.chat.empty() ? request.request.value() : request.workspace.value() + '/' + request.chat.value() };
-    const placement_request wanted { .chatHash = hashOfChat(service.id, chat), .region = m_region };
+    const placement_request wanted { .chatHash = hashOfChat(service.id, chat), .region = m_options.region };
     std::vector<known_server> rank;
     for (const std::uint32_t index : m_placement.rank(wanted, candidates, longestWalk)) {
         if (candidates[index].admitsNew)
@@ -57,6 +57,26 @@
     return rank;
 }
 
+request_submission request_router::submissionOf(const caller_request& request, const service_settings& service, const workspace_settings& workspace) const
+{
+    const auto longest = std::min(duration_cast<milliseconds>(service.requestTimeout), milliseconds { m_options.longestRequest });
+    return {
+        .request = request.request,
+        .service = service.id,
+        .workspace = request.workspace,
+        .chat = request.chat,
+        .method = request.method,
+        .path = request.path,
+        .contentType = request.contentType,
+        .body = request.body,
+        .priority = request.priority < 0 ? workspace.priority : request.priority,
+        .timeLeft = request.timeout.count() > 0 ? std::min(request.timeout, longest) : longest,
+        .isModelCall = request.isModelCall,
+        .resumeAfter = request.resumeAfter,
+        .fingerprint = stableHash(service.id.value() + '/' + request.workspace.value() + ' ' + request.method + ' ' + request.path, request.body),
+    };
+}
+
 caller_answer request_router::route(const caller_request& request)
 {
     const auto snapshot = m_configuration.current();
@@ -75,23 +95,13 @@
     const bool canRepeat = isRepeatable(*service, request.method, request.path);
     if (!canRepeat && request.key.empty())
         return refuse(request, { .status = 400, .title = "Idempotency-Key missing", .detail = "this call may not be repeated, so it needs a key" });
-    request_submission submission {
-        .request = request.request,
-        .service = service->id,
-        .workspace = request.workspace,
-        .chat = request.chat,
-        .method = request.method,
-        .path = request.path,
-        .contentType = request.contentType,
-        .body = request.body,
-        .priority = request.priority < 0 ? workspace->priority : request.priority,
-        .timeLeft = request.timeout.count() > 0 ? std::min(request.timeout, duration_cast<milliseconds>(service->requestTimeout)) : duration_cast<milliseconds>(service->requestTimeout),
-        .key = canRepeat ? idempotency_key {} : request.key,
-        .isModelCall = request.isModelCall,
-        .resumeAfter = request.resumeAfter,
-        .fingerprint = stableHash(service->id.value() + '/' + request.workspace.value(), request.body),
-    };
-    auto route = std::make_shared<answer_route>(m_link, std::move(submission), rankServers(*service, request), canRepeat);
+    request_submission submission = submissionOf(request, *service, *workspace);
+    std::vector<known_server> rank = rankServers(*service, request);
+    if (!canRepeat) {
+        submission.key = request.key;
+        return m_orders.run(submission, rank);
+    }
+    auto route = std::make_shared<answer_route>(m_link, std::move(submission), std::move(rank), canRepeat);
     if (auto reason = route->start())
         return refuse(request, *reason);
     return {
