--- a/include/radishflow/Daemon/answer_route.h
+++ b/include/radishflow/Daemon/answer_route.h
@@ -38,6 +38,7 @@
     std::size_t attempts() const { return m_attempts; }
 
 private:
+    answer_part readOnce(std::uint64_t offset, std::chrono::milliseconds wait);
     bool mayMoveOn(const refusal&) const;
     std::optional<refusal> submitTo(const known_server&);
 
--- a/include/radishflow/Daemon/radishflow_daemon.h
+++ b/include/radishflow/Daemon/radishflow_daemon.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "radishflow/Daemon/daemon_options.h"
+#include "radishflow/Daemon/drain_outcome.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace radishflow {
@@ -17,6 +19,10 @@
     radishflow_daemon(const radishflow_daemon&) = delete;
     radishflow_daemon& operator=(const radishflow_daemon&) = delete;
 
+    /// Leaves the fleet without cutting a request: tells callers and peers, hands its servers over, and waits
+    /// for what is in progress. Returns what was left after the drain limit or once isHurried returns true.
+    drain_outcome drain(const std::function<bool()>& isHurried);
+
     std::uint16_t httpPort() const;
     std::uint16_t peerPort() const;
 
--- a/include/radishflow/Daemon/request_runner.h
+++ b/include/radishflow/Daemon/request_runner.h
@@ -31,6 +31,7 @@
     void sweep();
 
     std::size_t streams() const { return m_streams.size(); }
+    std::size_t undelivered() const { return m_streams.undelivered(); }
 
 private:
     server_gates& m_gates;
--- a/include/radishflow/Daemon/stream_table.h
+++ b/include/radishflow/Daemon/stream_table.h
@@ -29,6 +29,9 @@
 
     std::size_t size() const;
 
+    /// Answers whose end nobody has read yet.
+    std::size_t undelivered() const;
+
 private:
     struct entry {
         std::shared_ptr<answer_buffer> answer;
--- a/include/radishflow/Edge/edge_server.h
+++ b/include/radishflow/Edge/edge_server.h
@@ -22,8 +22,11 @@
     /// Callers' connections that are open now.
     int connections() const;
 
-    /// Closes the listening socket; open connections go on.
-    void stopAccepting();
+    /// Calls that are being answered now.
+    int callsInProgress() const;
+
+    /// From now on each answer closes its connection, so that callers move on.
+    void beginLeaving();
 
 private:
     struct state;
--- a/include/radishflow/Requests/answer_buffer.h
+++ b/include/radishflow/Requests/answer_buffer.h
@@ -42,6 +42,9 @@
     /// True once nothing more will be written.
     bool hasEnded() const;
 
+    /// True once the end was read, so that nobody waits for the rest.
+    bool hasBeenDelivered() const;
+
     /// Waits up to the bound for bytes at the offset and returns at most `most` of them; frees what
     /// stands before the offset. An offset that was freed already gives a broken part.
     answer_part read(std::uint64_t offset, std::chrono::milliseconds bound, std::size_t most);
@@ -59,6 +62,7 @@
     bool m_finished = false;
     bool m_broken = false;
     bool m_abandoned = false;
+    bool m_delivered = false;
     refusal m_reason;
 };
 
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -72,13 +72,28 @@
     return last;
 }
 
+// A read names its offset and changes nothing, so one that failed is done again on another connection.
+answer_part answer_route::readOnce(std::uint64_t offset, milliseconds wait)
+{
+    constexpr int tries = 2;
+    answer_part part;
+    for (int attempt = 0; attempt < tries; ++attempt) {
+        bool hasFailed = false;
+        part = valueOr(
+            [&] { return m_link.read(m_peer, m_streamId, offset, wait); },
+            [&](const failure& error) {
+                hasFailed = true;
+                return answer_part { .offset = offset, .broken = true, .refused = refusal { .status = 502, .title = "Owner of the server failed", .detail = describe(error), .execution = execution_state::Unknown } };
+            });
+        if (!hasFailed)
+            break;
+    }
+    return part;
+}
+
 answer_part answer_route::read(std::uint64_t offset, milliseconds wait)
 {
-    answer_part part = valueOr(
-        [&] { return m_link.read(m_peer, m_streamId, offset, wait); },
-        [&](const failure& error) {
-            return answer_part { .offset = offset, .broken = true, .refused = refusal { .status = 502, .title = "Owner of the server failed", .detail = describe(error), .execution = execution_state::Unknown } };
-        });
+    answer_part part = readOnce(offset, wait);
     m_hasGivenOut = m_hasGivenOut || part.status != 0;
     if (!part.broken || m_hasGivenOut || !part.refused || !mayMoveOn(*part.refused))
         return part;
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -23,6 +23,7 @@
 
 #include <random>
 #include <string>
+#include <thread>
 
 namespace radishflow {
 
@@ -74,7 +75,7 @@
     std::string peerAddress;
     peer_client peers { peer_client_options {} };
     owner_link link;
-    edge_server edge;
+    std::unique_ptr<edge_server> edge;
     std::unique_ptr<gossip_transport> gossip;
     order_runner orders;
     request_router router { configuration, directory, link, orders, options };
@@ -91,7 +92,7 @@
         , peerInterface({ .host = options.address, .port = options.peerPort }, handlersForPeers())
         , peerAddress(options.address + ':' + std::to_string(peerInterface.port()))
         , link(runner, peers, peerAddress)
-        , edge({ .host = options.address, .port = options.httpPort, .connectionLimit = options.callerLimit, .bodyLimitBytes = options.bodyLimitBytes }, handlersForCallers())
+        , edge(std::make_unique<edge_server>(edge_options { .host = options.address, .port = options.httpPort, .connectionLimit = options.callerLimit, .bodyLimitBytes = options.bodyLimitBytes }, handlersForCallers()))
         , gossip(startGossip())
         , orders({ .daemon = options.name, .process = processIncarnation, .secret = randomSecret() }, platform, *gossip, link)
         , watch(options, platform, *gossip, ownership, directory, configuration)
@@ -107,7 +108,15 @@
         isComplete = true;
     }
 
-    std::string ownHttp() const { return options.address + ':' + std::to_string(edge.port()); }
+    // Callers' workers use everything else, so they end first.
+    ~state() { edge.reset(); }
+
+    drain_outcome remaining() const
+    {
+        return { .calls = edge->callsInProgress(), .answers = runner.undelivered(), .areServersReleased = ownership.isStopped() };
+    }
+
+    std::string ownHttp() const { return options.address + ':' + std::to_string(edge->port()); }
 
     std::unique_ptr<gossip_transport> startGossip() const
     {
@@ -160,9 +169,34 @@
 
 radishflow_daemon::~radishflow_daemon() = default;
 
+// Callers keep an address for the time that they were told, so the daemon serves at least that long after it
+// left the address answer; its servers move to their next owners meanwhile.
+drain_outcome radishflow_daemon::drain(const std::function<bool()>& isHurried)
+{
+    constexpr std::chrono::milliseconds step { 50 };
+    constexpr std::chrono::milliseconds spreadTime { 1000 };
+    const auto started = std::chrono::steady_clock::now();
+    const auto keptUntil = started + m_state->options.addressKeep + spreadTime;
+    const auto limit = started + m_state->options.drainLimit;
+    m_state->watch.beginLeaving();
+    m_state->edge->beginLeaving();
+    m_state->ownership.beginStop();
+    drain_outcome outcome = m_state->remaining();
+    while (!isHurried() && std::chrono::steady_clock::now() < limit) {
+        const bool isKept = std::chrono::steady_clock::now() < keptUntil;
+        if (!isKept && outcome.isClean() && outcome.areServersReleased)
+            break;
+        std::this_thread::sleep_for(step);
+        outcome = m_state->remaining();
+    }
+    m_state->gossip->leave();
+    std::this_thread::sleep_for(step);
+    return outcome;
+}
+
 std::uint16_t radishflow_daemon::httpPort() const
 {
-    return m_state->edge.port();
+    return m_state->edge->port();
 }
 
 std::uint16_t radishflow_daemon::peerPort() const
--- a/lib/Daemon/stream_table.cpp
+++ b/lib/Daemon/stream_table.cpp
@@ -1,6 +1,7 @@
 // Implements the table of answers under way.
 #include "radishflow/Daemon/stream_table.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -49,4 +50,10 @@
     return m_entries.size();
 }
 
+std::size_t stream_table::undelivered() const
+{
+    const std::lock_guard lock { m_mutex };
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto& item) { return !item.second.answer->hasBeenDelivered(); }));
+}
+
 } // namespace radishflow
--- a/lib/Edge/edge_server.cpp
+++ b/lib/Edge/edge_server.cpp
@@ -12,23 +12,32 @@
 #include <Poco/ThreadPool.h>
 #include <Poco/URI.h>
 
+#include <atomic>
 #include <utility>
 
 namespace radishflow {
 
 namespace {
 
+    struct shared_edge {
+        edge_options options;
+        edge_handlers handlers;
+        std::atomic<int> calls = 0;
+        std::atomic<bool> isLeaving = false;
+    };
+
     // POCO's own base classes are the only way to receive its requests.
     class edge_request_handler final : public Poco::Net::HTTPRequestHandler {
     public:
-        edge_request_handler(const edge_options& options, const edge_handlers& handlers)
-            : m_options(options)
-            , m_handlers(handlers)
+        explicit edge_request_handler(shared_edge& edge)
+            : m_edge(edge)
         {
         }
 
         void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
         {
+            if (m_edge.isLeaving)
+                response.setKeepAlive(false);
             const std::string path = request.getURI().substr(0, request.getURI().find('?'));
             if (isCallPath(path)) {
                 answerCall(request, response);
@@ -40,12 +49,12 @@
     private:
         void answerCall(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
         {
-            const auto parsed = readCall(request, m_options);
+            const auto parsed = readCall(request, m_edge.options);
             if (const auto* problem = std::get_if<refusal>(&parsed)) {
                 refuseAndClose(response, *problem);
                 return;
             }
-            caller_answer answer = m_handlers.call(std::get<caller_request>(parsed));
+            caller_answer answer = m_edge.handlers.call(std::get<caller_request>(parsed));
             if (answer.refused) {
                 sendRefusal(response, *answer.refused, answer.request);
                 return;
@@ -58,13 +67,13 @@
             document_request query { .method = request.getMethod(), .path = path, .credential = request.get("Authorization", "") };
             for (const auto& [name, value] : Poco::URI { request.getURI() }.getQueryParameters())
                 query.query[name] = value;
-            auto body = readBody(request, m_options);
+            auto body = readBody(request, m_edge.options);
             if (const auto* problem = std::get_if<refusal>(&body)) {
                 refuseAndClose(response, *problem);
                 return;
             }
             query.body = std::move(std::get<std::string>(body));
-            sendDocument(response, m_handlers.answer(query));
+            sendDocument(response, m_edge.handlers.answer(query));
         }
 
         // What is left of a body that was refused can't be told from a next request.
@@ -74,42 +83,37 @@
             sendRefusal(response, problem, request_id {});
         }
 
-        const edge_options& m_options;
-        const edge_handlers& m_handlers;
+        shared_edge& m_edge;
     };
 
     class edge_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
     public:
-        edge_handler_factory(const edge_options& options, const edge_handlers& handlers)
-            : m_options(options)
-            , m_handlers(handlers)
+        explicit edge_handler_factory(shared_edge& edge)
+            : m_edge(edge)
         {
         }
 
         Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
         {
-            return new edge_request_handler { m_options, m_handlers };
+            return new edge_request_handler { m_edge };
         }
 
     private:
-        const edge_options& m_options;
-        const edge_handlers& m_handlers;
+        shared_edge& m_edge;
     };
 
 } // namespace
 
 struct edge_server::state {
-    edge_options options;
-    edge_handlers handlers;
+    shared_edge shared;
     Poco::ThreadPool workers;
     Poco::Net::ServerSocket socket;
     std::unique_ptr<Poco::Net::HTTPServer> server;
 
     state(const edge_options& theOptions, edge_handlers theHandlers)
-        : options(theOptions)
-        , handlers(std::move(theHandlers))
-        , workers(2, options.connectionLimit)
-        , socket(Poco::Net::SocketAddress { options.host, options.port })
+        : shared { .options = theOptions, .handlers = std::move(theHandlers) }
+        , workers(2, theOptions.connectionLimit)
+        , socket(Poco::Net::SocketAddress { theOptions.host, theOptions.port })
     {
     }
 };
@@ -127,7 +131,7 @@
     parameters->setMaxQueued(options.queueLimit);
     parameters->setTimeout(toTimespan(options.receiveTimeout));
     parameters->setKeepAliveTimeout(toTimespan(options.keepAliveTimeout));
-    Poco::Net::HTTPRequestHandlerFactory::Ptr factory { new edge_handler_factory { m_state->options, m_state->handlers } };
+    Poco::Net::HTTPRequestHandlerFactory::Ptr factory { new edge_handler_factory { m_state->shared } };
     m_state->server = std::make_unique<Poco::Net::HTTPServer>(factory, m_state->workers, m_state->socket, parameters);
     m_state->server->start();
 }
@@ -148,9 +152,14 @@
     return m_state->server->currentConnections();
 }
 
-void edge_server::stopAccepting()
+int edge_server::callsInProgress() const
+{
+    return m_state->shared.calls;
+}
+
+void edge_server::beginLeaving()
 {
-    m_state->server->stop();
+    m_state->shared.isLeaving = true;
 }
 
 } // namespace radishflow
--- a/lib/Platform/platform_client.cpp
+++ b/lib/Platform/platform_client.cpp
@@ -10,15 +10,38 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
+#include <random>
+#include <thread>
+
 namespace radishflow {
 
 static constexpr const char* jsonType = "application/json";
 
+// The platform answers 429 without doing anything when its rate is spent, so asking again is always safe;
+// the growing random pause keeps hundreds of daemons from asking again at once.
+static result<platform_reply> exchangeWithPatience(const platform_options& options, const platform_request& request)
+{
+    constexpr int tooManyRequests = 429;
+    constexpr std::chrono::milliseconds firstPause { 10 };
+    static thread_local std::minstd_rand random { std::random_device {}() };
+    std::chrono::milliseconds waited { 0 };
+    std::chrono::milliseconds pause = firstPause;
+    while (true) {
+        BOOST_LEAF_AUTO(reply, exchange(options, request));
+        if (reply.status != tooManyRequests || waited >= options.busyPatience)
+            return reply;
+        const std::chrono::milliseconds step { std::uniform_int_distribution<std::int64_t> { pause.count() / 2, pause.count() }(random) };
+        std::this_thread::sleep_for(step);
+        waited += step;
+        pause *= 2;
+    }
+}
+
 // Sends a request and decodes the body of a successful answer.
 template <typename Value, typename Decoder>
 static result<Value> call(const platform_options& options, const platform_request& request, Decoder decode)
 {
-    BOOST_LEAF_AUTO(reply, exchange(options, request));
+    BOOST_LEAF_AUTO(reply, exchangeWithPatience(options, request));
     if (reply.status < 200 || reply.status > 299)
         return failOnStatus(options, request, reply);
     try {
@@ -96,7 +119,7 @@
 result<void> platform_client::putObject(const std::string& key, const std::string& bytes)
 {
     const platform_request request { .step = "put object", .kind = effect::Write, .method = "PUT", .path = objectPath(m_options, key), .body = bytes, .contentType = "application/octet-stream", .onlyIfAbsent = true };
-    BOOST_LEAF_AUTO(reply, exchange(m_options, request));
+    BOOST_LEAF_AUTO(reply, exchangeWithPatience(m_options, request));
     if (reply.status == 412)
         return fail({ .code = failure_code::Conflict, .step = request.step, .peer = m_options.address, .detail = "the object exists" });
     if (reply.status < 200 || reply.status > 299)
--- a/lib/Requests/answer_buffer.cpp
+++ b/lib/Requests/answer_buffer.cpp
@@ -65,6 +65,12 @@
     return m_finished || m_broken;
 }
 
+bool answer_buffer::hasBeenDelivered() const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_delivered;
+}
+
 bool answer_buffer::hasNewsAt(std::uint64_t offset) const
 {
     return m_finished || m_broken || offset < m_firstOffset || offset < m_firstOffset + m_bytes.size();
@@ -89,6 +95,7 @@
     part.broken = m_broken && reachesEnd;
     if (part.broken)
         part.refused = m_reason;
+    m_delivered = m_delivered || part.finished || part.broken;
     m_changed.notify_all();
     return part;
 }
--- a/test/Fleet/test_fleet.cpp
+++ b/test/Fleet/test_fleet.cpp
@@ -57,8 +57,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     m_folder = Poco::TemporaryFile::tempName();
     Poco::File { m_folder }.createDirectories();
-    m_platform = start("radishflow-emulator", { "--role=platform", "--listen=127.0.0.1:0" }, "platform");
+    m_platform = start("radishflow-emulator", { "--role=platform", "--listen=127.0.0.1:0", "--control=127.0.0.1:0" }, "platform");
     m_platformAddress = m_platform->address();
+    m_platformControl = m_platform->address("control");
     const auto zoneOf = [&](int index) { return options.zones[static_cast<std::size_t>(index) % options.zones.size()]; };
     const auto addBackend = [&](std::vector<fleet_member>& list, const std::string& role, const std::string& service, int index, const std::vector<std::string>& extra) {
         fleet_member member { .name = role + std::to_string(index), .role = "backend", .service = service, .zone = zoneOf(index) };
@@ -145,7 +146,7 @@
     }
     std::ostringstream body;
     list.stringify(body);
-    httpCall({ .method = "PUT", .url = "http://" + m_platformAddress + "/control/hosts", .body = body.str() });
+    httpCall({ .method = "PUT", .url = "http://" + m_platformControl + "/control/hosts", .body = body.str() });
 }
 
 void test_fleet::restartDaemon(std::size_t index)
--- a/test/Fleet/test_fleet.h
+++ b/test/Fleet/test_fleet.h
@@ -51,7 +51,8 @@
     test_fleet& operator=(const test_fleet&) = delete;
 
     bool isReady() const { return m_isReady; }
-    const std::string& platformAddress() const { return m_platformAddress; }
+    /// Where the platform's faults are switched, also while it refuses all else.
+    const std::string& platformControl() const { return m_platformControl; }
     child_process& platform() { return *m_platform; }
     std::vector<fleet_member>& daemons() { return m_daemons; }
     std::vector<fleet_member>& engines() { return m_engines; }
@@ -92,6 +93,7 @@
     std::string m_folder;
     std::unique_ptr<child_process> m_platform;
     std::string m_platformAddress;
+    std::string m_platformControl;
     std::vector<fleet_member> m_engines;
     std::vector<fleet_member> m_plains;
     std::vector<fleet_member> m_daemons;
--- a/tools/radishflowd/main.cpp
+++ b/tools/radishflowd/main.cpp
@@ -9,6 +9,8 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <ctime>
 #include <iostream>
 
 // Signals are taken by sigwait on the main thread, so that no handler runs at a wrong moment.
@@ -24,6 +26,18 @@
     return signals;
 }
 
+static void waitForSignal(const sigset_t& signals)
+{
+    int signal = 0;
+    sigwait(&signals, &signal);
+}
+
+static bool isSignalPending(const sigset_t& signals)
+{
+    const timespec noWait {};
+    return sigtimedwait(&signals, nullptr, &noWait) > 0;
+}
+
 static void setUpLog(const std::string& level)
 {
     spdlog::set_default_logger(spdlog::stderr_logger_mt("radishflowd"));
@@ -50,9 +64,14 @@
         radishflow_daemon daemon { outcome.options };
         std::cout << "listening http=" << outcome.options.address << ':' << daemon.httpPort() << " peer=" << outcome.options.address << ':' << daemon.peerPort() << std::endl;
         spdlog::info("step=\"start\" daemon={} zone={}", outcome.options.name.value(), outcome.options.zone.value());
-        int signal = 0;
-        sigwait(&signals, &signal);
-        spdlog::info("step=\"stop\" daemon={} signal={}", outcome.options.name.value(), signal);
+        waitForSignal(signals);
+        spdlog::info("step=\"drain\" daemon={}", outcome.options.name.value());
+        const drain_outcome left = daemon.drain([&] { return isSignalPending(signals); });
+        spdlog::info("step=\"stop\" daemon={} cut_calls={} cut_answers={} servers_released={}", outcome.options.name.value(), left.calls, left.answers, left.areServersReleased);
+        spdlog::shutdown();
+        // What is left would hold up the destructors for as long as it runs, and was said to be cut.
+        if (!left.isClean())
+            std::_Exit(3);
     } catch (const Poco::Exception& error) {
         std::cerr << "radishflowd: " << error.displayText() << '\n';
         return 1;
--- a/tools/radishflowd/settings.cpp
+++ b/tools/radishflowd/settings.cpp
@@ -23,12 +23,13 @@
 DEFINE_int32(term_ms, 12000, "How long one renewal of the ownership lasts in milliseconds, 1000 to 60000; the same at every daemon.");
 DEFINE_int32(report_lag_ms, 3000, "Longest time by which an engine's load report is late in milliseconds, 0 to 60000.");
 DEFINE_int32(longest_request_seconds, 120, "No request runs for longer, 1 to 3600 s; the same at every daemon.");
+DEFINE_int32(drain_seconds, 130, "Longest graceful stop, 1 to 7200 s; what is in progress then is cut and said.");
 DEFINE_int32(address_keep_seconds, 4, "Time that callers keep an address answer, 1 to 3600 s.");
 DEFINE_string(log_level, "info", "trace, debug, info, warn, err or off.");
 
 namespace radishflow {
 
-static const std::vector<std::string> ownFlags { "name", "host", "zone", "region", "address", "http_port", "peer_port", "platform", "caller_limit", "request_limit", "body_limit_bytes", "poll_interval_ms", "term_ms", "report_lag_ms", "longest_request_seconds", "address_keep_seconds", "log_level" };
+static const std::vector<std::string> ownFlags { "name", "host", "zone", "region", "address", "http_port", "peer_port", "platform", "caller_limit", "request_limit", "body_limit_bytes", "poll_interval_ms", "term_ms", "report_lag_ms", "longest_request_seconds", "drain_seconds", "address_keep_seconds", "log_level" };
 
 static void requireText(const char* flag, const std::string& value, std::vector<std::string>& problems)
 {
@@ -73,6 +74,7 @@
     requireRange("term_ms", FLAGS_term_ms, 1000, 60000, problems);
     requireRange("report_lag_ms", FLAGS_report_lag_ms, 0, 60000, problems);
     requireRange("longest_request_seconds", FLAGS_longest_request_seconds, 1, 3600, problems);
+    requireRange("drain_seconds", FLAGS_drain_seconds, 1, 7200, problems);
     requireRange("address_keep_seconds", FLAGS_address_keep_seconds, 1, 3600, problems);
     static const std::set<std::string> levels { "trace", "debug", "info", "warn", "err", "off" };
     if (!levels.contains(FLAGS_log_level))
@@ -109,6 +111,7 @@
         .termLength = std::chrono::milliseconds { FLAGS_term_ms },
         .reportLag = std::chrono::milliseconds { FLAGS_report_lag_ms },
         .longestRequest = std::chrono::seconds { FLAGS_longest_request_seconds },
+        .drainLimit = std::chrono::seconds { FLAGS_drain_seconds },
         .addressKeep = std::chrono::seconds { FLAGS_address_keep_seconds },
     };
     return outcome;
