--- /dev/null
+++ b/include/radishflow/Admission/cold_allowance.h
@@ -0,0 +1,82 @@
+// Declares cold_allowance, which decides how much one backend server may take while it warms up.
+#pragma once
+
+#include "radishflow/Admission/server_sample.h"
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <cstdint>
+
+namespace radishflow {
+
+struct cold_allowance_options {
+    int coldLimit = 2; ///< Declared: requests that a cold server bears.
+    int fullLimit = 64; ///< Requests that a warm server bears.
+    int completionsPerStep = 2; ///< The limit grows by one with so many completions.
+    duration slowFirstToken = std::chrono::seconds { 5 }; ///< A first token later than this is out of range.
+    int slowFirstTokensOfColdTurn = 2; ///< So many in a row mean that the server has turned cold.
+    int unprovenLimit = 8; ///< Requests sent since the server last showed that it is warm.
+};
+
+/// Why the server was last taken to be cold.
+enum class cold_reason {
+    Unknown, ///< Nothing is known of it yet.
+    ProcessChanged,
+    CounterFellBack,
+    ConnectionReset,
+    SlowFirstTokens,
+};
+
+const char* nameOf(cold_reason);
+
+/// Grows from the cold limit with what the server completes, not with time. Not thread-safe.
+///
+/// Between a cold turn and its detection at most unprovenLimit requests are sent, or coldLimit if that is more.
+class cold_allowance {
+public:
+    explicit cold_allowance(const cold_allowance_options&);
+
+    /// Requests that the server bears now.
+    int limit() const { return m_limit; }
+
+    /// Returns whether one more request may be sent before the server shows again that it is warm.
+    bool mayDispatch() const;
+
+    /// A request was sent; returns the epoch to be given back with its end.
+    std::uint64_t dispatched();
+
+    /// A first token arrived after a wait, or a wait has become that long without one.
+    void firstToken(std::uint64_t epoch, duration wait);
+
+    /// A request was completed; requests of before a cold turn warm nothing.
+    void completed(std::uint64_t epoch);
+
+    /// A request ended without a sign from the server, such as by its caller's wish.
+    void abandoned(std::uint64_t epoch);
+
+    void connectionReset() { turnCold(cold_reason::ConnectionReset); }
+    void observe(const server_sample&);
+
+    bool isWarm() const { return m_limit >= m_options.fullLimit; }
+    cold_reason reason() const { return m_reason; }
+
+    /// Grows with each cold turn.
+    std::uint64_t epoch() const { return m_epoch; }
+
+    /// Requests sent since the last sign of warmth: those that met a cold server if it has just turned cold.
+    int unproven() const { return m_unproven; }
+
+private:
+    void turnCold(cold_reason);
+    bool isOtherProcess(const server_sample&) const;
+
+    cold_allowance_options m_options;
+    int m_limit = 0;
+    int m_completions = 0; ///< Since the limit last grew.
+    int m_slowFirstTokens = 0; ///< In a row.
+    int m_unproven = 0;
+    std::uint64_t m_epoch = 1;
+    cold_reason m_reason = cold_reason::Unknown;
+    server_sample m_sample;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Admission/retry_budget.h
@@ -0,0 +1,55 @@
+// Declares retry_budget, which keeps retries to a share of the successes.
+#pragma once
+
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <algorithm>
+
+namespace radishflow {
+
+struct retry_budget_options {
+    double retriesPerSuccess = 0.1;
+    double retriesPerSecond = 0.1; ///< Granted without successes, so that little traffic can retry as well.
+    double capacity = 10; ///< Most retries that are saved up.
+};
+
+/// A token bucket of retries. Not thread-safe.
+template <monotonic_clock Clock>
+class retry_budget {
+public:
+    retry_budget(const Clock& clock, const retry_budget_options& options)
+        : m_clock(clock)
+        , m_options(options)
+        , m_tokens(options.capacity)
+        , m_refilledAt(clock.now())
+    {
+    }
+
+    void succeeded() { m_tokens = std::min(m_tokens + m_options.retriesPerSuccess, m_options.capacity); }
+
+    /// Takes one retry from the budget; returns false when it is used up and the failure is final.
+    bool tryRetry()
+    {
+        refill();
+        if (m_tokens < 1)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+
+private:
+    void refill()
+    {
+        const time_point now = m_clock.now();
+        const std::chrono::duration<double> passed = now - m_refilledAt;
+        m_tokens = std::min(m_tokens + passed.count() * m_options.retriesPerSecond, m_options.capacity);
+        m_refilledAt = now;
+    }
+
+    const Clock& m_clock;
+    retry_budget_options m_options;
+    double m_tokens;
+    time_point m_refilledAt;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Admission/request_fingerprint.cpp
@@ -0,0 +1,20 @@
+// Implements request fingerprints: two hashes with different seeds, since one of 64 bits may collide in a large fleet.
+#include "radishflow/Admission/request_fingerprint.h"
+
+#include "radishflow/Support/hashing.h"
+
+#include <string>
+
+namespace radishflow {
+
+request_fingerprint fingerprintOf(const workspace_id& workspace, const service_id& service, std::string_view body)
+{
+    constexpr std::uint64_t highSeed = 1;
+    constexpr std::uint64_t lowSeed = 2;
+    std::string text = std::to_string(workspace.value().size()) + ':' + workspace.value();
+    text += std::to_string(service.value().size()) + ':' + service.value();
+    text += body;
+    return { .high = stableHash(text, highSeed), .low = stableHash(text, lowSeed) };
+}
+
+} // namespace radishflow
