Let registers pass the byte budget

A zone that is taken out while a fleet restarts waited behind news of members, which exhaust the budget. Registers are few, so they go first and are not bound by it. Ruled out: a larger budget, which only moves the point of exhaustion.

--- a/include/radishflow/Membership/membership_options.h
+++ b/include/radishflow/Membership/membership_options.h
@@ -21,6 +21,7 @@
     bool noRejoin = false; ///< Never probes dead members or unknown seeds.
     bool noRefutation = false;
     bool lastRegisterWriteWins = false;
+    bool noRegisterPriority = false; ///< Registers wait for the byte budget as other news do.
 };
 
 struct membership_options {
@@ -51,7 +52,7 @@
     duration syncInterval = std::chrono::seconds { 1 };
     duration syncQuietTime = std::chrono::seconds { 2 }; ///< Lets news spread before digests are compared.
     std::size_t syncDatagrams = 6; ///< Most datagrams in one answer.
-    std::size_t newsBytesPerSecond = 6000; ///< Bound on gossip and synchronisation sent, probes not counted.
+    std::size_t newsBytesPerSecond = 6000; ///< Bound on gossip and synchronisation sent; probes, loads and registers are not bound.
     std::size_t newsBurstBytes = 24000;
 
     duration flapHalfLife = std::chrono::seconds { 60 };
--- a/include/radishflow/Membership/membership_table_probes.h
+++ b/include/radishflow/Membership/membership_table_probes.h
@@ -27,8 +27,10 @@
     std::size_t room = gossip_message::maxBytes - messageHeaderBound;
     for (const member_update& update : message.members)
         room -= std::min(room, encodedBound(update));
-    if (withNews && !(isProbe && m_budget.isSpent())) {
-        const std::size_t bytes = m_news.fill(message, m_list, room, retransmitLimit());
+    if (withNews) {
+        // Registers are few and urgent, such as a zone that is taken out; they don't wait for the budget.
+        const bool onlyRegisters = m_budget.isSpent() && !m_options.testSwitches.noRegisterPriority;
+        const std::size_t bytes = m_budget.isSpent() && !onlyRegisters ? 0 : m_news.fill(message, m_list, room, retransmitLimit(), onlyRegisters);
         m_budget.spend(bytes);
     }
     if (message.kind == message_kind::Gossip)
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -113,7 +113,8 @@
     const auto own = m_schedule.sample(m_list, m_options.gossipFanout - targets.size(), isOwn);
     targets.insert(targets.end(), own.begin(), own.end());
     for (const member_entry* target : targets) {
-        if (m_budget.isSpent() || m_news.empty())
+        const bool mayPass = m_news.hasRegisters() && !m_options.testSwitches.noRegisterPriority;
+        if (m_news.empty() || (m_budget.isSpent() && !mayPass))
             return;
         gossip_message message;
         message.kind = message_kind::Gossip;
--- a/include/radishflow/Membership/news_queue.h
+++ b/include/radishflow/Membership/news_queue.h
@@ -18,10 +18,11 @@
     void addRegister(const std::string& key);
 
     bool empty() const { return m_sends.empty(); }
+    bool hasRegisters() const { return !m_sends.empty() && m_sends.begin()->first.kind == news_kind::Register; }
 
-    /// Adds news to a message, the least sent first, up to the given size of all news in it; forgets
-    /// what was sent `limit` times. Returns the bound of the bytes added.
-    std::size_t fill(gossip_message&, const member_list&, std::size_t maxBytes, std::size_t limit);
+    /// Adds news to a message, registers first, then the least sent, up to the given size of all news in it;
+    /// forgets what was sent `limit` times. Returns the bound of the bytes added.
+    std::size_t fill(gossip_message&, const member_list&, std::size_t maxBytes, std::size_t limit, bool onlyRegisters);
 
 private:
     enum class news_kind {
--- a/lib/Membership/news_queue.cpp
+++ b/lib/Membership/news_queue.cpp
@@ -55,16 +55,24 @@
             .bytes = record->second.bytes });
 }
 
-std::size_t news_queue::fill(gossip_message& message, const member_list& list, std::size_t maxBytes, std::size_t limit)
+std::size_t news_queue::fill(gossip_message& message, const member_list& list, std::size_t maxBytes, std::size_t limit, bool onlyRegisters)
 {
     if (m_sends.empty())
         return 0;
     using send_place = std::map<news_name, std::size_t>::iterator;
     std::vector<send_place> order;
     order.reserve(m_sends.size());
-    for (auto place = m_sends.begin(); place != m_sends.end(); ++place)
+    for (auto place = m_sends.begin(); place != m_sends.end(); ++place) {
+        if (onlyRegisters && place->first.kind != news_kind::Register)
+            break;
         order.push_back(place);
-    std::stable_sort(order.begin(), order.end(), [](send_place left, send_place right) { return left->second < right->second; });
+    }
+    const auto isFirst = [](send_place left, send_place right) {
+        const bool isLeftRegister = left->first.kind == news_kind::Register;
+        const bool isRightRegister = right->first.kind == news_kind::Register;
+        return isLeftRegister != isRightRegister ? isLeftRegister : left->second < right->second;
+    };
+    std::stable_sort(order.begin(), order.end(), isFirst);
     std::size_t filled = 0;
     int misfits = 0;
     for (const send_place place : order) {
--- a/unittests/Membership/registers_test.cpp
+++ b/unittests/Membership/registers_test.cpp
@@ -117,6 +117,27 @@
     BOOST_TEST(!healsMissedNews({ .noAntiEntropy = true }));
 }
 
+// A zone is taken out while a hundred daemons that started at once exhaust their byte budgets.
+static duration spreadInStorm(membership_test_switches switches)
+{
+    virtual_fleet_options options { .daemons = 100, .regions = 3 };
+    options.base.testSwitches = switches;
+    options.base.newsBytesPerSecond = 3000;
+    virtual_fleet fleet(options);
+    fleet.run(4s);
+    BOOST_TEST(zone_register(fleet.table(0)).change(testZone, zone_state::Out, 0, 1).has_value());
+    return fleet.runUntil([&] { return allAgree(fleet, zoneKeyOf(testZone)); }, 30s);
+}
+
+BOOST_AUTO_TEST_CASE(registersDoNotWaitForTheBudget)
+{
+    const duration first = spreadInStorm({});
+    const duration waiting = spreadInStorm({ .noRegisterPriority = true });
+    BOOST_TEST_MESSAGE("zone out in a storm: " << first / 1ms << " ms, " << waiting / 1ms << " ms when it waits");
+    BOOST_TEST((first <= 2s));
+    BOOST_TEST((waiting > 2s));
+}
+
 BOOST_AUTO_TEST_CASE(recordsVanishWithTheDead)
 {
     virtual_fleet fleet({ .daemons = 7 });
