Let a walk end in other regions

Cause: when a region of three zones loses one, its servers need 1.5 times the load, and 1.25 x the mean of the whole service plus one slot is less. Ruled out: the mean of the region (answers all, but its servers stand at 1.77 x the service's mean); other regions only when the own has none. Change: the last two ranks are servers of other regions. With farRanks = 0 the old rule and its test stand.

--- a/benchmarks/placement/fleet_simulation.h
+++ b/benchmarks/placement/fleet_simulation.h
@@ -63,6 +63,7 @@
     static constexpr sim_time firstTokenDeadline { 5 };
     static constexpr sim_time longestAnswer { 150 };
     static constexpr sim_time refusalTrip { 0.003 };
+    static constexpr sim_time farRefusalTrip { 0.06 };
     static constexpr sim_time connectTimeout { 0.3 };
     static constexpr sim_time deadServerMemory { 3 };
     static constexpr sim_time lossDetection { 1 }; ///< Until a cut stream or a lost daemon is noticed.
@@ -195,7 +196,7 @@
                 return admit(id, step->server, spent);
             }
             walk.refused({ .hasRoom = hasRoom, .load = m_fleet.loadShare(step->server), .held = held });
-            spent += refusalTrip;
+            spent += view[step->server].region == wanted.region ? refusalTrip : farRefusalTrip;
         }
         retryLater(id);
     }
--- a/benchmarks/placement/placement_benchmark.cpp
+++ b/benchmarks/placement/placement_benchmark.cpp
@@ -24,6 +24,7 @@
 DEFINE_uint64(homes, 2, "ranks that are asked for the prefix first");
 DEFINE_double(mean_delay, 0.5, "age in seconds of the mean that owners know, and up to 0.5 s more");
 DEFINE_bool(import_on_spill, true, "a server imports the prefix from a full holder");
+DEFINE_uint64(far_ranks, 2, "servers of other regions at the end of a ranking");
 DEFINE_double(load_multiple, 1.25, "bound of a server's load as a multiple of the mean");
 DEFINE_double(per_server, 1.154, "requests a second for each server");
 DEFINE_double(seconds, 220, "virtual length of a run");
@@ -107,7 +108,7 @@
         return runPolicy(name, inputs, figures, [&](std::size_t) { return least_known_load<random_type> { random }; });
     if (name == "plain-ring")
         return runPolicy(name, inputs, figures, [](std::size_t) { return plain_ring {}; });
-    return runPolicy(name, inputs, figures, [](std::size_t) { return bounded_rendezvous {}; });
+    return runPolicy(name, inputs, figures, [](std::size_t) { return bounded_rendezvous { { .farRanks = FLAGS_far_ranks } }; });
 }
 
 static void runScenario(const std::string& name, const fleet_layout& layout)
--- a/include/radishflow/Placement/bounded_rendezvous.h
+++ b/include/radishflow/Placement/bounded_rendezvous.h
@@ -12,11 +12,12 @@
 
 struct bounded_rendezvous_options {
     std::size_t homeRanks = 2; ///< Ranks tried whatever their known load; the tail heeds it.
+    std::size_t farRanks = 2; ///< Servers of other regions at the end, when that leaves room beyond the home ranks.
 };
 
 /// Ranks servers by weighted rendezvous without any table of chats. The load bound is the owner's to keep: a
-/// refusal sends the walk on. Servers of other regions follow only when the request's region has none that
-/// admits; a server whose ramp does not take the chat comes after those that do. Thread-safe.
+/// refusal sends the walk on. Servers of other regions come last, or alone when the request's region has
+/// none that admits; a server whose ramp does not take the chat comes after those that do. Thread-safe.
 class bounded_rendezvous {
 public:
     explicit bounded_rendezvous(bounded_rendezvous_options options = {})
--- a/lib/Placement/bounded_rendezvous.cpp
+++ b/lib/Placement/bounded_rendezvous.cpp
@@ -27,21 +27,20 @@
     using ranked_servers = boost::container::small_vector<ranked_server, 16>;
 
     enum rank_group : int {
-        NearTaking,
-        NearRamping,
-        FarTaking,
-        FarRamping,
+        Taking,
+        Ramping,
+    };
+
+    enum class server_side {
+        Near, ///< In the request's region.
+        Far,
     };
 
 } // namespace
 
-static int groupOf(const placement_request& request, const placement_server& server)
+static bool isOnSide(const placement_request& request, const placement_server& server, server_side side)
 {
-    const bool isNear = server.region == request.region;
-    const bool takes = rampTakesChat(request.chatHash, server.idHash, server.ramp);
-    if (isNear)
-        return takes ? NearTaking : NearRamping;
-    return takes ? FarTaking : FarRamping;
+    return (server.region == request.region) == (side == server_side::Near);
 }
 
 static void insertSorted(ranked_servers& best, const ranked_server& server, std::size_t most)
@@ -57,7 +56,7 @@
 // proportion to its weight, and leaving one out moves only its own chats. As -ln(u) >= 1 - u, most servers are
 // passed over without a logarithm.
 static ranked_servers nearestServers(
-    const placement_request& request, std::span<const placement_server> servers, std::size_t most)
+    const placement_request& request, std::span<const placement_server> servers, server_side side, std::size_t most)
 {
     ranked_servers best;
     for (std::uint32_t i = 0; i < servers.size(); ++i) {
@@ -66,10 +65,11 @@
             continue;
         const double uniform = unitInterval(chatServerHash(request.chatHash, server.idHash));
         const bool isFull = best.size() == most;
-        // Group 0 is the best that a server can have; when that doesn't get it in, nothing will.
-        if (isFull && best.back().group == NearTaking && 1 - uniform > best.back().distance * server.weight)
+        if (isFull && best.back().group == Taking && 1 - uniform > best.back().distance * server.weight)
+            continue;
+        if (!isOnSide(request, server, side))
             continue;
-        const ranked_server candidate { .group = groupOf(request, server),
+        const ranked_server candidate { .group = rampTakesChat(request.chatHash, server.idHash, server.ramp) ? Taking : Ramping,
             .distance = -std::log(uniform) / server.weight,
             .idHash = server.idHash,
             .index = i };
@@ -79,15 +79,6 @@
     return best;
 }
 
-static void dropFarServers(ranked_servers& best)
-{
-    if (best.empty() || best.front().group >= FarTaking)
-        return;
-    const auto firstFar = std::find_if(
-        best.begin(), best.end(), [](const ranked_server& server) { return server.group >= FarTaking; });
-    best.erase(firstFar, best.end());
-}
-
 static bool hasMoreRoom(const placement_server& a, const placement_server& b)
 {
     return std::tie(a.refusedLately, a.knownLoad) < std::tie(b.refusedLately, b.knownLoad);
@@ -113,20 +104,33 @@
     std::copy(ordered.begin(), ordered.end(), tail.begin());
 }
 
-server_ranking bounded_rendezvous::rank(
-    const placement_request& request, std::span<const placement_server> servers, std::size_t most) const
+// Ranks the servers of one side; the first `homes` keep their order, the others are ordered as a tail.
+static void appendSide(server_ranking& ranking, const placement_request& request,
+    std::span<const placement_server> servers, server_side side, std::size_t homes, std::size_t most)
 {
-    server_ranking ranking;
     if (most == 0)
-        return ranking;
+        return;
+    const std::size_t kept = std::min(homes, most);
     // Twice the tail, so that each place in it is a choice of two.
-    const std::size_t tail = most > m_options.homeRanks ? most - m_options.homeRanks : 0;
-    ranked_servers best = nearestServers(request, servers, most + tail);
-    dropFarServers(best);
-    if (best.size() > m_options.homeRanks)
-        orderTail(std::span { best }.subspan(m_options.homeRanks), servers);
+    ranked_servers best = nearestServers(request, servers, side, kept + 2 * (most - kept));
+    if (best.size() > kept)
+        orderTail(std::span { best }.subspan(kept), servers);
     for (std::size_t i = 0; i < std::min(most, best.size()); ++i)
         ranking.push_back(best[i].index);
+}
+
+// Other regions come last even when the own one has servers: a region that lost a zone can need more than the
+// bound of the whole service lets its servers take, and a slow answer is better than none.
+server_ranking bounded_rendezvous::rank(
+    const placement_request& request, std::span<const placement_server> servers, std::size_t most) const
+{
+    const std::size_t farRanks = most > m_options.homeRanks + m_options.farRanks ? m_options.farRanks : 0;
+    server_ranking ranking;
+    appendSide(ranking, request, servers, server_side::Near, m_options.homeRanks, most - farRanks);
+    if (ranking.empty())
+        appendSide(ranking, request, servers, server_side::Far, m_options.homeRanks, most);
+    else
+        appendSide(ranking, request, servers, server_side::Far, 0, farRanks);
     return ranking;
 }
 
--- a/unittests/Placement/bounded_rendezvous_test.cpp
+++ b/unittests/Placement/bounded_rendezvous_test.cpp
@@ -117,16 +117,29 @@
     std::vector<placement_server> servers = makeServers(6);
     for (std::size_t i = 3; i < 6; ++i)
         servers[i].region = region_id { "rb" };
-    auto ranking = bounded_rendezvous {}.rank(makeRequest(1), servers, 6);
+    const bounded_rendezvous policy { { .farRanks = 0 } };
+    auto ranking = policy.rank(makeRequest(1), servers, 6);
     BOOST_TEST(ranking.size() == 3U);
     BOOST_TEST(std::all_of(ranking.begin(), ranking.end(), [](std::uint32_t index) { return index < 3; }));
     for (std::size_t i = 0; i < 3; ++i)
         servers[i].admitsNew = false;
-    ranking = bounded_rendezvous {}.rank(makeRequest(1), servers, 6);
+    ranking = policy.rank(makeRequest(1), servers, 6);
     BOOST_TEST(ranking.size() == 3U);
     BOOST_TEST(std::all_of(ranking.begin(), ranking.end(), [](std::uint32_t index) { return index >= 3; }));
 }
 
+BOOST_DATA_TEST_CASE(otherRegionsComeLast, data::make({ 1, 4, 5, 8 }), most)
+{
+    std::vector<placement_server> servers = makeServers(20);
+    for (std::size_t i = 10; i < 20; ++i)
+        servers[i].region = region_id { "rb" };
+    const auto ranking = bounded_rendezvous {}.rank(makeRequest(1), servers, static_cast<std::size_t>(most));
+    BOOST_REQUIRE(ranking.size() == static_cast<std::size_t>(most));
+    const std::size_t near = most > 4 ? ranking.size() - 2 : ranking.size();
+    for (std::size_t i = 0; i < ranking.size(); ++i)
+        BOOST_TEST((ranking[i] < 10) == (i < near));
+}
+
 BOOST_AUTO_TEST_CASE(homeRanksIgnoreKnownLoadAndTheTailHeedsIt)
 {
     std::vector<placement_server> servers = makeServers(40);
