Export only what a change moves, at two prefixes a second

Cause: the plan also moved every chat that a full home had sent elsewhere, and asked far more exports than the change needed. Change: move_planner compares the views before and after; an engine that stays exports just the chats whose first rank changes. Default pace 2/s.

--- a/benchmarks/placement/fleet_state.cpp
+++ b/benchmarks/placement/fleet_state.cpp
@@ -166,7 +166,7 @@
     }
     for (std::size_t i = 0; i < size(); ++i) {
         if (m_engines[i].isUp && m_engines[i].isReachable)
-            m_planners[i].plan(m_engines[i].sketch(now), coming[i], coming, toTimePoint(now));
+            m_planners[i].plan(m_engines[i].sketch(now), i, m_views[m_views.size() - 2], coming, toTimePoint(now));
     }
 }
 
--- a/benchmarks/placement/placement_benchmark.cpp
+++ b/benchmarks/placement/placement_benchmark.cpp
@@ -30,7 +30,7 @@
 DEFINE_double(seconds, 220, "virtual length of a run");
 DEFINE_bool(mean_per_region, false, "owners and checks use the mean of the server's region");
 DEFINE_double(mean_window, 0.5, "seconds over which owners take the least mean");
-DEFINE_double(exports, 0, "prefixes a second that an engine exports when servers leave or return");
+DEFINE_double(exports, 2, "prefixes a second that an engine exports when servers leave or return");
 DEFINE_uint64(attempts, 8, "most servers that a walk tries");
 
 namespace radishflow {
--- a/include/radishflow/Placement/move_planner.h
+++ b/include/radishflow/Placement/move_planner.h
@@ -15,13 +15,13 @@
 namespace radishflow {
 
 struct move_planner_options {
-    double exportsPerSecond = 20; ///< Most exports that the engine is asked for.
+    double exportsPerSecond = 2; ///< Most exports that the engine is asked for.
     std::size_t mostMoves = 4096; ///< Bounds the memory of a plan; the least recently stored are left out.
 };
 
 /// Plans which prefixes of one engine go to their coming first rank, and paces the exports. The same plan serves
-/// a leave (the engine itself no longer admits) and a return (the others' prefixes whose first rank becomes the
-/// returning server). Not thread-safe.
+/// a leave (all that the leaving engine holds) and a return (what the others hold for the returning server). Not
+/// thread-safe.
 class move_planner {
 public:
     explicit move_planner(move_planner_options options = {})
@@ -29,9 +29,11 @@
     {
     }
 
-    /// Starts a plan: `coming` is the view after the change, `from` the engine that the sketch describes. Takes the
-    /// place of an earlier plan.
-    void plan(const cache_sketch&, const placement_server& from, std::span<const placement_server> coming, time_point now);
+    /// Starts a plan for the engine `from`, which the sketch describes, and which stays or leaves as its place in
+    /// `coming` says. `current` and `coming` hold the same servers before and after the change. Takes the place of an
+    /// earlier plan.
+    void plan(const cache_sketch&, std::size_t from, std::span<const placement_server> current,
+        std::span<const placement_server> coming, time_point now);
 
     /// The next export that the pace allows; none when it is too early or the plan is done.
     std::optional<prefix_move> next(time_point now);
--- a/unittests/Placement/move_planner_test.cpp
+++ b/unittests/Placement/move_planner_test.cpp
@@ -21,11 +21,12 @@
 
 BOOST_AUTO_TEST_CASE(leavingEngineExportsAllToTheComingHomes)
 {
-    std::vector<placement_server> servers = makeServers(12);
+    const std::vector<placement_server> current = makeServers(12);
+    std::vector<placement_server> servers = current;
     servers[3].admitsNew = false;
     manual_clock clock;
     move_planner planner;
-    planner.plan(sketchOf(200), servers[3], servers, clock.now());
+    planner.plan(sketchOf(200), 3, current, servers, clock.now());
     BOOST_TEST(planner.left() == 200U);
     while (planner.left() > 0) {
         clock.advance(std::chrono::seconds { 1 });
@@ -39,21 +40,39 @@
 
 BOOST_DATA_TEST_CASE(returningServerGetsWhatItsRampTakes, data::make({ 0.0, 0.3, 1.0 }), ramp)
 {
-    std::vector<placement_server> servers = makeServers(2);
+    std::vector<placement_server> current = makeServers(2);
+    std::vector<placement_server> servers = current;
+    current[1].admitsNew = false;
     servers[1].ramp = ramp;
     move_planner planner;
-    planner.plan(sketchOf(1000), servers[0], servers, manual_clock {}.now());
+    planner.plan(sketchOf(1000), 0, current, servers, manual_clock {}.now());
     const double expected = 500 * ramp;
     BOOST_TEST(std::abs(static_cast<double>(planner.left()) - expected) <= 60);
 }
 
+BOOST_AUTO_TEST_CASE(stayingEngineKeepsWhatTheChangeDoesNotMove)
+{
+    std::vector<placement_server> current = makeServers(12);
+    std::vector<placement_server> coming = current;
+    current[5].admitsNew = false;
+    manual_clock clock;
+    move_planner planner;
+    planner.plan(sketchOf(600), 0, current, coming, clock.now());
+    BOOST_TEST(planner.left() > 0U);
+    while (planner.left() > 0) {
+        BOOST_TEST(planner.next(clock.now())->to.value() == coming[5].id.value());
+        clock.advance(std::chrono::seconds { 1 });
+    }
+}
+
 BOOST_DATA_TEST_CASE(paceIsKept, data::make({ 1, 10, 50 }), perSecond)
 {
-    std::vector<placement_server> servers = makeServers(3);
+    const std::vector<placement_server> current = makeServers(3);
+    std::vector<placement_server> servers = current;
     servers[0].admitsNew = false;
     manual_clock clock;
     move_planner planner { { .exportsPerSecond = static_cast<double>(perSecond) } };
-    planner.plan(sketchOf(500), servers[0], servers, clock.now());
+    planner.plan(sketchOf(500), 0, current, servers, clock.now());
     int exported = 0;
     for (int tick = 0; tick < 2000; ++tick) {
         exported += planner.next(clock.now()).has_value() ? 1 : 0;
@@ -64,13 +83,14 @@
 
 BOOST_AUTO_TEST_CASE(boundedPlanKeepsTheRecent)
 {
-    std::vector<placement_server> servers = makeServers(3);
+    const std::vector<placement_server> current = makeServers(3);
+    std::vector<placement_server> servers = current;
     servers[0].admitsNew = false;
     const cache_sketch sketch = sketchOf(500);
     const std::vector<std::uint64_t> recent = sketch.prefixes();
     manual_clock clock;
     move_planner planner { { .mostMoves = 10 } };
-    planner.plan(sketch, servers[0], servers, clock.now());
+    planner.plan(sketch, 0, current, servers, clock.now());
     BOOST_TEST(planner.left() == 10U);
     for (std::size_t i = 0; i < 10; ++i) {
         BOOST_TEST(planner.next(clock.now())->prefix == recent[i]);
