--- a/lib/Platform/http_exchange.cpp
+++ b/lib/Platform/http_exchange.cpp
@@ -77,7 +77,6 @@
     const bool isWrite = request.kind == effect::Write;
     try {
         Poco::Net::HTTPClientSession session { *socket };
-        session.setTimeout(timeoutOf(options));
         return sendAndReceive(session, options, request);
     } catch (const Poco::TimeoutException& error) {
         return failWith(isWrite ? failure_code::ReplyLost : failure_code::TimedOut, options, request, error.displayText());
--- a/test/Support/http_call.cpp
+++ b/test/Support/http_call.cpp
@@ -22,6 +22,9 @@
 {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress { url.getHost(), url.getPort() }, timeout);
+    // A session made from a socket never applies a timeout of its own to it.
+    socket.setSendTimeout(timeout);
+    socket.setReceiveTimeout(timeout);
     socket.setNoDelay(true);
     return socket;
 }
@@ -44,7 +47,6 @@
         const Poco::URI url { request.url };
         const Poco::Timespan timeout { std::chrono::microseconds { request.timeout }.count() };
         Poco::Net::HTTPClientSession session { connectTo(url, timeout) };
-        session.setTimeout(timeout);
         reply.isConnected = true;
         Poco::Net::HTTPRequest head = headOf(request, url);
         session.sendRequest(head) << request.body << std::flush;
