--- a/test/Support/emulator_program_test.cpp
+++ b/test/Support/emulator_program_test.cpp
@@ -43,6 +43,15 @@
     BOOST_TEST(WEXITSTATUS(*status) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(theProxyStandsBetween)
+{
+    const child_process plain { emulator({ "--role=plain" }) };
+    const child_process proxy { emulator({ "--role=proxy", "--target=" + plain.address() }) };
+    BOOST_TEST(httpCall({ .url = "http://" + proxy.address() + "/x" }).status == 200);
+    BOOST_TEST(httpCall({ .method = "POST", .url = "http://" + proxy.address("control") + "/control/faults", .body = R"({"cut":true})" }).status == 200);
+    BOOST_TEST(!httpCall({ .url = "http://" + proxy.address() + "/x" }).isConnected);
+}
+
 BOOST_AUTO_TEST_CASE(aProgramThatDoesNotListenHasNoLine)
 {
     child_options options = emulator({ "--role=none" });
--- a/tools/radishflow-emulator/main.cpp
+++ b/tools/radishflow-emulator/main.cpp
@@ -1,5 +1,6 @@
 // The stand-ins of outside systems as a program, for whole-program tests.
 #include "radishflow/Emulator/engine_emulator.h"
+#include "radishflow/Emulator/fault_proxy.h"
 #include "radishflow/Emulator/plain_emulator.h"
 #include "radishflow/Emulator/platform_emulator.h"
 
@@ -11,7 +12,7 @@
 #include <sys/prctl.h>
 #include <unistd.h>
 
-DEFINE_string(role, "", "platform, engine or plain");
+DEFINE_string(role, "", "platform, engine, plain or proxy");
 DEFINE_string(listen, "127.0.0.1:0", "address to serve on; port 0 takes a free one");
 DEFINE_string(control, "", "second address for /control, which lasts while the first one refuses");
 DEFINE_bool(exit_with_parent, false, "end when the parent process ends");
@@ -36,6 +37,9 @@
 DEFINE_int32(limit, 0, "plain: requests at once that it bears; 0 for any number");
 DEFINE_int32(slow_ms, 0, "plain: time that each request takes");
 
+DEFINE_string(target, "", "proxy: address that it relays to");
+DEFINE_bool(udp, false, "proxy: relay datagrams instead of connections");
+
 using namespace radishflow;
 using std::chrono::milliseconds;
 
@@ -104,6 +108,14 @@
     return serve<plain_emulator>(plain_emulator_options { .limit = FLAGS_limit, .slow = milliseconds { FLAGS_slow_ms } });
 }
 
+static int serveProxy()
+{
+    return serve<fault_proxy>(fault_proxy_options {
+        .target = FLAGS_target,
+        .transport = FLAGS_udp ? proxy_transport::Udp : proxy_transport::Tcp,
+    });
+}
+
 static int run()
 {
     if (FLAGS_role == "platform")
@@ -112,7 +124,9 @@
         return serveEngine();
     if (FLAGS_role == "plain")
         return servePlain();
-    std::cerr << "radishflow-emulator: --role has to be platform, engine or plain\n";
+    if (FLAGS_role == "proxy")
+        return serveProxy();
+    std::cerr << "radishflow-emulator: --role has to be platform, engine, plain or proxy\n";
     return 2;
 }
 
--- a/unittests/Emulator/engine_emulator_test.cpp
+++ b/unittests/Emulator/engine_emulator_test.cpp
@@ -115,20 +115,28 @@
     reader.join();
     BOOST_TEST(!victim.isDone);
     BOOST_TEST(caller.recorded("crashes") == 1);
-    const auto startOf = [](const std::string& metrics) { return metrics.substr(metrics.find("process_start_time_seconds")); };
+    const auto startOf = [](const std::string& metrics) {
+        const auto begin = metrics.find("process_start_time_seconds");
+        return metrics.substr(begin, metrics.find('\n', begin) - begin);
+    };
     BOOST_TEST(becomesTrue([&] { return startOf(caller.call("GET", "/metrics").body) != startOf(before); }));
 }
 
 BOOST_AUTO_TEST_CASE(producesNothingWhilePaused)
 {
+    stream_reading running;
+    stream_reading added;
+    std::thread first { [&] { running = stream({}, 60); } };
+    BOOST_TEST(metricsShow("engine_requests_running 1"));
     caller.setFaults(R"({"pause": true})");
-    stream_reading reading;
-    std::thread reader { [&] { reading = stream({}, 2); } };
-    std::this_thread::sleep_for(milliseconds { 150 });
+    std::thread second { [&] { added = stream({}, 2); } };
+    std::this_thread::sleep_for(milliseconds { 600 });
     BOOST_TEST(caller.recorded("completed") == 0);
     caller.setFaults(R"({"pause": false})");
-    reader.join();
-    BOOST_TEST(reading.isDone);
+    first.join();
+    second.join();
+    BOOST_TEST(running.text == expectedAnswer("m", "hi", 60));
+    BOOST_TEST(added.isDone);
 }
 
 BOOST_AUTO_TEST_CASE(reportsLate)
