Admit by cold allowance, load bound, workspace limit and quarantine; resume anywhere

Cause: an owner knew only the declared limit of a server, so a cold engine got as much as a warm one, and a request that crashes engines went from one to the next. A caller whose entry died could not go on with its stream. Change: server_gates asks the cold allowance, the bound (fleet's sums from the gossip less this owner's highest reading, which errs low), the workspace and the quarantine before it reserves a place, and the limit once more before each write. A crash is confirmed at the server (nobody listens, or a younger process) and told to every daemon before the request's caller hears of it. An entry tries at most one further server after one may have failed under the request, within a retry budget. Answers carry a resume id that names the server; a later attempt supersedes the earlier one without cancelling it. Ruled out: spreading crashes by gossip alone, whose records wait seconds. The stand-in engine reports its new process at once after it falls over.

--- a/include/radishflow/Backend/write_gate.h
+++ b/include/radishflow/Backend/write_gate.h
@@ -4,6 +4,7 @@
 #include "radishflow/Requests/refusal.h"
 #include "radishflow/Support/ids.h"
 
+#include <chrono>
 #include <functional>
 #include <variant>
 
@@ -14,6 +15,8 @@
     std::function<std::variant<term_number, refusal>()> acquire; ///< Called once the connection stands.
     std::function<void(term_number)> written;
     std::function<void(term_number)> released; ///< The server no longer works for this try.
+    std::function<void(std::chrono::milliseconds)> firstByte; ///< The answer began so long after the write.
+    std::function<void()> reset; ///< The connection broke; called before anybody is told.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/answer_route.h
+++ b/include/radishflow/Daemon/answer_route.h
@@ -3,6 +3,7 @@
 
 #include "radishflow/Daemon/known_server.h"
 #include "radishflow/Daemon/owner_link.h"
+#include "radishflow/Daemon/shared_retry_budget.h"
 #include "radishflow/Requests/answer_part.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Support/monotonic_clock.h"
@@ -21,7 +22,7 @@
 /// A call that may not be repeated moves on only from a server that has said that nothing was run.
 class answer_route {
 public:
-    answer_route(owner_link&, request_submission prototype, std::vector<known_server> rank, bool isRepeatable);
+    answer_route(owner_link&, shared_retry_budget&, request_submission prototype, std::vector<known_server> rank, bool isRepeatable);
 
     /// Hands the request to the first server that takes it. Returns the reason when none does.
     std::optional<refusal> start();
@@ -39,10 +40,11 @@
 
 private:
     answer_part readOnce(std::uint64_t offset, std::chrono::milliseconds wait);
-    bool mayMoveOn(const refusal&) const;
+    bool mayMoveOn(const refusal&);
     std::optional<refusal> submitTo(const known_server&);
 
     owner_link& m_link;
+    shared_retry_budget& m_retries;
     request_submission m_submission;
     std::vector<known_server> m_rank;
     std::size_t m_next = 0; ///< Place in rank of the next server to try.
@@ -52,6 +54,7 @@
     time_point m_deadline;
     bool m_isRepeatable;
     bool m_hasGivenOut = false;
+    bool m_hasRetried = false; ///< A server may have failed under it already.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/load_reader.h
+++ b/include/radishflow/Daemon/load_reader.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "radishflow/Backend/backend_client.h"
+#include "radishflow/Daemon/crash_confirmation.h"
 #include "radishflow/Daemon/ownership_keeper.h"
+#include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Support/monotonic_clock.h"
 
 #include <map>
@@ -13,22 +15,28 @@
 
 /// What an engine's metrics page says.
 struct engine_report {
-    int running = 0;
+    bool hasLoad = false;
+    int running = 0; ///< With those that wait.
     bool hasOrigins = false;
     std::map<term_number, int> runningByOrigin;
     double startTime = 0; ///< Seconds since the epoch; grows when the engine starts anew.
-    long completed = 0;
+    std::optional<std::uint64_t> completed;
 };
 
-/// Reads a Prometheus text; nothing when it reports no running requests.
-std::optional<engine_report> parseEngineReport(const std::string& text);
+/// Reads a Prometheus text; hasLoad tells whether it reports running requests.
+engine_report parseEngineReport(const std::string& text);
+
+/// Returns when the process behind a Prometheus text started, in seconds since the epoch; 0 when unsaid.
+double startTimeOf(const std::string& text);
 
 /// Reads reports of owned servers. Used by one thread.
 class load_reader {
 public:
-    load_reader(const backend_client& client, ownership_keeper& ownership, duration reportLag)
+    load_reader(const backend_client& client, ownership_keeper& ownership, server_gates& gates, crash_confirmation& crashes, duration reportLag)
         : m_client(client)
         , m_ownership(ownership)
+        , m_gates(gates)
+        , m_crashes(crashes)
         , m_reportLag(reportLag)
     {
     }
@@ -41,6 +49,8 @@
 
     const backend_client& m_client;
     ownership_keeper& m_ownership;
+    server_gates& m_gates;
+    crash_confirmation& m_crashes;
     duration m_reportLag; ///< Longest time by which a report is late.
 };
 
--- a/include/radishflow/Daemon/order_runner.h
+++ b/include/radishflow/Daemon/order_runner.h
@@ -5,6 +5,7 @@
 #include "radishflow/Daemon/member_liveness.h"
 #include "radishflow/Daemon/order_steps.h"
 #include "radishflow/Daemon/owner_link.h"
+#include "radishflow/Daemon/shared_retry_budget.h"
 #include "radishflow/Edge/caller_answer.h"
 #include "radishflow/Orders/order_desk.h"
 #include "radishflow/Orders/ticket_book.h"
@@ -26,7 +27,7 @@
         std::string secret; ///< Signs tickets; never leaves the process.
     };
 
-    order_runner(options, platform_client&, gossip_transport&, owner_link&);
+    order_runner(options, platform_client&, gossip_transport&, owner_link&, shared_retry_budget&);
 
     /// Runs an order to its end and returns the answer or the reason.
     caller_answer run(const request_submission&, const std::vector<known_server>& rank);
@@ -44,6 +45,7 @@
 
     boottime_clock m_clock;
     owner_link& m_link;
+    shared_retry_budget& m_retries;
     order_desk<platform_client, member_liveness> m_desk;
     ticket_book<boottime_clock> m_tickets;
 };
--- a/include/radishflow/Daemon/request_router.h
+++ b/include/radishflow/Daemon/request_router.h
@@ -7,6 +7,7 @@
 #include "radishflow/Daemon/fleet_directory.h"
 #include "radishflow/Daemon/order_runner.h"
 #include "radishflow/Daemon/owner_link.h"
+#include "radishflow/Daemon/shared_retry_budget.h"
 #include "radishflow/Edge/caller_answer.h"
 #include "radishflow/Edge/caller_request.h"
 #include "radishflow/Placement/bounded_rendezvous.h"
@@ -19,10 +20,11 @@
 /// Checks a caller's request against the configuration in force and routes it. Thread-safe.
 class request_router {
 public:
-    request_router(const config_store& configuration, const fleet_directory& directory, owner_link& link, order_runner& orders, const daemon_options& options)
+    request_router(const config_store& configuration, const fleet_directory& directory, owner_link& link, shared_retry_budget& retries, order_runner& orders, const daemon_options& options)
         : m_configuration(configuration)
         , m_directory(directory)
         , m_link(link)
+        , m_retries(retries)
         , m_orders(orders)
         , m_options(options)
     {
@@ -37,6 +39,7 @@
     const config_store& m_configuration;
     const fleet_directory& m_directory;
     owner_link& m_link;
+    shared_retry_budget& m_retries;
     order_runner& m_orders;
     const daemon_options& m_options;
     bounded_rendezvous m_placement;
--- a/include/radishflow/Peer/peer_client.h
+++ b/include/radishflow/Peer/peer_client.h
@@ -1,6 +1,8 @@
 // Declares peer_client, the caller's side of the Thrift calls between daemons.
 #pragma once
 
+#include "radishflow/Admission/crash_record.h"
+#include "radishflow/Peer/peer_configuration.h"
 #include "radishflow/Requests/answer_part.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Requests/submit_outcome.h"
@@ -11,6 +13,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace radishflow {
 
@@ -34,6 +37,8 @@
     result<submit_outcome> submit(const std::string& peer, const request_submission&);
     result<answer_part> read(const std::string& peer, const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most);
     result<void> cancel(const std::string& peer, const std::string& streamId);
+    result<void> learnCrashes(const std::string& peer, const std::vector<crash_record>&);
+    result<peer_configuration> configuration(const std::string& peer);
 
 private:
     struct state;
--- a/include/radishflow/Requests/answer_buffer.h
+++ b/include/radishflow/Requests/answer_buffer.h
@@ -37,7 +37,11 @@
     /// Tells the writer that nobody reads any more.
     void abandon();
 
+    /// Tells the writer that a later attempt goes on with the same request, which must not be cancelled.
+    void supersede();
+
     bool isAbandoned() const;
+    bool isSuperseded() const;
 
     /// True once nothing more will be written.
     bool hasEnded() const;
@@ -62,6 +66,7 @@
     bool m_finished = false;
     bool m_broken = false;
     bool m_abandoned = false;
+    bool m_superseded = false;
     bool m_delivered = false;
     refusal m_reason;
 };
--- a/include/radishflow/Requests/request_submission.h
+++ b/include/radishflow/Requests/request_submission.h
@@ -27,7 +27,8 @@
     bool isModelCall = false;
     std::uint64_t resumeAfter = 0; ///< Events that the caller already has; 0 starts anew.
     std::uint32_t rank = 0; ///< Place of the server in the chat's rank.
-    std::uint64_t fingerprint = 0; ///< Hash of workspace, service and body.
+    std::uint64_t fingerprint = 0; ///< Hash of workspace, service, method, path and body.
+    std::uint64_t fingerprintLow = 0; ///< Further bits, since a quarantine must not meet another request.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Support/lock_rank.h
+++ b/include/radishflow/Support/lock_rank.h
@@ -10,6 +10,8 @@
     Membership = 20,
     Ownership = 30,
     Admission = 40,
+    Crashes = 45,
+    RetryBudget = 46,
     Placement = 50,
     Orders = 60,
     Streams = 70,
--- a/lib/Backend/backend_exchange.cpp
+++ b/lib/Backend/backend_exchange.cpp
@@ -91,6 +91,7 @@
         return;
     m_hasBegun = true;
     m_outcome.firstByteAfter = duration_cast<milliseconds>(boottime_clock {}.now() - m_started);
+    m_gate.firstByte(*m_outcome.firstByteAfter);
     m_answer.begin(response.getStatus(), response.getContentType());
 }
 
@@ -141,7 +142,7 @@
     const bool isShort = response.hasContentLength() && body.size() != static_cast<std::size_t>(response.getContentLength64());
     const bool isUnbounded = !response.hasContentLength() && !response.getChunkedTransferEncoding();
     if (isShort || isUnbounded) {
-        m_outcome.wasReset = true;
+        noteReset();
         breakOff("Answer cut short", std::to_string(body.size()) + " bytes arrived");
         return step::Ended;
     }
@@ -158,6 +159,11 @@
     m_outcome.status = response.getStatus();
     if (response.getStatus() == 200 && response.getContentType().starts_with("text/event-stream"))
         return copyEvents(in, response);
+    constexpr int notFound = 404;
+    if (m_submission.resumeAfter > 0 && response.getStatus() == notFound) {
+        m_answer.breakOff({ .status = 410, .title = "Generation gone", .detail = "the server no longer has this stream; send the request anew", .execution = execution_state::Unknown });
+        return step::Ended;
+    }
     // A resumed stream that the server no longer has can't go on as another kind of answer.
     if (m_hasBegun) {
         breakOff("Answer lost", "the server no longer has this stream");
@@ -194,13 +200,21 @@
     }
 }
 
+void backend_exchange::noteReset()
+{
+    if (m_outcome.wasReset || !m_outcome.wasConnected)
+        return;
+    m_outcome.wasReset = true;
+    m_gate.reset();
+}
+
 backend_exchange::step backend_exchange::tryOnce()
 {
     try {
         std::unique_ptr<Poco::Net::HTTPClientSession> session = openSession();
         return tryThroughGate(*session);
     } catch (const Poco::Exception& error) {
-        m_outcome.wasReset = m_outcome.wasConnected;
+        noteReset();
         if (!m_hasBegun)
             breakOff("Backend failed", error.displayText());
         return m_hasBegun ? step::Cut : step::Ended;
@@ -210,7 +224,7 @@
 // Without this an engine would go on generating what nobody reads, in a slot that others wait for.
 void backend_exchange::cancelAtServer() const
 {
-    if (!m_submission.isModelCall)
+    if (!m_submission.isModelCall || m_answer.isSuperseded())
         return;
     try {
         Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress { m_submission.server.value() } };
@@ -230,7 +244,9 @@
     for (int attempt = 0; attempt <= m_options.resumes; ++attempt) {
         if (tryOnce() == step::Ended)
             return m_outcome;
-        m_outcome.wasReset = true;
+        if (m_answer.isAbandoned())
+            break;
+        noteReset();
     }
     breakOff("Answer cut short", "the stream broke and could not be resumed");
     return m_outcome;
--- a/lib/Backend/backend_exchange.h
+++ b/lib/Backend/backend_exchange.h
@@ -40,6 +40,7 @@
     step copyEvents(std::istream&, const Poco::Net::HTTPResponse&);
     step copyPlain(std::istream&, const Poco::Net::HTTPResponse&);
     void beginOnce(const Poco::Net::HTTPResponse&);
+    void noteReset();
     std::chrono::milliseconds timeLeft() const;
     void breakOff(const char* title, const std::string& detail);
     void cancelAtServer() const;
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -12,8 +12,9 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-answer_route::answer_route(owner_link& link, request_submission prototype, std::vector<known_server> rank, bool isRepeatable)
+answer_route::answer_route(owner_link& link, shared_retry_budget& retries, request_submission prototype, std::vector<known_server> rank, bool isRepeatable)
     : m_link(link)
+    , m_retries(retries)
     , m_submission(std::move(prototype))
     , m_rank(std::move(rank))
     , m_deadline(boottime_clock {}.now() + m_submission.timeLeft)
@@ -21,11 +22,16 @@
 {
 }
 
-bool answer_route::mayMoveOn(const refusal& reason) const
+// After a server may have failed under the request, one more may be tried and no third: the request itself may
+// be what brings servers down. The budget keeps a failing fleet from being asked twice for everything.
+bool answer_route::mayMoveOn(const refusal& reason)
 {
     if (reason.execution == execution_state::NotRun)
         return reason.tryNextServer;
-    return m_isRepeatable && reason.execution == execution_state::Unknown && reason.status >= 500;
+    if (!m_isRepeatable || m_hasRetried || reason.execution != execution_state::Unknown || reason.status < 500)
+        return false;
+    m_hasRetried = true;
+    return m_retries.tryRetry();
 }
 
 std::optional<refusal> answer_route::submitTo(const known_server& server)
@@ -95,6 +101,8 @@
 {
     answer_part part = readOnce(offset, wait);
     m_hasGivenOut = m_hasGivenOut || part.status != 0;
+    if (part.finished)
+        m_retries.succeeded();
     if (!part.broken || m_hasGivenOut || !part.refused || !mayMoveOn(*part.refused))
         return part;
     if (auto reason = start()) {
--- a/lib/Daemon/load_reader.cpp
+++ b/lib/Daemon/load_reader.cpp
@@ -29,32 +29,39 @@
         report.runningByOrigin[term_number { term }] += static_cast<int>(numberAfter(rest.substr(end + 1)));
 }
 
-std::optional<engine_report> parseEngineReport(const std::string& text)
+engine_report parseEngineReport(const std::string& text)
 {
     static constexpr std::string_view running = "engine_requests_running ";
+    static constexpr std::string_view waiting = "engine_requests_waiting ";
     static constexpr std::string_view byOrigin = "engine_requests_running_by_origin{origin=\"";
     static constexpr std::string_view completed = "engine_requests_completed_total ";
     static constexpr std::string_view startTime = "process_start_time_seconds ";
     engine_report report;
-    bool hasRunning = false;
     std::istringstream lines { text };
     std::string line;
     while (std::getline(lines, line)) {
         const std::string_view view { line };
         if (view.starts_with(running)) {
-            hasRunning = true;
-            report.running = static_cast<int>(numberAfter(view.substr(running.size())));
+            report.hasLoad = true;
+            report.running += static_cast<int>(numberAfter(view.substr(running.size())));
+        } else if (view.starts_with(waiting)) {
+            report.running += static_cast<int>(numberAfter(view.substr(waiting.size())));
         } else if (view.starts_with(byOrigin)) {
             readOrigin(view.substr(byOrigin.size()), report);
         } else if (view.starts_with("# TYPE engine_requests_running_by_origin")) {
             report.hasOrigins = true;
         } else if (view.starts_with(completed)) {
-            report.completed = static_cast<long>(numberAfter(view.substr(completed.size())));
+            report.completed = static_cast<std::uint64_t>(numberAfter(view.substr(completed.size())));
         } else if (view.starts_with(startTime)) {
             report.startTime = numberAfter(view.substr(startTime.size()));
         }
     }
-    return hasRunning ? std::optional { report } : std::nullopt;
+    return report;
+}
+
+double startTimeOf(const std::string& text)
+{
+    return parseEngineReport(text).startTime;
 }
 
 void load_reader::readOne(const server_id& server)
@@ -63,13 +70,18 @@
     const std::optional<engine_report> report = valueOr(
         [&]() -> result<std::optional<engine_report>> {
             BOOST_LEAF_AUTO(text, m_client.readMetrics(server));
-            return parseEngineReport(text);
+            return std::optional { parseEngineReport(text) };
         },
         [](const failure& error) -> std::optional<engine_report> {
             spdlog::debug("step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, describe(error));
             return std::nullopt;
         });
-    if (report)
+    if (!report)
+        return;
+    if (report->startTime > 0)
+        m_crashes.noteStart(server, report->startTime);
+    m_gates.observe(server, { .processStart = report->startTime > 0 ? std::optional { report->startTime } : std::nullopt, .completed = report->completed });
+    if (report->hasLoad)
         m_ownership.acceptReport(server, { .takenAfter = askedAt - m_reportLag, .running = report->running, .hasOrigins = report->hasOrigins, .runningByOrigin = report->runningByOrigin });
 }
 
--- a/lib/Daemon/order_runner.cpp
+++ b/lib/Daemon/order_runner.cpp
@@ -17,8 +17,9 @@
 static constexpr milliseconds readWait { 500 };
 static constexpr milliseconds askAgainAfter { 1000 };
 
-order_runner::order_runner(options theOptions, platform_client& platform, gossip_transport& gossip, owner_link& link)
+order_runner::order_runner(options theOptions, platform_client& platform, gossip_transport& gossip, owner_link& link, shared_retry_budget& retries)
     : m_link(link)
+    , m_retries(retries)
     , m_desk(platform, member_liveness { gossip }, { .daemon = theOptions.daemon, .incarnation = theOptions.process, .recordsDispatch = true })
     , m_tickets(m_clock, { .daemon = theOptions.daemon, .incarnation = theOptions.process, .secret = std::move(theOptions.secret) })
 {
@@ -30,6 +31,7 @@
     const answer_part whole { .data = answer.body, .finished = true, .status = answer.status, .contentType = answer.contentType };
     return {
         .request = request,
+        .resumeId = [request] { return request; },
         .read = [whole](std::uint64_t, milliseconds) { return whole; },
         .cancel = [] {},
     };
@@ -112,7 +114,7 @@
     for (const known_server& server : rank) {
         if (!steps.markDispatching())
             break;
-        answer_route route { m_link, submission, { server }, false };
+        answer_route route { m_link, m_retries, submission, { server }, false };
         std::optional<refusal> reason = route.start();
         std::optional<stored_answer> answer;
         if (!reason) {
--- a/lib/Daemon/own_pages.cpp
+++ b/lib/Daemon/own_pages.cpp
@@ -156,7 +156,7 @@
         daemons.add(entry);
     }
     object.set("daemons", daemons);
-    const auto running = m_parts.gates.running();
+    const auto gates = m_parts.gates.view();
     Poco::JSON::Array servers;
     for (const auto& [service, members] : fleet->servers) {
         for (const known_server& server : members) {
@@ -166,8 +166,11 @@
             entry.set("zone", server.zone.value());
             entry.set("owner", server.owner.value());
             entry.set("takes_new_work", server.takesNewWork());
-            const auto found = running.find(server.id);
-            entry.set("running_here", found == running.end() ? 0 : found->second);
+            const auto found = gates.find(server.id);
+            const gate_view gate = found == gates.end() ? gate_view {} : found->second;
+            entry.set("running_here", gate.reserved);
+            entry.set("limit_here", gate.limit);
+            entry.set("warm", gate.isWarm);
             servers.add(entry);
         }
     }
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -20,6 +20,7 @@
 #include "radishflow/Platform/platform_client.h"
 
 #include <Poco/Exception.h>
+#include <spdlog/spdlog.h>
 
 #include <random>
 #include <string>
@@ -68,20 +69,23 @@
     config_store configuration;
     fleet_directory directory;
     ownership_keeper ownership { platform, options.name, termOptionsOf(options), randomNumber() };
-    server_gates gates { configuration, ownership };
+    crash_watch crashes;
+    server_gates gates { { options, configuration, directory, ownership, crashes } };
     backend_client backends { backend_client_options {} };
+    crash_confirmation confirmation { backends };
     request_runner runner { gates, backends, options.requestLimit };
     peer_server peerInterface;
     std::string peerAddress;
     peer_client peers { peer_client_options {} };
     owner_link link;
+    shared_retry_budget retries;
     std::unique_ptr<edge_server> edge;
     std::unique_ptr<gossip_transport> gossip;
     order_runner orders;
-    request_router router { configuration, directory, link, orders, options };
+    request_router router { configuration, directory, link, retries, orders, options };
     fleet_watch watch;
     own_pages pages;
-    load_reader loads { backends, ownership, options.reportLag };
+    load_reader loads { backends, ownership, gates, confirmation, options.reportLag };
     periodic_task platformTask;
     periodic_task ownershipTask;
     periodic_task refreshTask;
@@ -94,7 +98,7 @@
         , link(runner, peers, peerAddress)
         , edge(std::make_unique<edge_server>(edge_options { .host = options.address, .port = options.httpPort, .connectionLimit = options.callerLimit, .bodyLimitBytes = options.bodyLimitBytes }, handlersForCallers()))
         , gossip(startGossip())
-        , orders({ .daemon = options.name, .process = processIncarnation, .secret = randomSecret() }, platform, *gossip, link)
+        , orders({ .daemon = options.name, .process = processIncarnation, .secret = randomSecret() }, platform, *gossip, link, retries)
         , watch(options, platform, *gossip, ownership, directory, configuration)
         , pages({ options, configuration, directory, gates, runner, ownership, *gossip, watch, orders, ownHttp() })
         , platformTask(options.pollInterval, [this] { watch.pollPlatform(); })
@@ -103,8 +107,12 @@
             watch.refresh();
             runner.sweep();
         })
-        , loadTask(std::chrono::milliseconds { 1000 }, [this] { loads.readAll(); })
+        , loadTask(std::chrono::milliseconds { 500 }, [this] {
+            loads.readAll();
+            exchangeLoads();
+        })
     {
+        gates.setCrashReporter(crashReporter());
         isComplete = true;
     }
 
@@ -145,6 +153,59 @@
         };
     }
 
+    crash_reporter crashReporter()
+    {
+        return {
+            .startTime = [this](const server_id& server) { return confirmation.startTime(server); },
+            .hasCrashed = [this](const server_id& server, double startTime) { return confirmation.hasCrashed(server, startTime); },
+            .spread = [this](const std::vector<crash_record>& records) { spreadCrashes(records); },
+        };
+    }
+
+    // Crashes are rare and a caller may send its request again at once, so every daemon is told directly; the
+    // gossip would take seconds.
+    void spreadCrashes(const std::vector<crash_record>& records)
+    {
+        for (const known_daemon& daemon : directory.current()->daemons) {
+            if (!daemon.isAlive || daemon.id == options.name)
+                continue;
+            valueOr(
+                [&]() -> result<bool> {
+                    BOOST_LEAF_CHECK(peers.learnCrashes(daemon.peer, records));
+                    return true;
+                },
+                [](const failure& error) {
+                    spdlog::warn("step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, describe(error));
+                    return false;
+                });
+        }
+    }
+
+    peer_configuration ownConfiguration() const
+    {
+        const auto inForce = configuration.current();
+        if (!inForce)
+            return {};
+        return { .version = inForce->pointer.version, .objectKey = inForce->pointer.objectKey, .text = inForce->text };
+    }
+
+    void exchangeLoads()
+    {
+        std::vector<service_load> own;
+        for (const service_load_sum& sum : gates.ownLoads())
+            own.push_back({ .service = loadKeyOf(sum.service), .running = static_cast<std::uint32_t>(sum.running), .servers = static_cast<std::uint32_t>(sum.servers) });
+        gossip->setLoads(std::move(own));
+        std::unordered_map<service_id, fleet_load> fleetLoads;
+        const std::optional<load_sums> sums = gossip->fleetLoads();
+        for (const auto& [service, servers] : directory.current()->servers) {
+            for (const service_load& load : sums ? sums->loads : std::vector<service_load> {}) {
+                if (load.service == loadKeyOf(service))
+                    fleetLoads[service] = { .running = static_cast<int>(load.running), .servers = static_cast<int>(load.servers), .measuredAt = sums->measuredAt };
+            }
+        }
+        gates.setFleetLoads(fleetLoads);
+    }
+
     // The interface listens before the pages exist, since the gossip tells others its port.
     edge_handlers handlersForCallers()
     {
--- a/lib/Daemon/request_router.cpp
+++ b/lib/Daemon/request_router.cpp
@@ -2,6 +2,7 @@
 #include "radishflow/Daemon/request_router.h"
 
 #include "radishflow/Daemon/answer_route.h"
+#include "radishflow/Daemon/resume_id.h"
 #include "radishflow/Support/hashing.h"
 
 #include <Poco/JSON/Object.h>
@@ -37,12 +38,27 @@
     }
 }
 
+// Only the server that holds a generation can go on with it, also when it takes no new work any more.
+static std::vector<known_server> holderOf(const std::vector<known_server>& servers, const std::string& mark)
+{
+    std::vector<known_server> holders;
+    for (const known_server& server : servers) {
+        if (!server.owner.empty() && markOf(server.id) == mark)
+            holders.push_back(server);
+    }
+    return holders;
+}
+
 std::vector<known_server> request_router::rankServers(const service_settings& service, const caller_request& request) const
 {
     const auto fleet = m_directory.current();
     const auto found = fleet->servers.find(service.id);
     if (found == fleet->servers.end())
         return {};
+    if (request.isResumed) {
+        if (const std::string mark = parseResumeId(request.request).serverMark; !mark.empty())
+            return holderOf(found->second, mark);
+    }
     std::vector<placement_server> candidates;
     for (const known_server& server : found->second)
         candidates.push_back({ .id = server.id, .zone = server.zone, .region = server.region, .admitsNew = server.takesNewWork() });
@@ -59,9 +75,10 @@
 
 request_submission request_router::submissionOf(const caller_request& request, const service_settings& service, const workspace_settings& workspace) const
 {
+    const std::string identity = service.id.value() + '/' + request.workspace.value() + ' ' + request.method + ' ' + request.path;
     const auto longest = std::min(duration_cast<milliseconds>(service.requestTimeout), milliseconds { m_options.longestRequest });
     return {
-        .request = request.request,
+        .request = parseResumeId(request.request).request,
         .service = service.id,
         .workspace = request.workspace,
         .chat = request.chat,
@@ -73,7 +90,8 @@
         .timeLeft = request.timeout.count() > 0 ? std::min(request.timeout, longest) : longest,
         .isModelCall = request.isModelCall,
         .resumeAfter = request.resumeAfter,
-        .fingerprint = stableHash(service.id.value() + '/' + request.workspace.value() + ' ' + request.method + ' ' + request.path, request.body),
+        .fingerprint = stableHash(identity, request.body),
+        .fingerprintLow = stableHash(request.body, identity),
     };
 }
 
@@ -101,11 +119,12 @@
         submission.key = request.key;
         return m_orders.run(submission, rank);
     }
-    auto route = std::make_shared<answer_route>(m_link, std::move(submission), std::move(rank), canRepeat);
+    auto route = std::make_shared<answer_route>(m_link, m_retries, std::move(submission), std::move(rank), canRepeat);
     if (auto reason = route->start())
         return refuse(request, *reason);
     return {
         .request = request.request,
+        .resumeId = [route, id = parseResumeId(request.request).request] { return makeResumeId(id, route->server()); },
         .read = [route](std::uint64_t offset, milliseconds wait) { return route->read(offset, wait); },
         .cancel = [route] { route->cancel(); },
     };
--- a/lib/Daemon/request_runner.cpp
+++ b/lib/Daemon/request_runner.cpp
@@ -21,7 +21,7 @@
 {
     const std::string& streamId = submission.attempt.value();
     auto answer = std::make_shared<answer_buffer>(answerBufferBytes);
-    if (!m_streams.add(streamId, answer, boottime_clock {}.now()))
+    if (!m_streams.add(streamId, submission.request, answer, boottime_clock {}.now()))
         return { .refused = refusal { .status = 409, .title = "Attempt seen before", .detail = streamId, .execution = execution_state::Unknown } };
     if (std::optional<refusal> reason = m_gates.reserve(submission)) {
         m_streams.abandon(streamId);
--- a/lib/Daemon/server_gates.cpp
+++ b/lib/Daemon/server_gates.cpp
@@ -1,9 +1,9 @@
 // Implements the admission of work to owned servers.
 #include "radishflow/Daemon/server_gates.h"
 
-#include "radishflow/Config/config_store.h"
 #include "radishflow/Config/fleet_config.h"
 
+#include <algorithm>
 #include <cassert>
 #include <mutex>
 #include <thread>
@@ -11,6 +11,7 @@
 namespace radishflow {
 
 static constexpr std::chrono::milliseconds fullServerRetry { 500 };
+static constexpr std::chrono::milliseconds workspaceRetry { 1000 };
 static constexpr std::chrono::milliseconds windowRetry { 1 };
 static constexpr int windowTries = 200;
 
@@ -19,32 +20,112 @@
     return { .status = 503, .title = title, .detail = "server " + submission.server.value(), .retryAfter = fullServerRetry, .tryNextServer = true };
 }
 
-std::optional<int> server_gates::limitOf(const request_submission& submission) const
+// An entry's view may be seconds old, so the owner looks at zones and leaving servers once more.
+std::optional<refusal> server_gates::checkPlace(const request_submission& submission) const
 {
-    const auto snapshot = m_configuration.current();
-    const service_settings* service = snapshot ? findService(snapshot->config, submission.service) : nullptr;
-    return service ? std::optional { service->serverLimit } : std::nullopt;
+    if (m_parts.ownership.ownerOf(submission.server) != m_parts.options.name)
+        return refuseServer(submission, "Not the owner of the server");
+    const auto fleet = m_parts.directory.current();
+    const auto found = fleet->servers.find(submission.service);
+    if (found == fleet->servers.end())
+        return refuseServer(submission, "Server unknown to the owner");
+    const auto server = std::find_if(found->second.begin(), found->second.end(), [&](const known_server& known) { return known.id == submission.server; });
+    if (server == found->second.end())
+        return refuseServer(submission, "Server unknown to the owner");
+    const bool isNewWork = submission.resumeAfter == 0;
+    if (isNewWork && server->isLeaving)
+        return refuseServer(submission, "Server is leaving");
+    if (isNewWork && server->isZoneOut)
+        return refuseServer(submission, "Availability zone is out of service");
+    return std::nullopt;
+}
+
+server_gates::server_state& server_gates::stateOf(const request_submission& submission, const service_settings& service)
+{
+    server_state& state = m_servers[submission.server];
+    state.service = service.id;
+    if (!state.allowance || state.fullLimit != service.serverLimit) {
+        state.fullLimit = service.serverLimit;
+        state.epochs.clear();
+        state.allowance.emplace(cold_allowance_options {
+            .coldLimit = std::min(service.coldLimit, service.serverLimit),
+            .fullLimit = service.serverLimit,
+            .slowFirstToken = service.firstTokenRange.atMost,
+        });
+    }
+    return state;
+}
+
+service_admission& server_gates::admissionOf(const service_settings& service, const config_snapshot& config)
+{
+    service_admission& admission = m_services.try_emplace(service.id, m_clock, m_parts.options.name).first->second;
+    if (admission.configuredWith() != config.pointer.version)
+        admission.configure(service, config.config, config.pointer.version);
+    return admission;
+}
+
+void server_gates::setLoadsOf(service_admission& admission, const service_settings& service)
+{
+    int running = 0;
+    int servers = 0;
+    for (const auto& [id, state] : m_servers) {
+        if (state.service != service.id)
+            continue;
+        running += state.reserved;
+        ++servers;
+    }
+    const auto fleet = m_fleetLoads.find(service.id);
+    const auto listed = m_listed.find(service.id);
+    admission.setLoads(running, servers, listed == m_listed.end() ? servers : listed->second, fleet == m_fleetLoads.end() ? fleet_load {} : fleet->second);
+}
+
+std::optional<refusal> server_gates::reserveAt(const request_submission& submission, const service_settings& service, const config_snapshot& config)
+{
+    const std::lock_guard lock { m_mutex };
+    server_state& state = stateOf(submission, service);
+    service_admission& admission = admissionOf(service, config);
+    setLoadsOf(admission, service);
+    if (state.reserved >= state.allowance->limit() || !state.allowance->mayDispatch())
+        return refuseServer(submission, state.allowance->isWarm() ? "Server is full" : "Server is warming up");
+    if (service.kind == service_kind::Model && !admission.isWithinBound(state.reserved))
+        return refuseServer(submission, "Server is above its share of the load");
+    if (!admission.workspaces().tryStart(submission.workspace))
+        return refusal { .status = 429, .title = "Workspace is at its limit", .detail = submission.workspace.value(), .retryAfter = workspaceRetry };
+    ++state.reserved;
+    return std::nullopt;
 }
 
 std::optional<refusal> server_gates::reserve(const request_submission& submission)
 {
-    const std::optional<int> limit = limitOf(submission);
-    if (!limit)
+    const auto config = m_parts.configuration.current();
+    const service_settings* service = config ? findService(config->config, submission.service) : nullptr;
+    if (!service)
         return refuseServer(submission, "Service unknown to the owner");
+    if (auto reason = checkPlace(submission))
+        return reason;
+    if (auto reason = reserveAt(submission, *service, *config))
+        return reason;
+    auto reason = m_parts.crashes.admit(submission);
+    if (reason) {
+        const std::lock_guard lock { m_mutex };
+        --m_servers[submission.server].reserved;
+        m_services.at(submission.service).workspaces().finished(submission.workspace);
+    }
+    return reason;
+}
+
+int server_gates::limitOf(const request_submission& submission)
+{
     const std::lock_guard lock { m_mutex };
-    int& running = m_running[submission.server];
-    if (running >= *limit)
-        return refuseServer(submission, "Server is full");
-    ++running;
-    return std::nullopt;
+    const server_state& state = m_servers[submission.server];
+    return state.allowance->mayDispatch() ? state.allowance->limit() : 0;
 }
 
 // The window between check and write is narrow on purpose; a burst waits here for the writes before it.
 std::variant<term_number, refusal> server_gates::acquire(const request_submission& submission)
 {
-    const int limit = limitOf(submission).value_or(0);
     for (int attempt = 0; attempt < windowTries; ++attempt) {
-        const permit granted = m_ownership.admit(submission.server, limit);
+        const permit granted = m_parts.ownership.admit(submission.server, limitOf(submission));
         if (granted.isGranted)
             return granted.term;
         if (granted.reason != refusal_reason::WindowFull)
@@ -54,27 +135,111 @@
     return refuseServer(submission, nameOf(refusal_reason::WindowFull));
 }
 
+void server_gates::noteWritten(const request_submission& submission, term_number term)
+{
+    m_parts.ownership.started(submission.server, term);
+    const std::lock_guard lock { m_mutex };
+    server_state& state = m_servers[submission.server];
+    state.epochs[submission.attempt] = state.allowance->dispatched();
+}
+
+// Whoever was in flight at a crash is suspect before its caller can send it again.
+void server_gates::noteReset(const request_submission& submission, double startTime)
+{
+    {
+        const std::lock_guard lock { m_mutex };
+        m_servers[submission.server].allowance->connectionReset();
+    }
+    if (m_reporter.hasCrashed(submission.server, startTime))
+        m_reporter.spread(m_parts.crashes.crashed(submission));
+}
+
 write_gate server_gates::gateFor(const request_submission& submission)
 {
+    const double startTime = m_reporter.startTime(submission.server);
     return {
         .acquire = [this, &submission] { return acquire(submission); },
-        .written = [this, &submission](term_number term) { m_ownership.started(submission.server, term); },
-        .released = [this, &submission](term_number term) { m_ownership.finished(submission.server, term); },
+        .written = [this, &submission](term_number term) { noteWritten(submission, term); },
+        .released = [this, &submission](term_number term) { m_parts.ownership.finished(submission.server, term); },
+        .firstByte = [this, &submission](std::chrono::milliseconds wait) {
+            const std::lock_guard lock { m_mutex };
+            server_state& state = m_servers[submission.server];
+            if (submission.isModelCall)
+                state.allowance->firstToken(state.epochs[submission.attempt], wait); },
+        .reset = [this, &submission, startTime] { noteReset(submission, startTime); },
     };
 }
 
-void server_gates::finish(const request_submission& submission, const exchange_outcome&)
+void server_gates::finish(const request_submission& submission, const exchange_outcome& outcome)
 {
+    m_parts.crashes.ended(submission, outcome.isWhole);
     const std::lock_guard lock { m_mutex };
-    int& running = m_running[submission.server];
-    assert(running > 0 && "each reservation is finished once");
-    --running;
+    server_state& state = m_servers[submission.server];
+    assert(state.reserved > 0 && "each reservation is finished once");
+    --state.reserved;
+    m_services.at(submission.service).workspaces().finished(submission.workspace);
+    const auto epoch = state.epochs.find(submission.attempt);
+    if (epoch == state.epochs.end())
+        return;
+    if (outcome.isWhole)
+        state.allowance->completed(epoch->second);
+    else
+        state.allowance->abandoned(epoch->second);
+    state.epochs.erase(epoch);
+}
+
+void server_gates::observe(const server_id& server, const server_sample& sample)
+{
+    const std::lock_guard lock { m_mutex };
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end() && found->second.allowance)
+        found->second.allowance->observe(sample);
+}
+
+void server_gates::setFleetLoads(const std::unordered_map<service_id, fleet_load>& loads)
+{
+    const auto fleet = m_parts.directory.current();
+    std::unordered_map<service_id, int> listed;
+    for (const auto& [service, servers] : fleet->servers)
+        listed[service] = static_cast<int>(std::count_if(servers.begin(), servers.end(), [](const known_server& server) { return server.takesNewWork(); }));
+    const std::vector<server_id> owned = m_parts.ownership.ownedServers();
+    const std::lock_guard lock { m_mutex };
+    m_fleetLoads = loads;
+    m_listed = std::move(listed);
+    // A server that went to another owner no longer counts here, once what runs there has ended.
+    std::erase_if(m_servers, [&](const auto& item) {
+        return item.second.reserved == 0 && std::find(owned.begin(), owned.end(), item.first) == owned.end();
+    });
+}
+
+std::vector<service_load_sum> server_gates::ownLoads() const
+{
+    const auto fleet = m_parts.directory.current();
+    const std::vector<server_id> owned = m_parts.ownership.ownedServers();
+    std::vector<service_load_sum> sums;
+    const std::lock_guard lock { m_mutex };
+    for (const auto& [service, servers] : fleet->servers) {
+        service_load_sum sum { .service = service };
+        for (const known_server& server : servers) {
+            if (std::find(owned.begin(), owned.end(), server.id) == owned.end())
+                continue;
+            const auto state = m_servers.find(server.id);
+            sum.running += state == m_servers.end() ? 0 : state->second.reserved;
+            ++sum.servers;
+        }
+        if (sum.servers > 0)
+            sums.push_back(sum);
+    }
+    return sums;
 }
 
-std::unordered_map<server_id, int> server_gates::running() const
+std::unordered_map<server_id, gate_view> server_gates::view() const
 {
     const std::lock_guard lock { m_mutex };
-    return m_running;
+    std::unordered_map<server_id, gate_view> views;
+    for (const auto& [server, state] : m_servers)
+        views[server] = { .reserved = state.reserved, .limit = state.allowance ? state.allowance->limit() : 0, .isWarm = state.allowance && state.allowance->isWarm() };
+    return views;
 }
 
 } // namespace radishflow
--- a/lib/Daemon/stream_table.cpp
+++ b/lib/Daemon/stream_table.cpp
@@ -7,10 +7,25 @@
 
 namespace radishflow {
 
-bool stream_table::add(const std::string& streamId, std::shared_ptr<answer_buffer> answer, time_point now)
+bool stream_table::add(const std::string& streamId, const request_id& request, std::shared_ptr<answer_buffer> answer, time_point now)
 {
     const std::lock_guard lock { m_mutex };
-    return m_entries.try_emplace(streamId, entry { .answer = std::move(answer), .lastRead = now }).second;
+    if (!m_entries.try_emplace(streamId, entry { .request = request, .answer = std::move(answer), .lastRead = now }).second)
+        return false;
+    std::string& newest = m_newest[request];
+    if (const auto earlier = m_entries.find(newest); earlier != m_entries.end()) {
+        earlier->second.answer->supersede();
+        m_entries.erase(earlier);
+    }
+    newest = streamId;
+    return true;
+}
+
+void stream_table::forgetNewest(const std::string& streamId, const request_id& request)
+{
+    const auto newest = m_newest.find(request);
+    if (newest != m_newest.end() && newest->second == streamId)
+        m_newest.erase(newest);
 }
 
 std::shared_ptr<answer_buffer> stream_table::find(const std::string& streamId, time_point now)
@@ -30,6 +45,7 @@
     if (found == m_entries.end())
         return;
     found->second.answer->abandon();
+    forgetNewest(streamId, found->second.request);
     m_entries.erase(found);
 }
 
@@ -40,6 +56,7 @@
         if (now - item.second.lastRead < unreadBound)
             return false;
         item.second.answer->abandon();
+        forgetNewest(item.first, item.second.request);
         return true;
     });
 }
--- a/lib/Edge/answer_writer.cpp
+++ b/lib/Edge/answer_writer.cpp
@@ -44,11 +44,11 @@
     return recv(socketOf(request).impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-static void sendHead(Poco::Net::HTTPServerResponse& response, const answer_part& first, const request_id& request)
+static void sendHead(Poco::Net::HTTPServerResponse& response, const answer_part& first, const caller_answer& answer)
 {
     response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(first.status));
     response.setContentType(first.contentType);
-    response.set("X-Request-Id", request.value());
+    response.set("X-Request-Id", answer.resumeId().value());
     response.set("Cache-Control", "no-store");
 }
 
@@ -87,7 +87,7 @@
         socketOf(request).shutdown();
         return;
     }
-    sendHead(response, part, answer.request);
+    sendHead(response, part, answer);
     if (part.finished) {
         response.sendBuffer(part.data.data(), part.data.size());
         return;
--- a/lib/Emulator/engine_core.cpp
+++ b/lib/Emulator/engine_core.cpp
@@ -69,6 +69,7 @@
     if (m_batch.life() != m_lifeSeen) {
         m_lifeSeen = m_batch.life();
         m_startTime = unixSeconds();
+        m_metrics.restart(metricsText());
     }
     m_batch.takeChanged([](generation& changed) { changed.changed.notify_all(); });
 }
--- a/lib/Emulator/lagged_text.h
+++ b/lib/Emulator/lagged_text.h
@@ -37,6 +37,14 @@
         m_lag = std::min<duration>(lag, longestLag);
     }
 
+    /// Forgets what was set: a process that started anew can't report for the one before it.
+    void restart(std::string initial)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_initial = std::move(initial);
+        m_versions.clear();
+    }
+
     /// Returns the newest text that is older than the lag.
     std::string shown() const
     {
--- a/lib/Peer/peer_client.cpp
+++ b/lib/Peer/peer_client.cpp
@@ -99,4 +99,22 @@
     return {};
 }
 
+result<void> peer_client::learnCrashes(const std::string& peer, const std::vector<crash_record>& records)
+{
+    BOOST_LEAF_CHECK(m_state->invoke(peer, "spread crashes", std::chrono::milliseconds { 0 }, [&](wire::PeerClient& client) {
+        client.learnCrashes(toWire(records));
+        return true;
+    }));
+    return {};
+}
+
+result<peer_configuration> peer_client::configuration(const std::string& peer)
+{
+    return m_state->invoke(peer, "read configuration", std::chrono::milliseconds { 0 }, [&](wire::PeerClient& client) {
+        wire::Configuration reply;
+        client.configuration(reply);
+        return peer_configuration { .version = config_version { static_cast<std::uint64_t>(reply.version) }, .objectKey = reply.objectKey, .text = reply.text };
+    });
+}
+
 } // namespace radishflow
--- a/lib/Peer/peer_server.cpp
+++ b/lib/Peer/peer_server.cpp
@@ -45,6 +45,16 @@
 
         void cancel(const std::string& streamId) override { m_handlers.cancel(streamId); }
 
+        void learnCrashes(const std::vector<wire::CrashRecord>& records) override { m_handlers.learnCrashes(fromWire(records)); }
+
+        void configuration(wire::Configuration& reply) override
+        {
+            const peer_configuration inForce = m_handlers.configuration();
+            reply.__set_version(static_cast<std::int64_t>(inForce.version.value()));
+            reply.__set_objectKey(inForce.objectKey);
+            reply.__set_text(inForce.text);
+        }
+
     private:
         peer_handlers m_handlers;
     };
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -68,7 +68,8 @@
     message.__set_idempotencyKey(submission.key.value());
     message.__set_isModelCall(submission.isModelCall);
     message.__set_rank(static_cast<std::int32_t>(submission.rank));
-    message.__set_fingerprint(static_cast<std::int64_t>(submission.fingerprint));
+    message.__set_fingerprintHigh(static_cast<std::int64_t>(submission.fingerprint));
+    message.__set_fingerprintLow(static_cast<std::int64_t>(submission.fingerprintLow));
     message.__set_resumeAfter(static_cast<std::int64_t>(submission.resumeAfter));
     return message;
 }
@@ -92,7 +93,8 @@
         .isModelCall = message.isModelCall,
         .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
         .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
-        .fingerprint = static_cast<std::uint64_t>(message.fingerprint),
+        .fingerprint = static_cast<std::uint64_t>(message.fingerprintHigh),
+        .fingerprintLow = static_cast<std::uint64_t>(message.fingerprintLow),
     };
 }
 
@@ -145,4 +147,31 @@
     return part;
 }
 
+std::vector<wire::CrashRecord> toWire(const std::vector<crash_record>& records)
+{
+    std::vector<wire::CrashRecord> messages;
+    for (const crash_record& record : records) {
+        wire::CrashRecord message;
+        message.__set_fingerprintHigh(static_cast<std::int64_t>(record.fingerprint.high));
+        message.__set_fingerprintLow(static_cast<std::int64_t>(record.fingerprint.low));
+        message.__set_serverId(record.server.value());
+        message.__set_remainingMs(static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(record.remaining).count()));
+        messages.push_back(std::move(message));
+    }
+    return messages;
+}
+
+std::vector<crash_record> fromWire(const std::vector<wire::CrashRecord>& messages)
+{
+    std::vector<crash_record> records;
+    for (const wire::CrashRecord& message : messages) {
+        records.push_back({
+            .fingerprint = { .high = static_cast<std::uint64_t>(message.fingerprintHigh), .low = static_cast<std::uint64_t>(message.fingerprintLow) },
+            .server = server_id { message.serverId },
+            .remaining = std::chrono::milliseconds { std::max(0, message.remainingMs) },
+        });
+    }
+    return records;
+}
+
 } // namespace radishflow
--- a/lib/Requests/answer_buffer.cpp
+++ b/lib/Requests/answer_buffer.cpp
@@ -53,6 +53,20 @@
     m_changed.notify_all();
 }
 
+void answer_buffer::supersede()
+{
+    const std::lock_guard lock { m_mutex };
+    m_abandoned = true;
+    m_superseded = true;
+    m_changed.notify_all();
+}
+
+bool answer_buffer::isSuperseded() const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_superseded;
+}
+
 bool answer_buffer::isAbandoned() const
 {
     const std::lock_guard lock { m_mutex };
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -35,7 +35,8 @@
   13: string idempotencyKey
   15: bool isModelCall
   16: i32 rank             // place of the server in the chat's rank; 0 is the first
-  17: i64 fingerprint      // hash of workspace, service and body
+  17: i64 fingerprintHigh  // hash of workspace, service and body
+  19: i64 fingerprintLow
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
 }
 
@@ -56,9 +57,26 @@
   7: optional Refusal refusal
 }
 
+// A request was in flight when a server crashed. Clocks differ, so the time left is sent.
+struct CrashRecord {
+  1: i64 fingerprintHigh
+  2: i64 fingerprintLow
+  3: string serverId
+  4: i32 remainingMs
+}
+
+// The configuration that a daemon has in force; version 0 for none.
+struct Configuration {
+  1: i64 version
+  2: string objectKey
+  3: binary text
+}
+
 service Peer {
   SubmitReply submit(1: SubmitRequest request)
   // Waits up to waitMs for bytes at the offset; bytes before the offset are freed.
   ReadReply read(1: string streamId, 2: i64 offset, 3: i32 waitMs, 4: i32 maxBytes)
   void cancel(1: string streamId)
+  void learnCrashes(1: list<CrashRecord> records)
+  Configuration configuration()
 }
