Give each shard of loads its own aggregator in a zone

Independent hashes put two shards on one daemon, which moved 13310 B/s at 350 daemons. The first members of one ranking now take a shard each.

--- a/benchmarks/membership/loopback_run.cpp
+++ b/benchmarks/membership/loopback_run.cpp
@@ -42,9 +42,11 @@
     std::chrono::nanoseconds sending {};
     std::chrono::nanoseconds receiving {};
     std::chrono::nanoseconds ticking {};
+    std::chrono::nanoseconds threads {};
     std::uint64_t received = 0;
     for (std::size_t i = 0; i < daemons; ++i) {
         const gossip_traffic after = fleet[i]->traffic();
+        threads += after.threadTime - before[i].threadTime;
         ticking += after.tickTime - before[i].tickTime;
         for (std::size_t kind = 0; kind < messageKindCount; ++kind) {
             datagrams += after.sent[kind].datagrams - before[i].sent[kind].datagrams;
@@ -55,10 +57,10 @@
     }
     const double daemonSeconds = static_cast<double>(daemons) * measuredSeconds;
     std::printf("%zu transports over loopback, %d s: knows %zu, %.1f datagrams/s sent, %.1f us to send, %.1f us to receive, "
-                "processor %.4f%% of a core (ticks %.4f%%; polls not counted)\n",
+                "gossip thread %.4f%% of a core, of it ticks %.4f%%\n",
         daemons, measuredSeconds, fleet.back()->members().size(), static_cast<double>(datagrams) / daemonSeconds,
         static_cast<double>(sending.count()) / 1e3 / static_cast<double>(datagrams), static_cast<double>(receiving.count()) / 1e3 / static_cast<double>(received),
-        static_cast<double>((sending + receiving + ticking).count()) / 1e7 / daemonSeconds, static_cast<double>(ticking.count()) / 1e7 / daemonSeconds);
+        static_cast<double>(threads.count()) / 1e7 / daemonSeconds, static_cast<double>(ticking.count()) / 1e7 / daemonSeconds);
     std::fflush(stdout);
 }
 
--- a/include/radishflow/Gossip/gossip_traffic.h
+++ b/include/radishflow/Gossip/gossip_traffic.h
@@ -20,6 +20,7 @@
     kind_counters sent; ///< Indexed by message_kind.
     kind_counters received;
     std::chrono::nanoseconds tickTime {}; ///< Processor time of ticks, sending not counted.
+    std::chrono::nanoseconds threadTime {}; ///< All processor time of the gossip thread.
     std::uint64_t refusedTooLong = 0;
     std::uint64_t refusedUnsigned = 0; ///< No key fitted.
     std::uint64_t refusedMalformed = 0;
--- a/include/radishflow/Membership/load_aggregator.h
+++ b/include/radishflow/Membership/load_aggregator.h
@@ -13,8 +13,8 @@
 
 namespace radishflow {
 
-/// Services are divided into shards. For each shard one live member of each zone, by rendezvous hash, sums its
-/// zone, exchanges sums with the other zones' aggregators and tells its zone the sum over the fleet.
+/// Services are divided into shards. For each shard one live member of each zone, by rank of hashed names, sums
+/// its zone, exchanges sums with the other zones' aggregators and tells its zone the sum over the fleet.
 /// Not thread-safe.
 class load_aggregator {
 public:
@@ -47,6 +47,7 @@
 
     static std::uint32_t shardOf(const service_load& load) { return load.service % shardCount; }
     static gossip_message messageOf(message_kind, const load_sums&, time_point now);
+    /// Returns the live members of each zone, those ranked first that aggregate.
     static members_by_zone liveByZone(const member_list&);
     void tickShard(std::vector<outgoing_message>&, std::uint32_t shard, const members_by_zone& live, const member_list&, time_point now);
     void sumZone(shard_state&, const member_list&, time_point now) const;
--- a/lib/Gossip/gossip_transport.cpp
+++ b/lib/Gossip/gossip_transport.cpp
@@ -93,6 +93,7 @@
             }
             count([&](gossip_traffic& traffic) { traffic.tickTime += processorTime() - before; });
             sendAll(out);
+            count([](gossip_traffic& traffic) { traffic.threadTime = processorTime(); });
         }
     }
 
--- a/lib/Membership/load_aggregator.cpp
+++ b/lib/Membership/load_aggregator.cpp
@@ -1,8 +1,6 @@
 // Sums loads by zone and fleet.
 #include "radishflow/Membership/load_aggregator.h"
 
-#include "radishflow/Support/hashing.h"
-
 #include <algorithm>
 
 namespace radishflow {
@@ -27,14 +25,19 @@
         if (entry.update.status.state() == member_state::Alive)
             live[entry.update.zone].push_back(&entry);
     }
+    // Daemons that see the same members rank them alike without talking.
+    for (auto& [zone, members] : live) {
+        const auto ranked = static_cast<std::ptrdiff_t>(std::min<std::size_t>(shardCount, members.size()));
+        std::partial_sort(members.begin(), members.begin() + ranked, members.end(),
+            [](const member_entry* left, const member_entry* right) { return left->keyHash > right->keyHash; });
+    }
     return live;
 }
 
-// Daemons that see the same members choose the same aggregator without talking.
-static const member_entry* aggregatorOf(std::uint32_t shard, const std::vector<const member_entry*>& live)
+// Each shard has an aggregator of its own where the zone has members enough.
+static const member_entry* aggregatorOf(std::uint32_t shard, const std::vector<const member_entry*>& ranked)
 {
-    const auto weight = [shard](const member_entry* entry) { return stableHash(entry->update.id.value(), shard); };
-    return *std::max_element(live.begin(), live.end(), [&](const member_entry* left, const member_entry* right) { return weight(left) < weight(right); });
+    return ranked[shard % ranked.size()];
 }
 
 gossip_message load_aggregator::messageOf(message_kind kind, const load_sums& sums, time_point now)
