Split a configuration into parts, so that one change sends one part

Cause: with 23,000 workspaces in one object a change costs each daemon 1,818,126 bytes and 1.09 s (peak 140 MB).

Change: workspaces fall into 64 parts by the hash of their names, services are one more, and a manifest names the object of each. The publisher writes only objects that are new; a daemon reads, checks and parses only those. Each part is read alone beside the services, which bounds the reader's memory. Peers can serve the objects, as fetchConfig takes any source of them.

--- a/include/radishflow/Config/config_publisher.h
+++ b/include/radishflow/Config/config_publisher.h
@@ -1,12 +1,15 @@
 // Declares config_publisher, which puts a new configuration in force.
 #pragma once
 
+#include "radishflow/Config/config_manifest.h"
 #include "radishflow/Config/config_pointer.h"
 #include "radishflow/Config/fleet_config.h"
 #include "radishflow/Config/object_store.h"
 #include "radishflow/Config/publish_outcome.h"
 #include "radishflow/Support/transactional_table.h"
 
+#include <map>
+#include <set>
 #include <string>
 
 namespace radishflow {
@@ -32,15 +35,27 @@
     /// Fails with failure_code::ReplyLost when that can't be settled; publishing again is safe.
     result<publish_outcome> publish(const fleet_config& config, config_version base)
     {
-        const std::string text = serialize(config);
-        const config_pointer next { .version = base.next(), .objectKey = configObjectKey(text) };
+        const std::map<std::string, std::string> parts = splitConfig(config);
+        config_manifest manifest;
+        for (const auto& [name, text] : parts)
+            manifest.objectKeys.emplace(name, configObjectKey(text));
+        const std::string manifestText = encode(manifest);
+        const config_pointer next { .version = base.next(), .objectKey = configObjectKey(manifestText) };
         BOOST_LEAF_AUTO(row, readRow());
         BOOST_LEAF_AUTO(before, pointerOf(row));
         if (before == next)
             return publish_outcome { .isAccepted = true, .current = before };
         if (before.version != base)
             return publish_outcome { .isAccepted = false, .current = before };
-        if (result<void> stored = storeObject(next.objectKey, text); !stored)
+        const std::set<std::string> storedKeys = keysOf(before);
+        for (const auto& [name, text] : parts) {
+            const std::string& key = manifest.objectKeys.at(name);
+            if (storedKeys.contains(key))
+                continue;
+            if (result<void> stored = storeObject(key, text); !stored)
+                return stored.error();
+        }
+        if (result<void> stored = storeObject(next.objectKey, manifestText); !stored)
             return stored.error();
         return movePointer(row.modRevision, next);
     }
@@ -63,6 +78,21 @@
         return decodeConfigPointer(row.value);
     }
 
+    // The parts of the version in force need no second write. Without its manifest each one is written.
+    std::set<std::string> keysOf(const config_pointer& pointer)
+    {
+        return valueOr(
+            [&]() -> result<std::set<std::string>> {
+                BOOST_LEAF_AUTO(text, m_objects.getObject(pointer.objectKey));
+                BOOST_LEAF_AUTO(manifest, decodeConfigManifest(text));
+                std::set<std::string> keys;
+                for (const auto& [name, key] : manifest.objectKeys)
+                    keys.insert(key);
+                return keys;
+            },
+            [](const failure&) { return std::set<std::string> {}; });
+    }
+
     // Whatever the put's reply was, only what reads back counts: an object that another publisher wrote
     // is the same object, and a lost reply says nothing.
     result<void> storeObject(const std::string& key, const std::string& text)
--- a/include/radishflow/Config/config_store.h
+++ b/include/radishflow/Config/config_store.h
@@ -4,8 +4,10 @@
 #include "radishflow/Config/config_snapshot.h"
 #include "radishflow/Support/ranked_mutex.h"
 
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace radishflow {
 
@@ -18,10 +20,13 @@
     /// Returns the version in force; 0 when there is none.
     config_version version() const;
 
-    /// Takes a published text. Returns whether it is in force now because of this call; false for a
-    /// version that is not higher. Fails with failure_code::Broken when the text isn't the object that
-    /// the pointer names or has problems.
-    result<bool> accept(const config_pointer&, std::string text);
+    /// Returns the keys of the parts of a manifest that the version in force does not have.
+    std::vector<std::string> missingObjects(const config_manifest&) const;
+
+    /// Takes a published version from its manifest and those of its parts that are not held yet, by key.
+    /// Returns whether it is in force now because of this call; false for a version that is not higher.
+    /// Fails with failure_code::Broken when an object is missing, isn't what its key says, or has problems.
+    result<bool> accept(const config_pointer&, std::map<std::string, std::string> objects);
 
 private:
     mutable ranked_mutex m_mutex { lock_rank::Configuration };
--- a/unittests/Config/config_publisher_test.cpp
+++ b/unittests/Config/config_publisher_test.cpp
@@ -22,6 +22,12 @@
     return config;
 }
 
+static int coldLimitOf(const config_store& store)
+{
+    const auto snapshot = store.current();
+    return snapshot ? findService(snapshot->config, service_id { "records" })->coldLimit : 0;
+}
+
 namespace {
 
 /// The platform's stores and what one publisher does with them.
@@ -63,12 +69,6 @@
 
 } // namespace
 
-static int coldLimitOf(const config_store& store)
-{
-    const auto snapshot = store.current();
-    return snapshot ? findService(snapshot->config, service_id { "records" })->coldLimit : 0;
-}
-
 BOOST_FIXTURE_TEST_CASE(versionsFollowEachOther, fixture)
 {
     BOOST_TEST(publish(1, 0).isAccepted);
@@ -87,7 +87,10 @@
         [](const failure&) { return publish_outcome { .isAccepted = true, .current = {} }; });
     BOOST_TEST(!outcome.isAccepted);
     BOOST_TEST(outcome.current.version.value() == 2U);
-    BOOST_TEST(outcome.current.objectKey == configObjectKey(serialize(configWithColdLimit(5))));
+    config_store store;
+    poll(store);
+    BOOST_TEST(coldLimitOf(store) == 5);
+    BOOST_TEST((store.current()->pointer == outcome.current));
 }
 
 namespace {
@@ -139,19 +142,36 @@
 BOOST_FIXTURE_TEST_CASE(aDaemonTakesOnlyHigherVersions, fixture)
 {
     config_store store;
-    const std::string older = serialize(configWithColdLimit(1));
-    const config_pointer first { .version = config_version { 1 }, .objectKey = configObjectKey(older) };
-    publish(1, 0);
+    const config_pointer first = publish(1, 0).current;
     publish(2, 1);
     BOOST_TEST(poll(store));
     BOOST_TEST(coldLimitOf(store) == 2);
     const int gets = objects.gets;
     BOOST_TEST(!poll(store));
     BOOST_TEST(objects.gets == gets);
-    BOOST_TEST(!valueOr([&] { return store.accept(first, older); }, [](const failure&) { return true; }));
+    BOOST_TEST(!valueOr([&] { return store.accept(first, objects.objects); }, [](const failure&) { return true; }));
+    BOOST_TEST(!valueOr([&] { return fetchConfig(objects, first, store); }, [](const failure&) { return true; }));
+    BOOST_TEST(objects.gets == gets);
     BOOST_TEST(coldLimitOf(store) == 2);
 }
 
+namespace {
+
+/// A daemon that hands out the objects of the version that it has in force.
+struct peer_source {
+    const config_store& store;
+
+    result<std::string> getObject(const std::string& key)
+    {
+        const auto snapshot = store.current();
+        if (const auto found = snapshot->objects.find(key); found != snapshot->objects.end())
+            return found->second;
+        return fail({ .code = failure_code::NotFound, .step = "get object", .peer = "peer" });
+    }
+};
+
+} // namespace
+
 BOOST_FIXTURE_TEST_CASE(aFreshDaemonTakesTheHighestOfItsPeersWhileTheTableIsDark, fixture)
 {
     publish(1, 0);
@@ -164,29 +184,67 @@
     config_store fresh;
     BOOST_TEST(!poll(fresh));
     for (const config_store* peer : { &behind, &ahead, &behind }) {
-        const auto snapshot = peer->current();
-        valueOr([&] { return fresh.accept(snapshot->pointer, snapshot->text); }, [](const failure&) { return false; });
+        peer_source source { .store = *peer };
+        valueOr([&] { return fetchConfig(source, peer->current()->pointer, fresh); }, [](const failure&) { return false; });
     }
     BOOST_TEST(fresh.version().value() == 2U);
     BOOST_TEST(coldLimitOf(fresh) == 2);
 }
 
-BOOST_AUTO_TEST_CASE(aTextThatIsNotThePublishedOneIsRefused)
+BOOST_FIXTURE_TEST_CASE(oneChangedWorkspaceSendsOnePart, fixture)
 {
+    fleet_config config = configWithColdLimit(1);
+    for (int i = 0; i < 500; ++i) {
+        const workspace_id id { "w" + std::to_string(i) };
+        config.workspaces.emplace(id, workspace_settings { .id = id, .services = { service_id { "records" } } });
+    }
+    const auto publishAndPoll = [&](config_store& store, std::uint64_t base) {
+        BOOST_REQUIRE(author.publish(config, config_version { base }));
+        return poll(store);
+    };
     config_store store;
-    const std::string text = serialize(configWithColdLimit(1));
-    const std::string faulty = "services: { records: { kind: none } }\n";
-    const auto codeOf = [&](const std::string& named, const std::string& sent) {
+    BOOST_TEST(publishAndPoll(store, 0));
+    const std::size_t objectCount = objects.objects.size();
+    config.workspaces.at(workspace_id { "w7" }).limit = 9;
+    config.workspaces.erase(workspace_id { "w8" });
+    objects.gets = 0;
+    BOOST_TEST(publishAndPoll(store, 1));
+    BOOST_TEST(objects.objects.size() <= objectCount + 3);
+    BOOST_TEST(objects.gets <= 4);
+    BOOST_TEST((store.current()->config == config));
+    // Parts vanish with their last workspace, and a fresh daemon reads the same as one that followed.
+    std::erase_if(config.workspaces, [](const auto& entry) { return entry.first != workspace_id { "w7" }; });
+    BOOST_TEST(publishAndPoll(store, 2));
+    config_store fresh;
+    BOOST_TEST(poll(fresh));
+    BOOST_TEST((store.current()->config == config));
+    BOOST_TEST((fresh.current()->config == config));
+}
+
+BOOST_FIXTURE_TEST_CASE(objectsThatAreNotThePublishedOnesAreRefused, fixture)
+{
+    const config_pointer pointer = publish(1, 0).current;
+    const auto codeOf = [&](const config_pointer& named, const std::map<std::string, std::string>& sent) {
+        config_store store;
         return valueOr(
             [&]() -> result<failure_code> {
-                BOOST_LEAF_AUTO(isTaken, store.accept({ .version = config_version { 1 }, .objectKey = configObjectKey(named) }, sent));
+                BOOST_LEAF_AUTO(isTaken, store.accept(named, sent));
                 return isTaken ? failure_code::Refused : failure_code::NotFound;
             },
             [](const failure& error) { return error.code; });
     };
-    BOOST_TEST((codeOf(text, text + " ") == failure_code::Broken));
-    BOOST_TEST((codeOf(faulty, faulty) == failure_code::Broken));
-    BOOST_TEST(!store.current());
+    BOOST_TEST((codeOf(pointer, objects.objects) == failure_code::Refused));
+    for (const auto& [key, text] : objects.objects) {
+        std::map<std::string, std::string> changed = objects.objects;
+        changed.at(key) += "#";
+        BOOST_TEST((codeOf(pointer, changed) == failure_code::Broken));
+        changed.erase(key);
+        BOOST_TEST((codeOf(pointer, changed) == failure_code::Broken));
+    }
+    const std::string faulty = "services: { records: { kind: none } }\n";
+    const std::string manifest = encode(config_manifest { .objectKeys = { { servicesPartName, configObjectKey(faulty) } } });
+    const config_pointer faultyPointer { .version = config_version { 1 }, .objectKey = configObjectKey(manifest) };
+    BOOST_TEST((codeOf(faultyPointer, { { configObjectKey(faulty), faulty }, { faultyPointer.objectKey, manifest } }) == failure_code::Broken));
 }
 
 BOOST_AUTO_TEST_CASE(aBrokenVersionRowIsAFailure)
