Write the outcomes of the dark once the table is back

Cause: an order that ended while the table was dark stayed \"in progress\" for as long as its daemon lived, and so did a claim whose insertion took effect late.

Change: order_desk keeps what the table did not take in a bounded backlog of 4,096 outcomes and 4 MiB of bodies; recordPending writes them when it is back, and ends claims that were never settled as not run. A removed row counts as overtaken.

--- a/include/radishflow/Orders/order_desk.h
+++ b/include/radishflow/Orders/order_desk.h
@@ -5,6 +5,7 @@
 #include "radishflow/Orders/order_desk_options.h"
 #include "radishflow/Orders/order_reply.h"
 #include "radishflow/Orders/order_ticket.h"
+#include "radishflow/Orders/outcome_backlog.h"
 #include "radishflow/Orders/settled_write.h"
 
 #include <concepts>
@@ -22,8 +23,8 @@
 /// Either the right to dispatch, or what to tell the caller.
 using claim_outcome = std::variant<order_claim, order_reply>;
 
-/// Claims orders for one daemon incarnation. Keeps nothing in memory, so it is as thread-safe as the
-/// table and the oracle are; every function may wait for the table.
+/// Claims orders for one daemon incarnation. Keeps only the outcomes that the table did not take, in a
+/// bounded backlog. As thread-safe as the table and the oracle are; every function may wait for the table.
 template <transactional_table Table, liveness_oracle IsAlive>
 class order_desk {
 public:
@@ -43,6 +44,8 @@
         const settled_write written = writeSettled(m_table, claimRowKey(request), 0, encode(record));
         if (written.outcome == write_outcome::Written)
             return order_claim { .request = request, .record = std::move(record), .modRevision = written.modRevision };
+        if (written.outcome == write_outcome::Unsettled)
+            abandon(request, std::move(record));
         return replyTo(request, written);
     }
 
@@ -52,18 +55,18 @@
     {
         if (!claim.latch.isIdle())
             return false;
-        if (claim.record.state == claim_state::Claimed && !record(claim, claim_state::Dispatching, {})) {
+        if (claim.record.state == claim_state::Claimed && record(claim, claim_state::Dispatching, {}) != write_outcome::Written) {
             claim.latch.end();
             return false;
         }
         return claim.latch.open();
     }
 
-    /// Stores the answer. Returns whether it is stored; when not, it may be called again.
+    /// Stores the answer. Returns whether it is stored; when not, it waits in the backlog.
     bool recordDone(order_claim& claim, const stored_answer& answer)
     {
         claim.latch.end();
-        return record(claim, claim_state::Done, limitBody(answer, maximumStoredBody));
+        return recordOrKeep(claim, claim_state::Done, limitBody(answer, maximumStoredBody));
     }
 
     /// Gives up a claim of which nothing is in flight. What it returns is true even when the table can't
@@ -74,7 +77,7 @@
         if (claim.latch.isInFlight())
             return endUnknown(claim);
         claim.latch.end();
-        const bool isStored = record(claim, claim_state::NotRun, {});
+        const bool isStored = recordOrKeep(claim, claim_state::NotRun, {});
         return { .reason = isStored ? reply_reason::Refused : reply_reason::NotDispatched, .execution = execution_state::NotRun };
     }
 
@@ -82,7 +85,7 @@
     order_reply endUnknown(order_claim& claim)
     {
         claim.latch.end();
-        record(claim, claim_state::Unknown, {});
+        recordOrKeep(claim, claim_state::Unknown, {});
         return { .reason = reply_reason::OutcomeLost, .execution = execution_state::Unknown };
     }
 
@@ -91,13 +94,29 @@
     {
         if (std::optional<order_reply> reply = replyToUnusable(request.key))
             return *std::move(reply);
-        const claim_record fence = ownRecord(request, attempt, claim_state::NotRun);
+        claim_record fence = ownRecord(request, attempt, claim_state::NotRun);
         const settled_write written = writeSettled(m_table, claimRowKey(request), 0, encode(fence));
         if (written.outcome == write_outcome::Written)
             return refused();
+        if (written.outcome == write_outcome::Unsettled)
+            abandon(request, std::move(fence));
         return replyTo(request, written);
     }
 
+    /// Writes outcomes that the table did not take before, oldest first, until one fails. To be called
+    /// about once a second; `maximum` bounds its writes.
+    void recordPending(std::size_t maximum)
+    {
+        for (std::size_t i = 0; i < maximum; ++i) {
+            std::optional<pending_outcome> pending = m_backlog.pop();
+            if (!pending || !recordOrKeep(pending->claim, pending->state, pending->answer))
+                return;
+        }
+    }
+
+    /// Returns how many outcomes wait for the table.
+    std::size_t pendingCount() const { return m_backlog.size(); }
+
     /// Says what is known of an order and changes nothing.
     order_reply lookUp(const order& request)
     {
@@ -182,8 +201,24 @@
         return replyTo(request, written);
     }
 
+    // A claim whose insertion may still take effect would look in progress for as long as this daemon lives.
+    void abandon(const order& request, claim_record record)
+    {
+        pending_outcome pending { .claim = { .request = request, .record = std::move(record) }, .state = claim_state::NotRun };
+        pending.claim.latch.end();
+        m_backlog.push(std::move(pending));
+    }
+
+    bool recordOrKeep(order_claim& claim, claim_state state, const stored_answer& answer)
+    {
+        const write_outcome outcome = record(claim, state, answer);
+        if (outcome == write_outcome::Unsettled)
+            m_backlog.push({ .claim = claim, .state = state, .answer = answer });
+        return outcome != write_outcome::Unsettled;
+    }
+
     // Moves the claim's own row on. Another daemon may have fenced it, which only a NotRun is content with.
-    bool record(order_claim& claim, claim_state state, const stored_answer& answer)
+    write_outcome record(order_claim& claim, claim_state state, const stored_answer& answer)
     {
         constexpr int maximumRevisions = 3;
         claim_record next = claim.record;
@@ -195,12 +230,11 @@
             if (written.outcome == write_outcome::Written) {
                 claim.record.state = state;
                 claim.modRevision = written.modRevision;
-                return true;
             }
-            if (written.outcome == write_outcome::Unsettled || !adopt(claim, written.seen))
-                return false;
+            if (written.outcome != write_outcome::Overtaken || !adopt(claim, written.seen))
+                return written.outcome;
         }
-        return false;
+        return write_outcome::Unsettled;
     }
 
     // Takes over the revision of an own write whose reply was lost; false when the row is final.
@@ -222,6 +256,7 @@
     Table& m_table;
     IsAlive m_isAlive;
     order_desk_options m_options;
+    outcome_backlog m_backlog;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Orders/settled_write.h
+++ b/include/radishflow/Orders/settled_write.h
@@ -10,7 +10,7 @@
 
 enum class write_outcome {
     Written, ///< The row has the value.
-    Overtaken, ///< The row has another value; `seen` holds it.
+    Overtaken, ///< The row has another value, which `seen` holds, or was removed.
     Unsettled, ///< The write may take effect, now or later, or never.
 };
 
@@ -48,9 +48,7 @@
         }
         if (commit->succeeded)
             return { .outcome = write_outcome::Written, .modRevision = commit->revision };
-        if (commit->seen.empty())
-            return { .detail = "the row was removed" };
-        const table_row& seen = commit->seen.front();
+        const table_row seen = commit->seen.empty() ? table_row {} : commit->seen.front();
         if (seen.value == value)
             return { .outcome = write_outcome::Written, .modRevision = seen.modRevision };
         return { .outcome = write_outcome::Overtaken, .seen = seen };
--- a/unittests/Orders/order_desk_test.cpp
+++ b/unittests/Orders/order_desk_test.cpp
@@ -208,6 +208,40 @@
     checkReply(resent(), reply_reason::Refused, execution_state::NotRun);
 }
 
+BOOST_FIXTURE_TEST_CASE(outcomesOfTheDarkAreWrittenLater, fixture)
+{
+    desk holder = first();
+    order_claim claim = claimed();
+    BOOST_TEST(holder.markDispatching(claim));
+    order other = request;
+    other.key = idempotency_key { "late" };
+    table.isDown = true;
+    BOOST_TEST(!holder.recordDone(claim, { .status = 201, .contentType = {}, .body = "ok" }));
+    checkReply(replyOf(holder.claim(other, attempt_id { "a4" })), reply_reason::TableUnavailable, execution_state::Unknown);
+    holder.recordPending(10);
+    BOOST_TEST(holder.pendingCount() == 2U);
+    table.isDown = false;
+    checkReply(resent(), reply_reason::InProgress, execution_state::Unknown);
+    holder.recordPending(10);
+    BOOST_TEST(holder.pendingCount() == 0U);
+    checkReply(resent(), reply_reason::Replayed, execution_state::Done);
+    checkReply(replyOf(second().claim(other, attempt_id { "a5" })), reply_reason::Refused, execution_state::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(theBacklogIsBounded)
+{
+    outcome_backlog backlog;
+    for (int i = 0; i < 5000; ++i)
+        backlog.push({ .claim = {}, .state = claim_state::Done, .answer = { .status = i, .contentType = {}, .body = std::string(2048, 'x') } });
+    BOOST_TEST(backlog.size() == 4096U);
+    BOOST_TEST(backlog.pop()->answer.status == 5000 - 4096);
+    std::size_t bytes = 0;
+    while (const std::optional<pending_outcome> outcome = backlog.pop())
+        bytes += outcome->answer.body.size();
+    BOOST_TEST(bytes > 0U);
+    BOOST_TEST(bytes <= 4U * 1024 * 1024);
+}
+
 BOOST_FIXTURE_TEST_CASE(keysAreOneOrderEach, fixture)
 {
     order_claim claim = claimed();
--- a/unittests/Orders/random_schedule_test.cpp
+++ b/unittests/Orders/random_schedule_test.cpp
@@ -41,12 +41,13 @@
 BOOST_DATA_TEST_CASE(noOrderRunsTwiceAndNoRefusalIsFalse, data::make(scheduleCases()), sample)
 {
     const fleet_tally tally = simulated_fleet(sample.options).run();
-    std::cout << sample << ": orders " << sample.options.orders << ", ran twice " << tally.ranTwice << ", told not run yet ran "
+    std::cout << sample << ": orders " << sample.options.orders << ", kills " << tally.kills << ", ran twice " << tally.ranTwice << ", told not run yet ran "
               << tally.notRunYetRan << ", told done yet not run " << tally.doneYetNotRun << ", done " << tally.done << ", not run "
               << tally.notRun << ", unknown " << tally.unknown << ", unknown to a last call " << tally.lastUnknown << ", writes " << tally.commits << '\n';
     BOOST_TEST(tally.ranTwice == 0);
     BOOST_TEST(tally.notRunYetRan == 0);
     BOOST_TEST(tally.doneYetNotRun == 0);
+    BOOST_TEST(tally.pending == 0);
     BOOST_TEST(tally.done + tally.notRun + tally.unknown == sample.options.orders);
     if (!sample.options.hasFaults)
         BOOST_TEST(tally.done == sample.options.orders);
--- a/unittests/Orders/simulated_fleet.cpp
+++ b/unittests/Orders/simulated_fleet.cpp
@@ -63,6 +63,8 @@
     endFaults();
     m_depth = 1; // No new orders.
     finishCalls();
+    for (const auto& daemon : m_daemons)
+        daemon->orders.recordPending(m_orders.size());
     const int commits = m_table.commits;
     for (std::size_t i = 0; i < m_orders.size(); ++i) {
         addCall(i);
@@ -84,6 +86,11 @@
         changeFaults();
     if (chance(0.3))
         runAtBackend();
+    if (chance(0.02)) {
+        // Held here, as it may be killed and replaced meanwhile.
+        const std::shared_ptr<daemon_process> daemon = m_daemons[below(m_daemons.size())];
+        daemon->orders.recordPending(4);
+    }
     if (!m_calls.empty()) {
         const std::shared_ptr<call> chosen = m_calls[below(m_calls.size())];
         if (!chosen->isBusy) {
@@ -117,6 +124,7 @@
 {
     std::shared_ptr<daemon_process>& process = m_daemons[daemon];
     process->isAlive = false;
+    ++m_kills;
     process = std::make_shared<daemon_process>(*this, static_cast<int>(daemon), process->incarnation.value() + 1);
 }
 
@@ -280,7 +288,9 @@
 
 fleet_tally simulated_fleet::judge()
 {
-    fleet_tally tally;
+    fleet_tally tally { .kills = m_kills };
+    for (const auto& daemon : m_daemons)
+        tally.pending += static_cast<int>(daemon->orders.pendingCount());
     for (const order_history& history : m_orders) {
         tally.ranTwice += history.runs > 1;
         tally.notRunYetRan += history.wasToldNotRun && history.runs > 0;
--- a/unittests/Orders/simulated_fleet.h
+++ b/unittests/Orders/simulated_fleet.h
@@ -32,6 +32,8 @@
     int done = 0; ///< The best that any call of the order was told.
     int notRun = 0;
     int unknown = 0;
+    int kills = 0;
+    int pending = 0; ///< Outcomes that the table has not taken after all faults.
     int lastUnknown = 0; ///< Unknown to one more call after all faults.
     int commits = 0; ///< Without those of that one more call.
 };
@@ -130,6 +132,7 @@
     std::mt19937_64 m_random;
     bool m_hasFaults;
     int m_depth = 0;
+    int m_kills = 0;
     std::uint64_t m_attempts = 0;
     manual_clock m_clock;
     memory_table m_table;
