--- a/include/radishflow/Daemon/fleet_watch.h
+++ b/include/radishflow/Daemon/fleet_watch.h
@@ -8,6 +8,7 @@
 #include "radishflow/Daemon/ownership_keeper.h"
 #include "radishflow/Gossip/gossip_transport.h"
 #include "radishflow/Membership/zone_register.h"
+#include "radishflow/Peer/peer_client.h"
 #include "radishflow/Platform/platform_client.h"
 #include "radishflow/Support/monotonic_clock.h"
 #include "radishflow/Support/ranked_mutex.h"
@@ -21,7 +22,18 @@
 /// (the host list), which is not held while waiting for the platform.
 class fleet_watch {
 public:
-    fleet_watch(const daemon_options&, platform_client&, gossip_transport&, ownership_keeper&, fleet_directory&, config_store&);
+    /// Every reference outlives the watch.
+    struct parts {
+        const daemon_options& options;
+        platform_client& platform;
+        gossip_transport& gossip;
+        peer_client& peers;
+        ownership_keeper& ownership;
+        fleet_directory& directory;
+        config_store& configuration;
+    };
+
+    explicit fleet_watch(const parts&);
 
     /// Looks at the platform once; keeps what it had where the platform doesn't answer.
     void pollPlatform();
@@ -39,16 +51,14 @@
 private:
     void pollHosts();
     void pollConfiguration();
+    void askPeers();
+    void announceVersion();
     void pollZones();
     bool hasJoined() const;
     std::vector<listed_host> hosts() const;
     std::vector<known_daemon> daemons(const std::vector<listed_host>&) const;
 
-    const daemon_options& m_options;
-    platform_client& m_platform;
-    gossip_transport& m_gossip;
-    ownership_keeper& m_ownership;
-    fleet_directory& m_directory;
+    parts m_parts;
     config_follower<platform_client, platform_client> m_follower;
     zone_register<gossip_transport> m_zones;
     mutable ranked_mutex m_mutex { lock_rank::HostList };
--- a/include/radishflow/Daemon/order_runner.h
+++ b/include/radishflow/Daemon/order_runner.h
@@ -38,6 +38,9 @@
     /// Returns keys that only this process runs, also while the table is dark.
     std::vector<idempotency_key> issueTickets(const workspace_id&, int count);
 
+    /// Writes outcomes that the table did not take while it was dark; called about once a second.
+    void recordPending();
+
 private:
     caller_answer runClaimed(const request_submission&, const order&, const std::vector<known_server>& rank);
     caller_answer runTicket(const request_submission&, const order&, const std::vector<known_server>& rank);
--- a/include/radishflow/Peer/peer_client.h
+++ b/include/radishflow/Peer/peer_client.h
@@ -38,7 +38,7 @@
     result<answer_part> read(const std::string& peer, const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most);
     result<void> cancel(const std::string& peer, const std::string& streamId);
     result<void> learnCrashes(const std::string& peer, const std::vector<crash_record>&);
-    result<peer_configuration> configuration(const std::string& peer);
+    result<peer_configuration> configuration(const std::string& peer, config_version above);
 
 private:
     struct state;
--- a/include/radishflow/Peer/peer_handlers.h
+++ b/include/radishflow/Peer/peer_handlers.h
@@ -22,7 +22,7 @@
     std::function<answer_part(const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most)> read;
     std::function<void(const std::string& streamId)> cancel;
     std::function<void(const std::vector<crash_record>&)> learnCrashes;
-    std::function<peer_configuration()> configuration;
+    std::function<peer_configuration(config_version above)> configuration;
 };
 
 } // namespace radishflow
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -47,7 +47,7 @@
         [&](const failure& error) {
             const bool isNotRun = error.code == failure_code::Unreachable;
             return submit_outcome { .refused = refusal {
-                                        .status = 502,
+                                        .status = isNotRun ? 503 : 502,
                                         .title = "Owner of the server failed",
                                         .detail = describe(error),
                                         .execution = isNotRun ? execution_state::NotRun : execution_state::Unknown,
--- a/lib/Daemon/fleet_watch.cpp
+++ b/lib/Daemon/fleet_watch.cpp
@@ -12,16 +12,13 @@
 namespace radishflow {
 
 static const std::string leavingRecord = "leaving";
+static const std::string configRegister = "config";
 static constexpr std::chrono::milliseconds joinTime { 1500 };
 
-fleet_watch::fleet_watch(const daemon_options& options, platform_client& platform, gossip_transport& gossip, ownership_keeper& ownership, fleet_directory& directory, config_store& configuration)
-    : m_options(options)
-    , m_platform(platform)
-    , m_gossip(gossip)
-    , m_ownership(ownership)
-    , m_directory(directory)
-    , m_follower(platform, platform, configuration)
-    , m_zones(gossip)
+fleet_watch::fleet_watch(const parts& theParts)
+    : m_parts(theParts)
+    , m_follower(theParts.platform, theParts.platform, theParts.configuration)
+    , m_zones(theParts.gossip)
 {
 }
 
@@ -50,13 +47,13 @@
 void fleet_watch::pollHosts()
 {
     tryLook([&]() -> result<bool> {
-        BOOST_LEAF_AUTO(listed, m_platform.listHosts());
+        BOOST_LEAF_AUTO(listed, m_parts.platform.listHosts());
         std::vector<seed_peer> seeds;
         for (const listed_host& host : listed) {
             if (host.role == "daemon")
                 seeds.push_back({ .address = peer_address { host.target }, .isLeaving = host.leaving });
         }
-        m_gossip.seed(std::move(seeds));
+        m_parts.gossip.seed(std::move(seeds));
         const std::lock_guard lock { m_mutex };
         m_hosts = std::move(listed);
         if (!m_hosts.empty() && m_firstListed == time_point {})
@@ -69,16 +66,51 @@
 {
     tryLook([&]() -> result<bool> {
         BOOST_LEAF_AUTO(isNew, m_follower.poll());
-        if (isNew)
-            spdlog::info("step=\"take configuration\" daemon={}", m_options.name.value());
         return isNew;
     });
+    askPeers();
+    announceVersion();
+}
+
+// The gossip tells of a higher version when the platform is dark for this daemon but not for all; any peer that
+// has it gives it whole.
+void fleet_watch::askPeers()
+{
+    const config_version own = m_parts.configuration.version();
+    if (m_parts.gossip.registerOf(configRegister).version <= own.value())
+        return;
+    for (const known_daemon& daemon : m_parts.directory.current()->daemons) {
+        if (!daemon.isAlive || daemon.id == m_parts.options.name)
+            continue;
+        const bool isTaken = valueOr(
+            [&]() -> result<bool> {
+                BOOST_LEAF_AUTO(given, m_parts.peers.configuration(daemon.peer, own));
+                if (given.version <= own)
+                    return false;
+                return m_parts.configuration.accept({ .version = given.version, .objectKey = given.objectKey }, std::move(given.objects));
+            },
+            [](const failure& error) {
+                spdlog::warn("step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, describe(error));
+                return false;
+            });
+        if (isTaken)
+            return;
+    }
+}
+
+void fleet_watch::announceVersion()
+{
+    const config_version own = m_parts.configuration.version();
+    if (own.value() > m_parts.gossip.registerOf(configRegister).version) {
+        spdlog::info("step=\"take configuration\" daemon={} version={}", m_parts.options.name.value(), own.value());
+        m_parts.gossip.setRegister(configRegister, { .version = own.value() });
+    }
 }
 
 void fleet_watch::pollZones()
 {
     tryLook([&]() -> result<bool> {
-        BOOST_LEAF_AUTO(outcome, m_zones.reconcile(m_platform));
+        BOOST_LEAF_AUTO(outcome, m_zones.reconcile(m_parts.platform));
         return outcome.learned + outcome.written > 0;
     });
 }
@@ -98,8 +130,8 @@
             isListedLeaving[host.target] = host.leaving;
     }
     std::vector<known_daemon> known;
-    for (const member& seen : m_gossip.members()) {
-        const bool isSelf = seen.id == m_options.name;
+    for (const member& seen : m_parts.gossip.members()) {
+        const bool isSelf = seen.id == m_parts.options.name;
         const auto hint = isListedLeaving.find(seen.peer.value());
         known.push_back({
             .id = seen.id,
@@ -118,7 +150,7 @@
 {
     const std::vector<listed_host> listed = hosts();
     fleet_snapshot fleet { .daemons = daemons(listed) };
-    for (const auto& [key, value] : m_gossip.registers()) {
+    for (const auto& [key, value] : m_parts.gossip.registers()) {
         if (key.starts_with(zoneKeyPrefix) && zoneStateOf(value) == zone_state::Out)
             fleet.zonesOut.insert(zone_id { key.substr(zoneKeyPrefix.size()) });
     }
@@ -131,14 +163,14 @@
         if (host.role != "backend")
             continue;
         known_server server { .id = server_id { host.target }, .service = host.service, .zone = host.zone, .region = host.region, .isLeaving = host.leaving, .isZoneOut = fleet.zonesOut.contains(host.zone) };
-        const auto owner = byName.find(m_ownership.ownerOf(server.id).value_or(daemon_id {}));
+        const auto owner = byName.find(m_parts.ownership.ownerOf(server.id).value_or(daemon_id {}));
         if (owner != byName.end()) {
             server.owner = owner->first;
             server.ownerPeer = owner->second->peer;
         }
         fleet.servers[server.service].push_back(std::move(server));
     }
-    m_directory.replace(std::move(fleet));
+    m_parts.directory.replace(std::move(fleet));
 }
 
 // A daemon that has just started knows only itself and would claim every server that is free; servers come
@@ -167,7 +199,7 @@
 void fleet_watch::beginLeaving()
 {
     m_isLeaving = true;
-    m_gossip.publish(leavingRecord, "1");
+    m_parts.gossip.publish(leavingRecord, "1");
 }
 
 } // namespace radishflow
--- a/lib/Daemon/order_runner.cpp
+++ b/lib/Daemon/order_runner.cpp
@@ -185,6 +185,12 @@
     return m_desk.lookUp({ .workspace = workspace, .key = key });
 }
 
+void order_runner::recordPending()
+{
+    constexpr std::size_t mostWrites = 20;
+    m_desk.recordPending(mostWrites);
+}
+
 std::vector<idempotency_key> order_runner::issueTickets(const workspace_id& workspace, int count)
 {
     std::vector<idempotency_key> tickets;
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -89,6 +89,7 @@
     periodic_task platformTask;
     periodic_task ownershipTask;
     periodic_task refreshTask;
+    periodic_task recordTask;
     periodic_task loadTask;
 
     explicit state(const daemon_options& theOptions)
@@ -99,7 +100,7 @@
         , edge(std::make_unique<edge_server>(edge_options { .host = options.address, .port = options.httpPort, .connectionLimit = options.callerLimit, .bodyLimitBytes = options.bodyLimitBytes }, handlersForCallers()))
         , gossip(startGossip())
         , orders({ .daemon = options.name, .process = processIncarnation, .secret = randomSecret() }, platform, *gossip, link, retries)
-        , watch(options, platform, *gossip, ownership, directory, configuration)
+        , watch({ options, platform, *gossip, peers, ownership, directory, configuration })
         , pages({ options, configuration, directory, gates, runner, ownership, *gossip, watch, orders, ownHttp() })
         , platformTask(options.pollInterval, [this] { watch.pollPlatform(); })
         , ownershipTask(std::min(options.pollInterval, std::chrono::milliseconds { 500 }), [this] { ownership.step(watch.view()); })
@@ -107,6 +108,7 @@
             watch.refresh();
             runner.sweep();
         })
+        , recordTask(std::chrono::milliseconds { 1000 }, [this] { orders.recordPending(); })
         , loadTask(std::chrono::milliseconds { 500 }, [this] {
             loads.readAll();
             exchangeLoads();
@@ -181,12 +183,12 @@
         }
     }
 
-    peer_configuration ownConfiguration() const
+    peer_configuration ownConfiguration(config_version above) const
     {
         const auto inForce = configuration.current();
-        if (!inForce)
+        if (!inForce || inForce->pointer.version <= above)
             return {};
-        return { .version = inForce->pointer.version, .objectKey = inForce->pointer.objectKey, .text = inForce->text };
+        return { .version = inForce->pointer.version, .objectKey = inForce->pointer.objectKey, .objects = inForce->objects };
     }
 
     void exchangeLoads()
--- a/lib/Peer/peer_client.cpp
+++ b/lib/Peer/peer_client.cpp
@@ -108,12 +108,12 @@
     return {};
 }
 
-result<peer_configuration> peer_client::configuration(const std::string& peer)
+result<peer_configuration> peer_client::configuration(const std::string& peer, config_version above)
 {
     return m_state->invoke(peer, "read configuration", std::chrono::milliseconds { 0 }, [&](wire::PeerClient& client) {
         wire::Configuration reply;
-        client.configuration(reply);
-        return peer_configuration { .version = config_version { static_cast<std::uint64_t>(reply.version) }, .objectKey = reply.objectKey, .text = reply.text };
+        client.configuration(reply, static_cast<std::int64_t>(above.value()));
+        return peer_configuration { .version = config_version { static_cast<std::uint64_t>(reply.version) }, .objectKey = reply.objectKey, .objects = reply.objects };
     });
 }
 
--- a/lib/Peer/peer_server.cpp
+++ b/lib/Peer/peer_server.cpp
@@ -47,12 +47,12 @@
 
         void learnCrashes(const std::vector<wire::CrashRecord>& records) override { m_handlers.learnCrashes(fromWire(records)); }
 
-        void configuration(wire::Configuration& reply) override
+        void configuration(wire::Configuration& reply, const std::int64_t above) override
         {
-            const peer_configuration inForce = m_handlers.configuration();
+            const peer_configuration inForce = m_handlers.configuration(config_version { static_cast<std::uint64_t>(above) });
             reply.__set_version(static_cast<std::int64_t>(inForce.version.value()));
             reply.__set_objectKey(inForce.objectKey);
-            reply.__set_text(inForce.text);
+            reply.__set_objects(inForce.objects);
         }
 
     private:
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -65,11 +65,11 @@
   4: i32 remainingMs
 }
 
-// The configuration that a daemon has in force; version 0 for none.
+// The configuration that a daemon has in force; version 0 for none above the one that was asked for.
 struct Configuration {
   1: i64 version
   2: string objectKey
-  3: binary text
+  3: map<string, binary> objects
 }
 
 service Peer {
@@ -78,5 +78,5 @@
   ReadReply read(1: string streamId, 2: i64 offset, 3: i32 waitMs, 4: i32 maxBytes)
   void cancel(1: string streamId)
   void learnCrashes(1: list<CrashRecord> records)
-  Configuration configuration()
+  Configuration configuration(1: i64 above)
 }
