Drive the terms through random interleavings, judged at the server

Seen first: with each of the six rules of safety_rules switched off some schedule exceeds the limit (seeds 356, 2, 574, 221, 2307 and 837 of 4,000 steps); the test repeats that.

--- a/include/radishflow/Terms/server_gate.h
+++ b/include/radishflow/Terms/server_gate.h
@@ -7,6 +7,7 @@
 #include "radishflow/Terms/share_arithmetic.h"
 #include "radishflow/Terms/term_options.h"
 
+#include <cassert>
 #include <map>
 #include <optional>
 #include <vector>
@@ -26,6 +27,7 @@
     explicit server_gate(const term_options& options)
         : m_options(options)
     {
+        assert(options.arrivalMargin > duration::zero() && "a report of the same moment shows nothing of what follows");
     }
 
     /// Takes on the row that makes this daemon the holder; a row of the same term only renews the former holders.
--- /dev/null
+++ b/unittests/Terms/interleaving_test.cpp
@@ -0,0 +1,68 @@
+// Tests the real decisions in thousands of random interleavings, and that each rule is found missing in some of them.
+#include "random_schedule.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+static term_options scheduleOptions()
+{
+    // Short terms make for many takeovers. No request is bound to a time here, so only reports may settle.
+    return { .termLength = 3s, .renewInterval = 1s, .observeLength = 3500ms, .pollInterval = 500ms, .maxPollGap = 2s, .darkLimit = 60s, .longestRequest = 10000h, .arrivalMargin = 1ns, .rebalanceDelay = 4s, .window = 1 };
+}
+
+static constexpr int stepsOfSchedule = 4000;
+
+BOOST_DATA_TEST_CASE(workStaysWithinTheLimit, boost::unit_test::data::make({ 0, 60, 120, 180 }), firstSeed)
+{
+    constexpr int schedules = 60;
+    int written = 0;
+    std::uint64_t terms = 0;
+    for (int seed = firstSeed; seed < firstSeed + schedules; ++seed) {
+        random_schedule schedule { static_cast<std::uint64_t>(seed), scheduleOptions() };
+        BOOST_TEST(schedule.run(stepsOfSchedule), "seed " << seed);
+        written += schedule.written();
+        terms += schedule.highestTerm();
+    }
+    BOOST_TEST(written > schedules * 150); // They are no idle schedules.
+    BOOST_TEST(terms > schedules * 10U);
+}
+
+struct rule_case {
+    const char* name;
+    bool safety_rules::*rule;
+    std::uint64_t firstSeed; ///< Where to start looking; any failing schedule after it will do.
+};
+
+static std::ostream& operator<<(std::ostream& out, const rule_case& test)
+{
+    return out << test.name;
+}
+
+static const rule_case ruleCases[] {
+    { "reserveWindow", &safety_rules::reserveWindow, 356 },
+    { "waitForReport", &safety_rules::waitForReport, 2 },
+    { "darkNeedsSettled", &safety_rules::darkNeedsSettled, 574 },
+    { "reportByOrigin", &safety_rules::reportByOrigin, 221 },
+    { "termFromSending", &safety_rules::termFromSending, 2307 },
+    { "markFormerHolder", &safety_rules::markFormerHolder, 837 },
+};
+
+BOOST_DATA_TEST_CASE(eachRuleIsNeeded, boost::unit_test::data::make(ruleCases), test)
+{
+    term_options options = scheduleOptions();
+    options.rules.*test.rule = false;
+    constexpr std::uint64_t mostSeeds = 5000;
+    const std::uint64_t lastSeed = test.firstSeed + mostSeeds;
+    std::uint64_t seed = test.firstSeed;
+    while (seed < lastSeed && random_schedule { seed, options }.run(stepsOfSchedule))
+        ++seed;
+    BOOST_TEST(seed < lastSeed);
+    BOOST_TEST((random_schedule { seed, scheduleOptions() }.run(stepsOfSchedule))); // With the rule it holds.
+    BOOST_TEST_MESSAGE(test.name << " is found missing with seed " << seed);
+}
