--- a/benchmarks/membership/virtual_run.cpp
+++ b/benchmarks/membership/virtual_run.cpp
@@ -38,7 +38,7 @@
         std::vector<service_load> loads;
         for (std::size_t service = 0; service < servicesOf(fleet.size()); ++service)
             loads.push_back({ .service = loadKeyOf(service_id { "service-" + std::to_string(service) }), .running = static_cast<std::uint32_t>(random() % 200), .servers = 4 });
-        fleet.table(i).setLoads(std::move(loads));
+        fleet.table(i).setLoads(loads);
     }
 }
 
--- a/include/radishflow/Gossip/gossip_transport.h
+++ b/include/radishflow/Gossip/gossip_transport.h
@@ -29,11 +29,11 @@
     gossip_transport& operator=(const gossip_transport&) = delete;
 
     void seed(std::vector<seed_peer>);
-    bool publish(const std::string& key, std::string bytes);
+    bool publish(const std::string& key, const std::string& bytes);
     bool setRegister(const std::string& key, fleet_register value);
     fleet_register registerOf(const std::string& key) const;
     register_map registers() const;
-    void setLoads(std::vector<service_load>);
+    void setLoads(const std::vector<service_load>&);
     std::optional<load_sums> fleetLoads() const;
     std::vector<member> members() const;
     std::optional<member> memberOf(const daemon_id&) const;
--- a/include/radishflow/Membership/load_aggregator.h
+++ b/include/radishflow/Membership/load_aggregator.h
@@ -26,7 +26,7 @@
     {
     }
 
-    void setOwn(std::vector<service_load> loads, time_point now);
+    void setOwn(const std::vector<service_load>& loads, time_point now);
 
     /// Sums and returns the messages of one interval.
     std::vector<outgoing_message> tick(const member_list&, time_point now);
--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -43,11 +43,11 @@
 
     /// Publishes a value under this daemon's name; false when it breaks the limits of member_record. The value
     /// spreads no more often than recordIntervalPerMember allows, the last one wins.
-    bool publish(const std::string& key, std::string bytes);
+    bool publish(const std::string& key, const std::string& bytes);
     /// Sets a register if the value is greater than the known one; false when it is not or breaks the limits.
     bool setRegister(const std::string& key, fleet_register value);
     /// Sets this daemon's share in the loads of services.
-    void setLoads(std::vector<service_load> loads) { m_loads.setOwn(std::move(loads), m_clock.now()); }
+    void setLoads(const std::vector<service_load>& loads) { m_loads.setOwn(loads, m_clock.now()); }
 
     const register_map& registers() const { return m_list.registers(); }
     /// Returns the value of a register; version 0 when it was never set.
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -156,7 +156,7 @@
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
-bool membership_table<Clock, Random>::publish(const std::string& key, std::string bytes)
+bool membership_table<Clock, Random>::publish(const std::string& key, const std::string& bytes)
 {
     if (key.empty() || key.size() > member_record::maxKeyBytes || bytes.size() > member_record::maxBytes)
         return false;
@@ -166,7 +166,7 @@
     const bool isNew = own.wanted.version == 0 && !own.isPending;
     if (!isNew && own.wanted.bytes == bytes)
         return true;
-    own.wanted.bytes = std::move(bytes);
+    own.wanted.bytes = bytes;
     own.isPending = true;
     return true;
 }
--- a/lib/Gossip/gossip_codec.cpp
+++ b/lib/Gossip/gossip_codec.cpp
@@ -114,7 +114,7 @@
         entries.push_back(static_cast<std::int32_t>(entry.key));
         entries.push_back(static_cast<std::int32_t>(entry.version));
     }
-    out.__set_entries(std::move(entries));
+    out.__set_entries(entries);
     return out;
 }
 
--- a/lib/Gossip/gossip_transport.cpp
+++ b/lib/Gossip/gossip_transport.cpp
@@ -33,8 +33,8 @@
 
 class gossip_transport::implementation {
 public:
-    implementation(gossip_transport_options options, Poco::Net::DatagramSocket socket)
-        : m_socket(std::move(socket))
+    implementation(gossip_transport_options options, const Poco::Net::DatagramSocket& socket)
+        : m_socket(socket)
         , m_tickInterval(options.tickInterval)
         , m_authenticator(options.keys)
         , m_random(options.randomSeed)
@@ -215,7 +215,7 @@
     try {
         Poco::Net::DatagramSocket socket(*bound, false);
         options.membership.address = peer_address { socket.address().toString() };
-        return std::unique_ptr<gossip_transport>(new gossip_transport(std::make_unique<implementation>(std::move(options), std::move(socket))));
+        return std::unique_ptr<gossip_transport>(new gossip_transport(std::make_unique<implementation>(std::move(options), socket)));
     } catch (const Poco::Exception& error) {
         return fail({ .code = failure_code::Unreachable, .step = "bind gossip", .peer = address, .detail = error.displayText() });
     }
@@ -233,9 +233,9 @@
     m_implementation->withTable([&](auto& table) { table.seed(std::move(seeds)); });
 }
 
-bool gossip_transport::publish(const std::string& key, std::string bytes)
+bool gossip_transport::publish(const std::string& key, const std::string& bytes)
 {
-    return m_implementation->withTable([&](auto& table) { return table.publish(key, std::move(bytes)); });
+    return m_implementation->withTable([&](auto& table) { return table.publish(key, bytes); });
 }
 
 bool gossip_transport::setRegister(const std::string& key, fleet_register value)
@@ -253,9 +253,9 @@
     return m_implementation->withTable([](const auto& table) { return register_map { table.registers() }; });
 }
 
-void gossip_transport::setLoads(std::vector<service_load> loads)
+void gossip_transport::setLoads(const std::vector<service_load>& loads)
 {
-    m_implementation->withTable([&](auto& table) { table.setLoads(std::move(loads)); });
+    m_implementation->withTable([&](auto& table) { table.setLoads(loads); });
 }
 
 std::optional<load_sums> gossip_transport::fleetLoads() const
--- a/lib/Membership/load_aggregator.cpp
+++ b/lib/Membership/load_aggregator.cpp
@@ -5,13 +5,12 @@
 
 namespace radishflow {
 
-void load_aggregator::setOwn(std::vector<service_load> loads, time_point now)
+void load_aggregator::setOwn(const std::vector<service_load>& loads, time_point now)
 {
-    if (loads.size() > maxServiceLoads)
-        loads.resize(maxServiceLoads);
     for (shard_state& shard : m_shards)
         shard.members.erase(m_options.id);
-    for (const service_load& load : loads) {
+    for (std::size_t i = 0; i < std::min(loads.size(), maxServiceLoads); ++i) {
+        const service_load& load = loads[i];
         load_sums& own = m_shards[shardOf(load)].members[m_options.id];
         addLoads(own.loads, { load });
         own.measuredAt = now;
