--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -32,7 +32,7 @@
     membership_table& operator=(const membership_table&) = delete;
 
     /// Replaces the addresses to look for peers at, which the platform's lagging list names.
-    void seed(std::vector<seed_peer> seeds) { m_seeds = std::move(seeds); }
+    void seed(std::vector<seed_peer> seeds);
 
     /// Does what is due and returns the datagrams to send.
     std::vector<outgoing_message> tick();
@@ -124,6 +124,7 @@
     byte_budget m_budget;
     membership_counters m_counters;
     std::vector<seed_peer> m_seeds;
+    std::set<peer_address> m_leaving; ///< Those seeds that are leaving.
     std::map<std::string, own_record> m_ownRecords;
     std::set<daemon_id> m_heldNews;
     std::size_t m_crossTurn = 0;
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -40,6 +40,17 @@
     m_nextLoad = phase(m_options.loadInterval);
 }
 
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::seed(std::vector<seed_peer> seeds)
+{
+    m_seeds = std::move(seeds);
+    m_leaving.clear();
+    for (const seed_peer& peer : m_seeds) {
+        if (peer.isLeaving)
+            m_leaving.insert(peer.address);
+    }
+}
+
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 std::vector<outgoing_message> membership_table<Clock, Random>::tick()
 {
@@ -221,9 +232,6 @@
 {
     const member_update& update = entry.update;
     const bool isForgotten = update.status.isTerminal() && now - entry.changedAt >= m_options.recordRetention;
-    const bool isLeaving = std::any_of(m_seeds.begin(), m_seeds.end(), [&](const seed_peer& peer) {
-        return peer.isLeaving && peer.address == update.address;
-    });
     const bool isHeard = m_regions.isReachable(update.region, now, m_options.regionTimeout);
     return { .id = update.id,
         .incarnation = update.status.incarnation,
@@ -234,7 +242,7 @@
         .region = update.region,
         .records = isForgotten ? decltype(entry.records) {} : entry.records,
         .isRegionReachable = update.id == m_options.id || isHeard,
-        .isLeavingHint = isLeaving,
+        .isLeavingHint = m_leaving.contains(update.address),
         .isFlapping = m_list.flapsOf(entry, now) > m_options.flapThreshold };
 }
 
--- a/include/radishflow/Membership/zone_register.h
+++ b/include/radishflow/Membership/zone_register.h
@@ -39,7 +39,7 @@
     result<fleet_register> change(const zone_id& zone, zone_state state, std::uint64_t seenVersion, std::int64_t stamp)
     {
         const std::string key = zoneKeyOf(zone);
-        const fleet_register value { .version = seenVersion + 1, .bytes = zoneBytesOf(state), .stamp = stamp };
+        fleet_register value { .version = seenVersion + 1, .bytes = zoneBytesOf(state), .stamp = stamp };
         if (m_store.setRegister(key, value))
             return value;
         const fleet_register known = m_store.registerOf(key);
--- a/unittests/Gossip/gossip_transport_test.cpp
+++ b/unittests/Gossip/gossip_transport_test.cpp
@@ -75,7 +75,9 @@
 {
     gossip_transport_options options { .membership = { .id = daemon_id { "d1" }, .address = peer_address { "localhost:1" } } };
     const failure_code code = valueOr([&]() -> result<failure_code> {
-        BOOST_LEAF_CHECK(gossip_transport::start(options));
+        const auto started = gossip_transport::start(options);
+        if (!started)
+            return started.error();
         return failure_code::Refused; }, [](const failure& error) { return error.code; });
     BOOST_TEST((code == failure_code::InvalidInput));
 }
--- a/unittests/Membership/survival_test.cpp
+++ b/unittests/Membership/survival_test.cpp
@@ -212,3 +212,29 @@
     fleet.run(5s);
     BOOST_TEST(fleet.hasConverged());
 }
+
+BOOST_AUTO_TEST_CASE(deafDaemonIsDeadAndJudgesNobody)
+{
+    virtual_fleet fleet(fleetOf(7, 1));
+    fleet.run(10s);
+    fleet.isCut = [](std::size_t, std::size_t to) { return to == 3; };
+    fleet.run(20s);
+    BOOST_TEST(fleet.allSee(3, member_state::Dead));
+    BOOST_TEST(fleet.table(3).isIsolated());
+    BOOST_TEST(fleet.table(3).counters().suspicions == 0);
+    fleet.isCut = nullptr;
+    fleet.run(30s);
+    BOOST_TEST(fleet.hasConverged());
+}
+
+BOOST_AUTO_TEST_CASE(clockSetBackDoesNotHideARestart)
+{
+    virtual_fleet fleet(fleetOf(7, 1));
+    fleet.run(10s);
+    const incarnation_number before = fleet.table(3).incarnation();
+    fleet.start(3, incarnation_number { 1 });
+    fleet.run(5s);
+    BOOST_TEST(fleet.hasConverged());
+    BOOST_TEST((fleet.table(3).incarnation() > before));
+    BOOST_TEST((fleet.view(0, 3).incarnation == fleet.table(3).incarnation()));
+}
--- a/unittests/Membership/virtual_fleet.h
+++ b/unittests/Membership/virtual_fleet.h
@@ -62,12 +62,17 @@
 
     /// Starts a daemon, or starts it anew with a higher incarnation.
     void start(std::size_t i)
+    {
+        start(i, incarnation_number { 1000 + static_cast<std::uint64_t>(m_clock.now().time_since_epoch() / std::chrono::milliseconds { 1 }) });
+    }
+
+    void start(std::size_t i, incarnation_number incarnation)
     {
         node& started = m_nodes[i];
         membership_options options = m_options.base;
         const std::size_t zone = i / m_options.regions % m_options.zonesPerRegion;
         options.id = idOf(i);
-        options.incarnation = incarnation_number { 1000 + static_cast<std::uint64_t>(m_clock.now().time_since_epoch() / std::chrono::milliseconds { 1 }) };
+        options.incarnation = incarnation;
         options.address = addressOf(i);
         options.http = "10.0.0.1:" + std::to_string(30000 + i);
         options.region = region_id { "r" + std::to_string(regionOf(i)) };
