--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -32,7 +32,7 @@
     membership_table& operator=(const membership_table&) = delete;
 
     /// Replaces the addresses to look for peers at, which the platform's lagging list names.
-    void seed(std::vector<seed_peer> seeds) { m_seeds = std::move(seeds); }
+    void seed(std::vector<seed_peer> seeds);
 
     /// Does what is due and returns the datagrams to send.
     std::vector<outgoing_message> tick();
@@ -43,11 +43,11 @@
 
     /// Publishes a value under this daemon's name; false when it breaks the limits of member_record. The value
     /// spreads no more often than recordIntervalPerMember allows, the last one wins.
-    bool publish(const std::string& key, std::string bytes);
+    bool publish(const std::string& key, const std::string& bytes);
     /// Sets a register if the value is greater than the known one; false when it is not or breaks the limits.
     bool setRegister(const std::string& key, fleet_register value);
     /// Sets this daemon's share in the loads of services.
-    void setLoads(std::vector<service_load> loads) { m_loads.setOwn(std::move(loads), m_clock.now()); }
+    void setLoads(const std::vector<service_load>& loads) { m_loads.setOwn(loads, m_clock.now()); }
 
     const register_map& registers() const { return m_list.registers(); }
     /// Returns the value of a register; version 0 when it was never set.
@@ -124,6 +124,7 @@
     byte_budget m_budget;
     membership_counters m_counters;
     std::vector<seed_peer> m_seeds;
+    std::set<peer_address> m_leaving; ///< Those seeds that are leaving.
     std::map<std::string, own_record> m_ownRecords;
     std::set<daemon_id> m_heldNews;
     std::size_t m_crossTurn = 0;
