Spread the tail of a ranking over the fleet

Cause: the ranks beyond the homes were the chat's own, so a chat asked for many times at once filled its eight servers and was refused while the fleet had room; and with one region two of the ranks were never used. Ruled out: more attempts (the same chat's refusals still share one list). Change: placement_request.spread, drawn for each attempt, varies the ranks beyond the homes; other regions take places only where there are any.

--- a/benchmarks/placement/fleet_simulation.h
+++ b/benchmarks/placement/fleet_simulation.h
@@ -167,7 +167,7 @@
             return schedule(m_now + lossDetection, event_kind::Dispatch, id);
         }
         const std::size_t index = deciderOf(turn.chat);
-        walk(id, m_deciders[index], { .chatHash = turn.chat, .region = regionName(m_layout.regionOf(index)) });
+        walk(id, m_deciders[index], { .chatHash = turn.chat, .region = regionName(m_layout.regionOf(index)), .spread = mixBits(id * 64U + request.backoffs + 1U) });
     }
 
     void walk(std::uint32_t id, decider& from, const placement_request& wanted)
--- a/benchmarks/placement/placement_benchmark.cpp
+++ b/benchmarks/placement/placement_benchmark.cpp
@@ -25,6 +25,7 @@
 DEFINE_double(mean_delay, 0.5, "age in seconds of the mean that owners know, and up to 0.5 s more");
 DEFINE_bool(import_on_spill, true, "a server imports the prefix from a full holder");
 DEFINE_uint64(far_ranks, 2, "servers of other regions at the end of a ranking");
+DEFINE_uint64(surge_chats, 0, "chats that surge; 0 is 1.5 a server");
 DEFINE_double(load_multiple, 1.25, "bound of a server's load as a multiple of the mean");
 DEFINE_double(per_server, 1.154, "requests a second for each server");
 DEFINE_double(seconds, 220, "virtual length of a run");
@@ -80,6 +81,7 @@
     inputs.turns = makeArrivals({ .perSecond = FLAGS_per_server * static_cast<double>(layout.servers),
         .length = length,
         .surgeShare = inputs.events.surgeShare,
+        .surgeChats = FLAGS_surge_chats > 0 ? FLAGS_surge_chats : layout.servers * 3 / 2,
         .surgeFrom = inputs.events.eventAt,
         .surgeTo = inputs.events.eventEnd,
         .seed = seed });
--- a/lib/Placement/bounded_rendezvous.cpp
+++ b/lib/Placement/bounded_rendezvous.cpp
@@ -55,15 +55,15 @@
 // -ln(u) / weight is exponentially distributed with rate `weight`, so the least one belongs to each server in
 // proportion to its weight, and leaving one out moves only its own chats. As -ln(u) >= 1 - u, most servers are
 // passed over without a logarithm.
-static ranked_servers nearestServers(
-    const placement_request& request, std::span<const placement_server> servers, server_side side, std::size_t most)
+static ranked_servers nearestServers(const placement_request& request, std::uint64_t key,
+    std::span<const placement_server> servers, server_side side, std::size_t most)
 {
     ranked_servers best;
     for (std::uint32_t i = 0; i < servers.size(); ++i) {
         const placement_server& server = servers[i];
         if (!server.admitsNew || server.weight <= 0)
             continue;
-        const double uniform = unitInterval(chatServerHash(request.chatHash, server.idHash));
+        const double uniform = unitInterval(chatServerHash(key, server.idHash));
         const bool isFull = best.size() == most;
         if (isFull && best.back().group == Taking && 1 - uniform > best.back().distance * server.weight)
             continue;
@@ -104,19 +104,37 @@
     std::copy(ordered.begin(), ordered.end(), tail.begin());
 }
 
-// Ranks the servers of one side; the first `homes` keep their order, the others are ordered as a tail.
+static void append(server_ranking& ranking, const ranked_servers& best, std::size_t most)
+{
+    for (std::size_t i = 0; i < std::min(most, best.size()); ++i)
+        ranking.push_back(best[i].index);
+}
+
+// The ranks beyond the homes differ from request to request: a chat that is asked for many times at once would
+// fill a tail of its own, and nobody looks for its prefix there.
+static ranked_servers tailServers(const placement_request& request, std::span<const placement_server> servers,
+    server_side side, const server_ranking& homes, std::size_t most)
+{
+    const std::uint64_t key = request.spread == 0 ? request.chatHash : request.chatHash ^ mixBits(request.spread);
+    // Twice as many, so that each place in the tail is a choice of two.
+    ranked_servers best = nearestServers(request, key, servers, side, homes.size() + 2 * most);
+    const auto isHome = [&](const ranked_server& server) {
+        return std::find(homes.begin(), homes.end(), server.index) != homes.end();
+    };
+    best.erase(std::remove_if(best.begin(), best.end(), isHome), best.end());
+    orderTail({ best.data(), best.size() }, servers);
+    return best;
+}
+
+// Ranks the servers of one side: those that may hold the prefix, and then a tail.
 static void appendSide(server_ranking& ranking, const placement_request& request,
     std::span<const placement_server> servers, server_side side, std::size_t homes, std::size_t most)
 {
-    if (most == 0)
-        return;
     const std::size_t kept = std::min(homes, most);
-    // Twice the tail, so that each place in it is a choice of two.
-    ranked_servers best = nearestServers(request, servers, side, kept + 2 * (most - kept));
-    if (best.size() > kept)
-        orderTail(std::span { best }.subspan(kept), servers);
-    for (std::size_t i = 0; i < std::min(most, best.size()); ++i)
-        ranking.push_back(best[i].index);
+    if (kept > 0)
+        append(ranking, nearestServers(request, request.chatHash, servers, side, kept), kept);
+    if (most > kept)
+        append(ranking, tailServers(request, servers, side, ranking, most - kept), most - kept);
 }
 
 // Other regions come last even when the own one has servers: a region that lost a zone can need more than the
@@ -124,13 +142,15 @@
 server_ranking bounded_rendezvous::rank(
     const placement_request& request, std::span<const placement_server> servers, std::size_t most) const
 {
-    const std::size_t farRanks = most > m_options.homeRanks + m_options.farRanks ? m_options.farRanks : 0;
+    server_ranking far;
+    if (most > m_options.homeRanks + m_options.farRanks)
+        appendSide(far, request, servers, server_side::Far, 0, m_options.farRanks);
     server_ranking ranking;
-    appendSide(ranking, request, servers, server_side::Near, m_options.homeRanks, most - farRanks);
+    appendSide(ranking, request, servers, server_side::Near, m_options.homeRanks, most - far.size());
     if (ranking.empty())
         appendSide(ranking, request, servers, server_side::Far, m_options.homeRanks, most);
     else
-        appendSide(ranking, request, servers, server_side::Far, 0, farRanks);
+        ranking.insert(ranking.end(), far.begin(), far.end());
     return ranking;
 }
 
--- a/unittests/Placement/bounded_rendezvous_test.cpp
+++ b/unittests/Placement/bounded_rendezvous_test.cpp
@@ -140,6 +140,24 @@
         BOOST_TEST((ranking[i] < 10) == (i < near));
 }
 
+BOOST_AUTO_TEST_CASE(tailOfARepeatedChatIsSpreadOverTheFleet)
+{
+    const std::vector<placement_server> servers = makeServers(100);
+    placement_request request = makeRequest(3);
+    const auto first = bounded_rendezvous {}.rank(request, servers, 6);
+    std::vector<bool> isUsed(servers.size());
+    for (request.spread = 1; request.spread <= 500; ++request.spread) {
+        const auto ranking = bounded_rendezvous {}.rank(request, servers, 6);
+        BOOST_REQUIRE(ranking.size() == 6U);
+        BOOST_TEST(ranking[0] == first[0]);
+        BOOST_TEST(ranking[1] == first[1]);
+        BOOST_TEST(std::count(ranking.begin(), ranking.end(), first[0]) == 1);
+        for (const std::uint32_t index : ranking)
+            isUsed[index] = true;
+    }
+    BOOST_TEST(std::count(isUsed.begin(), isUsed.end(), true) == 100);
+}
+
 BOOST_AUTO_TEST_CASE(homeRanksIgnoreKnownLoadAndTheTailHeedsIt)
 {
     std::vector<placement_server> servers = makeServers(40);
