--- a/benchmarks/placement/fleet_simulation.h
+++ b/benchmarks/placement/fleet_simulation.h
@@ -9,6 +9,8 @@
 #include "fleet_state.h"
 #include "measurements.h"
 #include "scenario.h"
+#include "simulated_request.h"
+#include "simulation_event.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -71,39 +73,8 @@
     static constexpr sim_time firstBackoff { 0.1 };
     static constexpr sim_time restartAfterFall { 10 };
 
-    enum class event_kind : std::uint8_t {
-        Arrival,
-        Dispatch,
-        Finish,
-        Change,
-        StopAdmitting,
-        ReturnFallen,
-        Tick,
-        ExportTick,
-    };
-
-    struct event {
-        sim_time at;
-        std::uint64_t order;
-        event_kind kind;
-        std::uint32_t subject;
-        std::uint32_t run;
-
-        bool operator<(const event& other) const
-        {
-            return std::tie(other.at, other.order) < std::tie(at, order);
-        }
-    };
-
-    struct request_state {
-        std::uint32_t run = 0; ///< Counts dispatches that were lost, so that stale events are ignored.
-        std::uint32_t server = 0;
-        std::uint32_t attempts = 0;
-        std::uint32_t backoffs = 0;
-        std::optional<std::uint32_t> holder;
-        sim_time deadline {};
-        sim_time firstToken { -1 };
-    };
+    using event_kind = simulation_event_kind;
+    using event = simulation_event;
 
     struct decider {
         Policy policy;
@@ -160,7 +131,7 @@
     void dispatch(std::uint32_t id)
     {
         const chat_turn& turn = m_turns[id];
-        request_state& request = m_requests[id];
+        simulated_request& request = m_requests[id];
         const bool isFirst = request.attempts == 0 && request.backoffs == 0;
         if (isFirst && isLost(mixBits(turn.chat) % m_deciders.size())) {
             ++request.backoffs;
@@ -172,7 +143,7 @@
 
     void walk(std::uint32_t id, decider& from, const placement_request& wanted)
     {
-        request_state& request = m_requests[id];
+        simulated_request& request = m_requests[id];
         const std::span<const placement_server> view = m_fleet.view(from.viewDelay);
         server_ranking ranking = from.policy.rank(wanted, view, m_options.mostAttempts);
         // Without asking, every rank is offered the request in turn.
@@ -203,7 +174,7 @@
 
     void retryLater(std::uint32_t id)
     {
-        request_state& request = m_requests[id];
+        simulated_request& request = m_requests[id];
         const sim_time pause = firstBackoff * static_cast<double>(1U << std::min(request.backoffs, 4U));
         ++request.backoffs;
         if (m_now + pause > request.deadline)
@@ -235,7 +206,7 @@
     // Tokens that the holder has beyond those that the engine has itself.
     std::uint32_t importable(std::uint32_t id, std::uint32_t cached)
     {
-        const request_state& request = m_requests[id];
+        const simulated_request& request = m_requests[id];
         if (!request.holder || !m_fleet.engine(*request.holder).isUp)
             return 0;
         const std::uint32_t held = std::min(m_fleet.engine(*request.holder).usePrefix(m_turns[id].chat), m_turns[id].contextTokens);
@@ -245,7 +216,7 @@
     void begin(std::uint32_t id, sim_time start)
     {
         const chat_turn& turn = m_turns[id];
-        request_state& request = m_requests[id];
+        simulated_request& request = m_requests[id];
         engine_model& engine = m_fleet.engine(request.server);
         engine.running.insert(id);
         const std::uint32_t cached = std::min(engine.usePrefix(turn.chat), turn.contextTokens);
@@ -268,7 +239,7 @@
     void finish(std::uint32_t id, std::uint32_t run)
     {
         const chat_turn& turn = m_turns[id];
-        const request_state& request = m_requests[id];
+        const simulated_request& request = m_requests[id];
         if (run != request.run)
             return;
         engine_model& engine = m_fleet.engine(request.server);
@@ -307,7 +278,7 @@
         engine.isUp = false;
         m_fleet.recount();
         for (const std::uint32_t id : lost) {
-            request_state& request = m_requests[id];
+            simulated_request& request = m_requests[id];
             ++request.run;
             request.deadline = std::max(request.deadline, m_now + firstTokenDeadline);
             schedule(m_now + detection, event_kind::Dispatch, id);
@@ -378,7 +349,7 @@
     const std::vector<chat_turn>& m_turns;
     measurements& m_figures;
     fleet_state m_fleet;
-    std::vector<request_state> m_requests;
+    std::vector<simulated_request> m_requests;
     std::vector<decider> m_deciders;
     std::priority_queue<event> m_queue;
     sim_time m_now {};
