Take the owners' mean lower while it falls

Cause: at 1,300 servers three deviations are next to nothing, and when a surge ends the mean falls steadily, so owners admitted above the bound. Ruled out: more deviations (they cost small fleets reuse all the time). Change: the margin is the greater of three deviations and the last fall carried on for the age of the mean.

--- a/benchmarks/placement/fleet_state.cpp
+++ b/benchmarks/placement/fleet_state.cpp
@@ -21,7 +21,7 @@
     , m_options(options)
     , m_engines(layout.servers, engine_model { options.engine })
     , m_loads(options.meanPerRegion ? layout.regions : 1)
-    , m_loadHistory(ticksIn(options.meanDelay) + ticksIn(options.meanWindow), m_loads)
+    , m_loadHistory(1 + ticksIn(options.meanDelay) + ticksIn(options.meanWindow), m_loads)
     , m_views(ticksIn(options.longestViewDelay) + 1, layout.makeServers())
     , m_planners(layout.servers, move_planner { { .exportsPerSecond = std::max(1.0, options.exportsPerSecond) } })
 {
@@ -65,9 +65,9 @@
 
 double fleet_state::knownMean(std::size_t group) const
 {
-    double least = m_loadHistory.front()[group].mean();
+    double least = m_loadHistory[1][group].mean();
     for (std::size_t i = 1; i < ticksIn(m_options.meanWindow); ++i)
-        least = std::min(least, m_loadHistory[i][group].mean());
+        least = std::min(least, m_loadHistory[1 + i][group].mean());
     return least;
 }
 
@@ -76,12 +76,14 @@
 double fleet_state::lowMean(std::size_t group) const
 {
     constexpr sim_time meanAnswer { 8.5 };
-    const service_load& known = m_loadHistory.front()[group];
+    const service_load& known = m_loadHistory[1][group];
     const double ends = known.running * ((m_options.meanDelay + tickLength) / meanAnswer);
     const double deviation = std::sqrt(2 * ends) / std::max(1.0, known.weight);
     // A bound below the mean plus one slot would keep an idle fleet from ever taking more.
     const double mean = knownMean(group);
-    return std::max(mean / m_options.loadMultiple, mean - m_options.meanDeviations * deviation);
+    // A mean that falls goes on falling while the news of it travels.
+    const double fall = (m_loadHistory[0][group].mean() - known.mean()) * ((m_options.meanDelay + tickLength) / tickLength);
+    return std::max(mean / m_options.loadMultiple, mean - std::max(m_options.meanDeviations * deviation, fall));
 }
 
 double fleet_state::limitOf(std::size_t index) const
--- a/benchmarks/placement/fleet_state.h
+++ b/benchmarks/placement/fleet_state.h
@@ -74,7 +74,7 @@
     fleet_options m_options;
     std::vector<engine_model> m_engines;
     std::vector<service_load> m_loads; ///< One a group.
-    std::deque<std::vector<service_load>> m_loadHistory; ///< The latest last.
+    std::deque<std::vector<service_load>> m_loadHistory; ///< The latest last; the first serves for the trend only.
     std::deque<std::vector<placement_server>> m_views; ///< The latest last.
     std::vector<move_planner> m_planners;
 };
