--- a/unittests/Gossip/gossip_transport_test.cpp
+++ b/unittests/Gossip/gossip_transport_test.cpp
@@ -75,7 +75,7 @@
 {
     gossip_transport_options options { .membership = { .id = daemon_id { "d1" }, .address = peer_address { "localhost:1" } } };
     const failure_code code = valueOr([&]() -> result<failure_code> {
-        const auto started = gossip_transport::start(options);
+        auto started = gossip_transport::start(options);
         if (!started)
             return started.error();
         return failure_code::Refused; }, [](const failure& error) { return error.code; });
--- a/unittests/Membership/registers_test.cpp
+++ b/unittests/Membership/registers_test.cpp
@@ -61,7 +61,7 @@
     BOOST_TEST(zones.change(testZone, zone_state::Out, 0, 1).has_value());
     BOOST_TEST(zones.change(testZone, zone_state::In, 1, 2).has_value());
     const failure_code code = valueOr([&]() -> result<failure_code> {
-        const auto changed = zones.change(testZone, zone_state::Out, 0, 3);
+        auto changed = zones.change(testZone, zone_state::Out, 0, 3);
         if (!changed)
             return changed.error();
         return failure_code::InvalidInput; }, [](const failure& error) { return error.code; });
