Test that threads share one ticket book

Cause: ticket_book is stated to be thread-safe and nothing showed it.

Change: three threads redeem the same 200 tickets and get 200 permits.

--- a/unittests/Orders/ticket_book_test.cpp
+++ b/unittests/Orders/ticket_book_test.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <thread>
+
 using namespace radishflow;
 
 namespace {
@@ -122,6 +125,26 @@
     BOOST_TEST(book.recordCount() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(threadsShareOneBook)
+{
+    constexpr int tickets = 200;
+    const manual_clock clock;
+    ticket_book<manual_clock> book(clock, { .daemon = daemon_id { "d1" }, .incarnation = incarnation_number { 1 }, .secret = "s" });
+    std::vector<idempotency_key> keys;
+    for (int i = 0; i < tickets; ++i)
+        keys.push_back(book.issue(workspace_id { "w" }));
+    std::atomic<int> permits = 0;
+    std::vector<std::jthread> threads;
+    for (int i = 0; i < 3; ++i) {
+        threads.emplace_back([&] {
+            for (const idempotency_key& key : keys)
+                permits += std::holds_alternative<ticket_permit>(book.redeem({ .workspace = workspace_id { "w" }, .key = key, .fingerprint = 1 }));
+        });
+    }
+    threads.clear();
+    BOOST_TEST(permits == tickets);
+}
+
 // Checks the library with the block size that this project states for it; the code is from Python's hmac.
 BOOST_AUTO_TEST_CASE(codesAreHmacSha256)
 {
