--- a/unittests/Orders/ticket_book_test.cpp
+++ b/unittests/Orders/ticket_book_test.cpp
@@ -131,10 +131,12 @@
     const manual_clock clock;
     ticket_book<manual_clock> book(clock, { .daemon = daemon_id { "d1" }, .incarnation = incarnation_number { 1 }, .secret = "s" });
     std::vector<idempotency_key> keys;
+    keys.reserve(tickets);
     for (int i = 0; i < tickets; ++i)
         keys.push_back(book.issue(workspace_id { "w" }));
     std::atomic<int> permits = 0;
     std::vector<std::jthread> threads;
+    threads.reserve(3);
     for (int i = 0; i < 3; ++i) {
         threads.emplace_back([&] {
             for (const idempotency_key& key : keys)
