Model the claims that are ended after the dark

Cause: order_desk now ends a claim as not run whose insertion was never settled; the model stopped at the unsettled insertion.

Change: such a call inserts NotRun, or moves its own late claim to NotRun.

--- a/models/single_execution.pml
+++ b/models/single_execution.pml
@@ -167,7 +167,7 @@
   :: write(Absent, NOBODY, INSERTED);
      if
      :: outcome == Written -> skip
-     :: outcome == Unsettled -> goto end                  /* "unknown" */
+     :: outcome == Unsettled -> goto abandoned            /* "unknown" */
      :: outcome == Overtaken -> goto other
      fi
   fi;
@@ -187,6 +187,14 @@
   fi;
   goto end;
 
+abandoned:                                                /* fenced later, as the backlog does */
+  write(Absent, NOBODY, NotRun);
+  if
+  :: outcome == Overtaken && holder == self -> write(INSERTED, self, NotRun)
+  :: else
+  fi;
+  goto end;
+
 other:                                                    /* the row of another attempt was seen */
   atomic { seen = row; seenHolder = holder };
   if
