--- /dev/null
+++ b/test/zones_test.cpp
@@ -0,0 +1,133 @@
+// Tests that a zone that is taken out gets no new work, and that service holds while one leaves, is lost, returns.
+#include "chat_callers.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace radishflow;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Port Louis in small: four zones, seven daemons, eight engines that start cold.
+static const test_fleet_options zoneFleet {
+    .zones = { "za", "zb", "zc", "zd" },
+    .daemons = 7,
+    .engines = 8,
+    .plains = 0,
+    .engineArguments = { "--cold_limit=2", "--warm_after=4", "--slots=8", "--first_token_ms=20", "--token_interval_ms=5", "--report_lag_ms=500" },
+    .daemonArguments = { "--address_keep_seconds=2" },
+    .coldLimit = 2,
+    .serverLimit = 8,
+    .loadMultiple = "2",
+};
+
+/// Requests that an engine has begun, by its own record.
+static int requestsAt(const fleet_member& engine)
+{
+    const auto record = Poco::JSON::Parser {}.parse(test_fleet::record(engine.target)).extract<Poco::JSON::Object::Ptr>();
+    const auto requests = record->getObject("requests");
+    int sum = 0;
+    for (const std::string& id : requests->getNames())
+        sum += requests->getValue<int>(id);
+    return sum;
+}
+
+static int requestsIn(test_fleet& fleet, const std::string& zone)
+{
+    int sum = 0;
+    for (const fleet_member& engine : fleet.engines())
+        sum += engine.zone == zone ? requestsAt(engine) : 0;
+    return sum;
+}
+
+static int overloads(test_fleet& fleet)
+{
+    int sum = 0;
+    for (const fleet_member& engine : fleet.engines()) {
+        const std::string text = test_fleet::record(engine.target);
+        if (!text.empty())
+            sum += Poco::JSON::Parser {}.parse(text).extract<Poco::JSON::Object::Ptr>()->getValue<int>("overloads");
+    }
+    return sum;
+}
+
+static void report(const char* step, const chat_callers& callers, long first, long last)
+{
+    BOOST_TEST_MESSAGE(step << ": worst second " << callers.service().worst(first, last) << ", last second below 99% " << callers.service().lastBelow(0.99) << ", sent " << callers.service().sent());
+    for (const std::string& problem : callers.problems())
+        BOOST_TEST_MESSAGE("  " << problem);
+}
+
+// Cold engines serve few at first; the measure starts once they had time to warm up.
+static long warmUp(const chat_callers& callers)
+{
+    std::this_thread::sleep_for(milliseconds { 6000 });
+    return callers.service().secondOf(steady_clock::now());
+}
+
+BOOST_AUTO_TEST_CASE(zoneTakenOutGetsNoNewWorkAndServiceHoldsOutAndBack)
+{
+    test_fleet fleet { zoneFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    chat_callers callers { entriesOf(fleet), {} };
+    const long first = warmUp(callers);
+    BOOST_TEST(fleet.runTool({ "zone", "out", "zb" }) == 0);
+    std::this_thread::sleep_for(milliseconds { 5000 });
+    const int before = requestsIn(fleet, "zb");
+    std::this_thread::sleep_for(milliseconds { 3000 });
+    BOOST_TEST(requestsIn(fleet, "zb") == before);
+    BOOST_TEST(fleet.runTool({ "zone", "in", "zb" }) == 0);
+    std::this_thread::sleep_for(milliseconds { 4000 });
+    BOOST_TEST(requestsIn(fleet, "zb") > before);
+    const long last = callers.service().secondOf(steady_clock::now()) - 1;
+    callers.stop();
+    report("planned", callers, first, last);
+    BOOST_TEST(callers.service().worst(first, last) >= 0.99);
+    BOOST_TEST(callers.wrongAnswers() == 0);
+    BOOST_TEST(overloads(fleet) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(zoneIsTakenOutWhileTheTableIsDark)
+{
+    test_fleet fleet { zoneFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    chat_callers callers { entriesOf(fleet), {} };
+    warmUp(callers);
+    const std::string entry = fleet.daemons()[0].http;
+    test_fleet::setFaults(fleet.platformControl(), R"({"down":"refuse"})");
+    BOOST_TEST(fleet.runTool({ "zone", "out", "zc", "--daemon=" + entry }) == 0);
+    std::this_thread::sleep_for(milliseconds { 5000 });
+    const int before = requestsIn(fleet, "zc");
+    std::this_thread::sleep_for(milliseconds { 2000 });
+    BOOST_TEST(requestsIn(fleet, "zc") == before);
+    test_fleet::setFaults(fleet.platformControl(), R"({"down":false})");
+    callers.stop();
+    BOOST_TEST(overloads(fleet) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(zoneLostWithoutNoticeIsServedAroundWithinFiveSeconds)
+{
+    test_fleet fleet { zoneFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    chat_callers callers { entriesOf(fleet), {} };
+    const long first = warmUp(callers);
+    const auto lostAt = steady_clock::now();
+    for (auto* members : { &fleet.daemons(), &fleet.engines() }) {
+        for (fleet_member& member : *members) {
+            if (member.zone == "zd")
+                member.process->signal(SIGKILL);
+        }
+    }
+    std::this_thread::sleep_for(milliseconds { 9000 });
+    const long last = callers.service().secondOf(steady_clock::now()) - 1;
+    const long recovered = callers.service().secondOf(lostAt) + 5;
+    callers.stop();
+    report("lost", callers, first, last);
+    BOOST_TEST(callers.service().worst(recovered, last) >= 0.99);
+    BOOST_TEST(callers.wrongAnswers() == 0);
+    BOOST_TEST(overloads(fleet) == 0);
+}
