Bound the load from what refusing servers tell; count unproven requests by ticket

Cause: (1) an engine that turned cold unnoticed was pushed past its limit nine times in eight turns: a first token cleared every request sent, also those sent after the one that brought it, and workers checked for room before they counted themselves. (2) Eight engines under one hot chat ran up to 16 (bound 5): the count of listed servers was half a second old and still zero at the start. (3) A crashing request brought down nine engines: daemons did not take in what others told them (the handler was missing, the log said so). Ruled out: a larger bound at idle; the mean then no longer errs low. Change: tickets drawn under the lock; the count of servers read at each admission; a refusal for the server's share says what runs there, and a second round of the walk offers the sum, so that a burst at an idle fleet finds room that the gossip doesn't know of; two crashes of one server count as two.

--- a/include/radishflow/Admission/cold_allowance.h
+++ b/include/radishflow/Admission/cold_allowance.h
@@ -5,6 +5,7 @@
 #include "radishflow/Support/monotonic_clock.h"
 
 #include <cstdint>
+#include <set>
 
 namespace radishflow {
 
@@ -14,7 +15,7 @@
     int completionsPerStep = 2; ///< The limit grows by one with so many completions.
     duration slowFirstToken = std::chrono::seconds { 5 }; ///< A first token later than this is out of range.
     int slowFirstTokensOfColdTurn = 2; ///< So many in a row mean that the server has turned cold.
-    int unprovenLimit = 8; ///< Requests sent since the server last showed that it is warm.
+    int unprovenLimit = 8; ///< Requests of which the server has not shown that it met them warm.
 };
 
 /// Why the server was last taken to be cold.
@@ -41,17 +42,17 @@
     /// Returns whether one more request may be sent before the server shows again that it is warm.
     bool mayDispatch() const;
 
-    /// A request was sent; returns the epoch to be given back with its end.
+    /// A request is about to be sent; returns the ticket to be given back with its signs and its end.
     std::uint64_t dispatched();
 
     /// A first token arrived after a wait, or a wait has become that long without one.
-    void firstToken(std::uint64_t epoch, duration wait);
+    void firstToken(std::uint64_t ticket, duration wait);
 
     /// A request was completed; requests of before a cold turn warm nothing.
-    void completed(std::uint64_t epoch);
+    void completed(std::uint64_t ticket);
 
-    /// A request ended without a sign from the server, such as by its caller's wish.
-    void abandoned(std::uint64_t epoch);
+    /// A request was not sent, or ended without a sign from the server, such as by its caller's wish.
+    void abandoned(std::uint64_t ticket);
 
     void connectionReset() { turnCold(cold_reason::ConnectionReset); }
     void observe(const server_sample&);
@@ -62,18 +63,23 @@
     /// Grows with each cold turn.
     std::uint64_t epoch() const { return m_epoch; }
 
-    /// Requests sent since the last sign of warmth: those that met a cold server if it has just turned cold.
-    int unproven() const { return m_unproven; }
+    /// Requests that may have met a cold server if it has just turned cold: a sign of warmth speaks for the
+    /// request that brought it and for those sent before, and for none sent after.
+    int unproven() const { return static_cast<int>(m_unproven.size()); }
 
 private:
     void turnCold(cold_reason);
+    bool isStale(std::uint64_t ticket) const { return ticket < m_firstOfEpoch; }
+    void prove(std::uint64_t ticket);
     bool isOtherProcess(const server_sample&) const;
 
     cold_allowance_options m_options;
     int m_limit = 0;
     int m_completions = 0; ///< Since the limit last grew.
     int m_slowFirstTokens = 0; ///< In a row.
-    int m_unproven = 0;
+    std::set<std::uint64_t> m_unproven; ///< Tickets.
+    std::uint64_t m_lastTicket = 0;
+    std::uint64_t m_firstOfEpoch = 1; ///< Tickets below it belong to before the last cold turn.
     std::uint64_t m_epoch = 1;
     cold_reason m_reason = cold_reason::Unknown;
     server_sample m_sample;
--- a/include/radishflow/Daemon/answer_route.h
+++ b/include/radishflow/Daemon/answer_route.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace radishflow {
@@ -41,6 +42,8 @@
 private:
     answer_part readOnce(std::uint64_t offset, std::chrono::milliseconds wait);
     bool mayMoveOn(const refusal&);
+    bool beginSecondRound();
+    int witnessedBeside(const server_id&) const;
     std::optional<refusal> submitTo(const known_server&);
 
     owner_link& m_link;
@@ -49,6 +52,8 @@
     std::vector<known_server> m_rank;
     std::size_t m_next = 0; ///< Place in rank of the next server to try.
     std::size_t m_attempts = 0;
+    std::unordered_map<server_id, int> m_witnessed; ///< What servers that refused for their share run.
+    bool m_isSecondRound = false;
     std::string m_peer;
     std::string m_streamId;
     time_point m_deadline;
--- a/include/radishflow/Daemon/crash_watch.h
+++ b/include/radishflow/Daemon/crash_watch.h
@@ -30,8 +30,9 @@
     /// The request has ended; a whole answer clears it of suspicion.
     void ended(const request_submission&, bool isWhole);
 
-    /// The server crashed under the request. Returns what other daemons have to learn.
-    std::vector<crash_record> crashed(const request_submission&);
+    /// The process that started then, in seconds since the epoch, crashed under the request. Returns what other
+    /// daemons have to learn.
+    std::vector<crash_record> crashed(const request_submission&, double processStart);
 
     void merge(const std::vector<crash_record>&);
 
--- a/include/radishflow/Daemon/server_gates.h
+++ b/include/radishflow/Daemon/server_gates.h
@@ -29,6 +29,7 @@
 struct gate_view {
     int reserved = 0;
     int limit = 0;
+    int bound = 0; ///< The load bound's share of the fleet's load.
     bool isWarm = false;
 };
 
@@ -77,20 +78,21 @@
 private:
     struct server_state {
         std::optional<cold_allowance> allowance;
-        std::map<attempt_id, std::uint64_t> epochs; ///< Of the requests that were written.
+        std::map<attempt_id, std::uint64_t> tickets; ///< Of the requests at the server.
         service_id service;
         int reserved = 0;
         int fullLimit = 0;
     };
 
-    std::optional<refusal> checkPlace(const request_submission&) const;
-    std::optional<refusal> reserveAt(const request_submission&, const service_settings&, const config_snapshot&);
+    std::optional<refusal> checkPlace(const request_submission&, const fleet_snapshot&) const;
+    std::optional<refusal> reserveAt(const request_submission&, const service_settings&, const config_snapshot&, int listed);
     server_state& stateOf(const request_submission&, const service_settings&);
     service_admission& admissionOf(const service_settings&, const config_snapshot&);
-    void setLoadsOf(service_admission&, const service_settings&);
+    void setLoadsOf(service_admission&, const service_settings&, int listed);
     std::variant<term_number, refusal> acquire(const request_submission&);
-    int limitOf(const request_submission&);
-    void noteWritten(const request_submission&, term_number);
+    std::optional<int> drawTicket(const request_submission&);
+    void returnTicket(const request_submission&);
+    void noteFirstByte(const request_submission&, std::chrono::milliseconds wait);
     void noteReset(const request_submission&, double startTime);
 
     parts m_parts;
@@ -100,7 +102,6 @@
     std::unordered_map<server_id, server_state> m_servers;
     std::unordered_map<service_id, service_admission> m_services;
     std::unordered_map<service_id, fleet_load> m_fleetLoads;
-    std::unordered_map<service_id, int> m_listed; ///< Servers of a service that take new work.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/service_admission.h
+++ b/include/radishflow/Daemon/service_admission.h
@@ -35,7 +35,9 @@
     /// Sets this owner's load and what is known of the fleet's.
     void setLoads(int ownRunning, int ownServers, int listedServers, const fleet_load&);
 
-    bool isWithinBound(int runningAtServer) const { return m_bound->admits(runningAtServer); }
+    /// Whether a server may take one more. What the entry has just been told by other servers of the service
+    /// that refused the same request counts where it is more than this owner knows.
+    bool isWithinBound(int runningAtServer, int witnessedRunning) const;
     int boundNow() const { return m_bound->allowed(); }
     workspace_limiter& workspaces() { return m_workspaces; }
 
@@ -54,6 +56,8 @@
     config_version m_version;
     std::deque<own_reading> m_ownReadings;
     std::uint64_t m_sequence = 0;
+    double m_multiple = 1;
+    int m_listedServers = 1;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Requests/refusal.h
+++ b/include/radishflow/Requests/refusal.h
@@ -15,6 +15,7 @@
     std::string detail;
     execution_state execution = execution_state::NotRun;
     std::chrono::milliseconds retryAfter { 0 }; ///< When to come back; zero when unsaid.
+    int runningThere = -1; ///< Requests at the server that refused for its share of the load; -1 otherwise.
     bool tryNextServer = false; ///< Another server may be tried now; only ever with NotRun.
 };
 
--- a/lib/Admission/cold_allowance.cpp
+++ b/lib/Admission/cold_allowance.cpp
@@ -34,22 +34,28 @@
 
 bool cold_allowance::mayDispatch() const
 {
-    return m_limit <= m_options.coldLimit || m_unproven < std::max(m_options.unprovenLimit, m_options.coldLimit);
+    return m_limit <= m_options.coldLimit || unproven() < std::max(m_options.unprovenLimit, m_options.coldLimit);
 }
 
 std::uint64_t cold_allowance::dispatched()
 {
-    ++m_unproven;
-    return m_epoch;
+    m_unproven.insert(++m_lastTicket);
+    return m_lastTicket;
 }
 
-void cold_allowance::firstToken(std::uint64_t epoch, duration wait)
+// What was sent after this request may have arrived after the server turned cold, so it stays unproven.
+void cold_allowance::prove(std::uint64_t ticket)
 {
-    if (epoch != m_epoch)
+    m_unproven.erase(m_unproven.begin(), m_unproven.upper_bound(ticket));
+}
+
+void cold_allowance::firstToken(std::uint64_t ticket, duration wait)
+{
+    if (isStale(ticket))
         return;
     if (wait <= m_options.slowFirstToken) {
         m_slowFirstTokens = 0;
-        m_unproven = 0;
+        prove(ticket);
         return;
     }
     ++m_slowFirstTokens;
@@ -59,11 +65,11 @@
         turnCold(cold_reason::SlowFirstTokens);
 }
 
-void cold_allowance::completed(std::uint64_t epoch)
+void cold_allowance::completed(std::uint64_t ticket)
 {
-    if (epoch != m_epoch)
+    if (isStale(ticket))
         return;
-    m_unproven = 0;
+    prove(ticket);
     ++m_completions;
     if (m_completions < m_options.completionsPerStep || m_slowFirstTokens > 0)
         return;
@@ -71,10 +77,9 @@
     m_limit = std::min(m_limit + 1, m_options.fullLimit);
 }
 
-void cold_allowance::abandoned(std::uint64_t epoch)
+void cold_allowance::abandoned(std::uint64_t ticket)
 {
-    if (epoch == m_epoch && m_unproven > 0)
-        --m_unproven;
+    m_unproven.erase(ticket);
 }
 
 bool cold_allowance::isOtherProcess(const server_sample& sample) const
@@ -100,7 +105,8 @@
     m_limit = std::min(m_options.coldLimit, m_options.fullLimit);
     m_completions = 0;
     m_slowFirstTokens = 0;
-    m_unproven = 0;
+    m_unproven.clear();
+    m_firstOfEpoch = m_lastTicket + 1;
     m_reason = reason;
     ++m_epoch;
 }
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -62,17 +62,39 @@
     return std::nullopt;
 }
 
+// Every server that refused for its share has told what it runs; with that a second round may find room that
+// the gossip doesn't know of yet.
+bool answer_route::beginSecondRound()
+{
+    if (m_witnessed.empty() || m_isSecondRound)
+        return false;
+    m_isSecondRound = true;
+    m_next = 0;
+    return true;
+}
+
+int answer_route::witnessedBeside(const server_id& server) const
+{
+    int sum = 0;
+    for (const auto& [other, running] : m_witnessed)
+        sum += other == server ? 0 : running;
+    return sum;
+}
+
 std::optional<refusal> answer_route::start()
 {
     refusal last { .status = 503, .title = "No server available", .detail = m_submission.service.value(), .retryAfter = milliseconds { 1000 } };
-    while (m_next < m_rank.size()) {
+    while (m_next < m_rank.size() || beginSecondRound()) {
         const known_server& server = m_rank[m_next++];
         m_submission.rank = static_cast<std::uint32_t>(m_next - 1);
+        m_submission.witnessedRunning = witnessedBeside(server.id);
         std::optional<refusal> reason = submitTo(server);
         if (!reason)
             return std::nullopt;
         if (!mayMoveOn(*reason))
             return reason;
+        if (reason->runningThere >= 0)
+            m_witnessed[server.id] = reason->runningThere;
         last = *std::move(reason);
     }
     return last;
--- a/lib/Daemon/crash_watch.cpp
+++ b/lib/Daemon/crash_watch.cpp
@@ -1,6 +1,8 @@
 // Implements the shared quarantine.
 #include "radishflow/Daemon/crash_watch.h"
 
+#include <string>
+
 namespace radishflow {
 
 using std::chrono::duration_cast;
@@ -55,11 +57,13 @@
     m_cleared.insert(fingerprint);
 }
 
-std::vector<crash_record> crash_watch::crashed(const request_submission& submission)
+// A server that a request brings down twice was two processes, and both count.
+std::vector<crash_record> crash_watch::crashed(const request_submission& submission, double processStart)
 {
+    const server_id process { submission.server.value() + '@' + std::to_string(processStart) };
     const std::lock_guard lock { m_mutex };
     m_cleared.erase(fingerprintOf(submission));
-    m_quarantine.crashed(submission.server, { fingerprintOf(submission) });
+    m_quarantine.crashed(process, { fingerprintOf(submission) });
     return m_quarantine.newEntries();
 }
 
--- a/lib/Daemon/own_pages.cpp
+++ b/lib/Daemon/own_pages.cpp
@@ -170,6 +170,7 @@
             const gate_view gate = found == gates.end() ? gate_view {} : found->second;
             entry.set("running_here", gate.reserved);
             entry.set("limit_here", gate.limit);
+            entry.set("bound_here", gate.bound);
             entry.set("warm", gate.isWarm);
             servers.add(entry);
         }
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -152,6 +152,8 @@
             .submit = [this](const request_submission& submission) { return runner.submit(submission); },
             .read = [this](const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most) { return runner.read(streamId, offset, wait, most); },
             .cancel = [this](const std::string& streamId) { runner.cancel(streamId); },
+            .learnCrashes = [this](const std::vector<crash_record>& records) { crashes.merge(records); },
+            .configuration = [this](config_version above) { return ownConfiguration(above); },
         };
     }
 
--- a/lib/Daemon/server_gates.cpp
+++ b/lib/Daemon/server_gates.cpp
@@ -3,6 +3,8 @@
 
 #include "radishflow/Config/fleet_config.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cassert>
 #include <mutex>
@@ -21,13 +23,12 @@
 }
 
 // An entry's view may be seconds old, so the owner looks at zones and leaving servers once more.
-std::optional<refusal> server_gates::checkPlace(const request_submission& submission) const
+std::optional<refusal> server_gates::checkPlace(const request_submission& submission, const fleet_snapshot& fleet) const
 {
     if (m_parts.ownership.ownerOf(submission.server) != m_parts.options.name)
         return refuseServer(submission, "Not the owner of the server");
-    const auto fleet = m_parts.directory.current();
-    const auto found = fleet->servers.find(submission.service);
-    if (found == fleet->servers.end())
+    const auto found = fleet.servers.find(submission.service);
+    if (found == fleet.servers.end())
         return refuseServer(submission, "Server unknown to the owner");
     const auto server = std::find_if(found->second.begin(), found->second.end(), [&](const known_server& known) { return known.id == submission.server; });
     if (server == found->second.end())
@@ -40,18 +41,28 @@
     return std::nullopt;
 }
 
+// An engine shows with each first token whether it is still warm. No more than a cold one bears are sent before
+// the next such sign, so that one that turns cold unnoticed is not pushed past its limit. A plain service shows
+// nothing before its answer ends, so there the same rule would hold a warm server to its cold limit for ever.
+static cold_allowance_options allowanceOptionsOf(const service_settings& service)
+{
+    const int coldLimit = std::min(service.coldLimit, service.serverLimit);
+    return {
+        .coldLimit = coldLimit,
+        .fullLimit = service.serverLimit,
+        .slowFirstToken = service.firstTokenRange.atMost,
+        .unprovenLimit = service.kind == service_kind::Model ? coldLimit : service.serverLimit,
+    };
+}
+
 server_gates::server_state& server_gates::stateOf(const request_submission& submission, const service_settings& service)
 {
     server_state& state = m_servers[submission.server];
     state.service = service.id;
     if (!state.allowance || state.fullLimit != service.serverLimit) {
         state.fullLimit = service.serverLimit;
-        state.epochs.clear();
-        state.allowance.emplace(cold_allowance_options {
-            .coldLimit = std::min(service.coldLimit, service.serverLimit),
-            .fullLimit = service.serverLimit,
-            .slowFirstToken = service.firstTokenRange.atMost,
-        });
+        state.tickets.clear();
+        state.allowance.emplace(allowanceOptionsOf(service));
     }
     return state;
 }
@@ -64,7 +75,16 @@
     return admission;
 }
 
-void server_gates::setLoadsOf(service_admission& admission, const service_settings& service)
+// The more servers are counted, the lower is the mean, so one whose owner is not known yet counts as well.
+static int countListed(const fleet_snapshot& fleet, const service_id& service)
+{
+    const auto servers = fleet.servers.find(service);
+    if (servers == fleet.servers.end())
+        return 0;
+    return static_cast<int>(std::count_if(servers->second.begin(), servers->second.end(), [](const known_server& server) { return !server.isLeaving && !server.isZoneOut; }));
+}
+
+void server_gates::setLoadsOf(service_admission& admission, const service_settings& service, int listed)
 {
     int running = 0;
     int servers = 0;
@@ -75,20 +95,22 @@
         ++servers;
     }
     const auto fleet = m_fleetLoads.find(service.id);
-    const auto listed = m_listed.find(service.id);
-    admission.setLoads(running, servers, listed == m_listed.end() ? servers : listed->second, fleet == m_fleetLoads.end() ? fleet_load {} : fleet->second);
+    admission.setLoads(running, servers, listed, fleet == m_fleetLoads.end() ? fleet_load {} : fleet->second);
 }
 
-std::optional<refusal> server_gates::reserveAt(const request_submission& submission, const service_settings& service, const config_snapshot& config)
+std::optional<refusal> server_gates::reserveAt(const request_submission& submission, const service_settings& service, const config_snapshot& config, int listed)
 {
     const std::lock_guard lock { m_mutex };
     server_state& state = stateOf(submission, service);
     service_admission& admission = admissionOf(service, config);
-    setLoadsOf(admission, service);
+    setLoadsOf(admission, service, listed);
     if (state.reserved >= state.allowance->limit() || !state.allowance->mayDispatch())
         return refuseServer(submission, state.allowance->isWarm() ? "Server is full" : "Server is warming up");
-    if (service.kind == service_kind::Model && !admission.isWithinBound(state.reserved))
-        return refuseServer(submission, "Server is above its share of the load");
+    if (service.kind == service_kind::Model && !admission.isWithinBound(state.reserved, submission.witnessedRunning)) {
+        refusal reason = refuseServer(submission, "Server is above its share of the load");
+        reason.runningThere = state.reserved;
+        return reason;
+    }
     if (!admission.workspaces().tryStart(submission.workspace))
         return refusal { .status = 429, .title = "Workspace is at its limit", .detail = submission.workspace.value(), .retryAfter = workspaceRetry };
     ++state.reserved;
@@ -101,9 +123,10 @@
     const service_settings* service = config ? findService(config->config, submission.service) : nullptr;
     if (!service)
         return refuseServer(submission, "Service unknown to the owner");
-    if (auto reason = checkPlace(submission))
+    const auto fleet = m_parts.directory.current();
+    if (auto reason = checkPlace(submission, *fleet))
         return reason;
-    if (auto reason = reserveAt(submission, *service, *config))
+    if (auto reason = reserveAt(submission, *service, *config, countListed(*fleet, service->id)))
         return reason;
     auto reason = m_parts.crashes.admit(submission);
     if (reason) {
@@ -114,33 +137,44 @@
     return reason;
 }
 
-int server_gates::limitOf(const request_submission& submission)
+// The ticket is drawn before the write, so that workers that come here together can't all see the last place.
+std::optional<int> server_gates::drawTicket(const request_submission& submission)
 {
     const std::lock_guard lock { m_mutex };
-    const server_state& state = m_servers[submission.server];
-    return state.allowance->mayDispatch() ? state.allowance->limit() : 0;
+    server_state& state = m_servers[submission.server];
+    if (!state.allowance->mayDispatch())
+        return std::nullopt;
+    state.tickets[submission.attempt] = state.allowance->dispatched();
+    return state.allowance->limit();
+}
+
+void server_gates::returnTicket(const request_submission& submission)
+{
+    const std::lock_guard lock { m_mutex };
+    server_state& state = m_servers[submission.server];
+    const auto ticket = state.tickets.find(submission.attempt);
+    if (ticket == state.tickets.end())
+        return;
+    state.allowance->abandoned(ticket->second);
+    state.tickets.erase(ticket);
 }
 
 // The window between check and write is narrow on purpose; a burst waits here for the writes before it.
 std::variant<term_number, refusal> server_gates::acquire(const request_submission& submission)
 {
-    for (int attempt = 0; attempt < windowTries; ++attempt) {
-        const permit granted = m_parts.ownership.admit(submission.server, limitOf(submission));
+    const std::optional<int> limit = drawTicket(submission);
+    if (!limit)
+        return refuseServer(submission, "Server is warming up");
+    refusal_reason reason = refusal_reason::WindowFull;
+    for (int attempt = 0; attempt < windowTries && reason == refusal_reason::WindowFull; ++attempt) {
+        const permit granted = m_parts.ownership.admit(submission.server, *limit);
         if (granted.isGranted)
             return granted.term;
-        if (granted.reason != refusal_reason::WindowFull)
-            return refuseServer(submission, nameOf(granted.reason));
+        reason = granted.reason;
         std::this_thread::sleep_for(windowRetry);
     }
-    return refuseServer(submission, nameOf(refusal_reason::WindowFull));
-}
-
-void server_gates::noteWritten(const request_submission& submission, term_number term)
-{
-    m_parts.ownership.started(submission.server, term);
-    const std::lock_guard lock { m_mutex };
-    server_state& state = m_servers[submission.server];
-    state.epochs[submission.attempt] = state.allowance->dispatched();
+    returnTicket(submission);
+    return refuseServer(submission, nameOf(reason));
 }
 
 // Whoever was in flight at a crash is suspect before its caller can send it again.
@@ -150,8 +184,21 @@
         const std::lock_guard lock { m_mutex };
         m_servers[submission.server].allowance->connectionReset();
     }
-    if (m_reporter.hasCrashed(submission.server, startTime))
-        m_reporter.spread(m_parts.crashes.crashed(submission));
+    const bool isCrash = m_reporter.hasCrashed(submission.server, startTime);
+    spdlog::warn("step=\"lose connection\" peer={} request={} crashed={} fingerprint={:016x}", submission.server.value(), submission.request.value(), isCrash, submission.fingerprint);
+    if (isCrash)
+        m_reporter.spread(m_parts.crashes.crashed(submission, startTime));
+}
+
+void server_gates::noteFirstByte(const request_submission& submission, std::chrono::milliseconds wait)
+{
+    if (!submission.isModelCall)
+        return;
+    const std::lock_guard lock { m_mutex };
+    server_state& state = m_servers[submission.server];
+    const auto ticket = state.tickets.find(submission.attempt);
+    if (ticket != state.tickets.end())
+        state.allowance->firstToken(ticket->second, wait);
 }
 
 write_gate server_gates::gateFor(const request_submission& submission)
@@ -159,13 +206,9 @@
     const double startTime = m_reporter.startTime(submission.server);
     return {
         .acquire = [this, &submission] { return acquire(submission); },
-        .written = [this, &submission](term_number term) { noteWritten(submission, term); },
+        .written = [this, &submission](term_number term) { m_parts.ownership.started(submission.server, term); },
         .released = [this, &submission](term_number term) { m_parts.ownership.finished(submission.server, term); },
-        .firstByte = [this, &submission](std::chrono::milliseconds wait) {
-            const std::lock_guard lock { m_mutex };
-            server_state& state = m_servers[submission.server];
-            if (submission.isModelCall)
-                state.allowance->firstToken(state.epochs[submission.attempt], wait); },
+        .firstByte = [this, &submission](std::chrono::milliseconds wait) { noteFirstByte(submission, wait); },
         .reset = [this, &submission, startTime] { noteReset(submission, startTime); },
     };
 }
@@ -178,14 +221,14 @@
     assert(state.reserved > 0 && "each reservation is finished once");
     --state.reserved;
     m_services.at(submission.service).workspaces().finished(submission.workspace);
-    const auto epoch = state.epochs.find(submission.attempt);
-    if (epoch == state.epochs.end())
+    const auto ticket = state.tickets.find(submission.attempt);
+    if (ticket == state.tickets.end())
         return;
     if (outcome.isWhole)
-        state.allowance->completed(epoch->second);
+        state.allowance->completed(ticket->second);
     else
-        state.allowance->abandoned(epoch->second);
-    state.epochs.erase(epoch);
+        state.allowance->abandoned(ticket->second);
+    state.tickets.erase(ticket);
 }
 
 void server_gates::observe(const server_id& server, const server_sample& sample)
@@ -198,14 +241,9 @@
 
 void server_gates::setFleetLoads(const std::unordered_map<service_id, fleet_load>& loads)
 {
-    const auto fleet = m_parts.directory.current();
-    std::unordered_map<service_id, int> listed;
-    for (const auto& [service, servers] : fleet->servers)
-        listed[service] = static_cast<int>(std::count_if(servers.begin(), servers.end(), [](const known_server& server) { return server.takesNewWork(); }));
     const std::vector<server_id> owned = m_parts.ownership.ownedServers();
     const std::lock_guard lock { m_mutex };
     m_fleetLoads = loads;
-    m_listed = std::move(listed);
     // A server that went to another owner no longer counts here, once what runs there has ended.
     std::erase_if(m_servers, [&](const auto& item) {
         return item.second.reserved == 0 && std::find(owned.begin(), owned.end(), item.first) == owned.end();
@@ -237,8 +275,15 @@
 {
     const std::lock_guard lock { m_mutex };
     std::unordered_map<server_id, gate_view> views;
-    for (const auto& [server, state] : m_servers)
-        views[server] = { .reserved = state.reserved, .limit = state.allowance ? state.allowance->limit() : 0, .isWarm = state.allowance && state.allowance->isWarm() };
+    for (const auto& [server, state] : m_servers) {
+        const auto admission = m_services.find(state.service);
+        views[server] = {
+            .reserved = state.reserved,
+            .limit = state.allowance ? state.allowance->limit() : 0,
+            .bound = admission == m_services.end() ? 0 : admission->second.boundNow(),
+            .isWarm = state.allowance && state.allowance->isWarm(),
+        };
+    }
     return views;
 }
 
--- a/lib/Daemon/service_admission.cpp
+++ b/lib/Daemon/service_admission.cpp
@@ -2,6 +2,7 @@
 #include "radishflow/Daemon/service_admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace radishflow {
 
@@ -10,6 +11,7 @@
 void service_admission::configure(const service_settings& service, const fleet_config& config, config_version version)
 {
     m_bound.emplace(m_clock, m_self, load_bound_options { .multiple = service.loadMultiple, .forgetAfter = forgetAfter });
+    m_multiple = service.loadMultiple;
     std::unordered_map<workspace_id, workspace_options> settings;
     for (const auto& [id, workspace] : config.workspaces)
         settings[id] = { .maxRunning = workspace.limit, .weight = static_cast<double>(workspace.weight) };
@@ -17,6 +19,17 @@
     m_version = version;
 }
 
+// The gossip's sums are seconds old, so a burst that meets an idle fleet would find every server at a bound of
+// one. The servers that refused this very request ran what they told a moment ago: a sum over some of the
+// servers, spread over all, is a mean that errs low as well.
+bool service_admission::isWithinBound(int runningAtServer, int witnessedRunning) const
+{
+    if (m_bound->admits(runningAtServer))
+        return true;
+    const double mean = static_cast<double>(witnessedRunning + runningAtServer + 1) / m_listedServers;
+    return runningAtServer < static_cast<int>(std::ceil(m_multiple * mean));
+}
+
 // The fleet's sum holds what this owner ran when it was measured. Taking off the most that it ran since then
 // can only make the rest look smaller, and a mean that is too low keeps the bound.
 int service_admission::highestOwnLately(int ownRunning)
@@ -32,6 +45,7 @@
 void service_admission::setLoads(int ownRunning, int ownServers, int listedServers, const fleet_load& fleet)
 {
     m_bound->setOwn(ownRunning, ownServers);
+    m_listedServers = std::max({ listedServers, ownServers, 1 });
     m_bound->setListedServers(listedServers);
     m_workspaces.setShare(std::max(1, ownServers), std::max(1, listedServers));
     const load_aggregate others {
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -34,6 +34,7 @@
     message.__set_detail(reason.detail);
     message.__set_execution(toWire(reason.execution));
     message.__set_retryAfterMs(static_cast<std::int32_t>(reason.retryAfter.count()));
+    message.__set_runningThere(reason.runningThere);
     message.__set_tryNextServer(reason.tryNextServer);
     return message;
 }
@@ -46,6 +47,7 @@
         .detail = message.detail,
         .execution = fromWire(message.execution),
         .retryAfter = std::chrono::milliseconds { std::max(0, message.retryAfterMs) },
+        .runningThere = message.runningThere,
         .tryNextServer = message.tryNextServer,
     };
 }
@@ -67,6 +69,7 @@
     message.__set_deadlineMs(static_cast<std::int32_t>(submission.timeLeft.count()));
     message.__set_idempotencyKey(submission.key.value());
     message.__set_isModelCall(submission.isModelCall);
+    message.__set_witnessedRunning(submission.witnessedRunning);
     message.__set_rank(static_cast<std::int32_t>(submission.rank));
     message.__set_fingerprintHigh(static_cast<std::int64_t>(submission.fingerprint));
     message.__set_fingerprintLow(static_cast<std::int64_t>(submission.fingerprintLow));
@@ -92,6 +95,7 @@
         .key = idempotency_key { message.idempotencyKey },
         .isModelCall = message.isModelCall,
         .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
+        .witnessedRunning = std::max(0, message.witnessedRunning),
         .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
         .fingerprint = static_cast<std::uint64_t>(message.fingerprintHigh),
         .fingerprintLow = static_cast<std::uint64_t>(message.fingerprintLow),
--- a/test/Fleet/chat_callers.cpp
+++ b/test/Fleet/chat_callers.cpp
@@ -71,7 +71,7 @@
 // refusal with Retry-After by another try, as long as the caller has patience.
 bool chat_callers::takeTurn(int caller, int turn, std::vector<std::string>& addresses)
 {
-    const std::string chat = std::to_string(caller) + "-" + std::to_string(turn % m_options.chatsEach);
+    const std::string chat = m_options.isOneChat ? "one" : std::to_string(caller) + "-" + std::to_string(turn % m_options.chatsEach);
     const std::string prompt = "turn " + std::to_string(caller) + "/" + std::to_string(turn);
     const auto deadline = steady_clock::now() + m_options.patience;
     std::string problem = "no address";
--- a/test/Fleet/chat_callers.h
+++ b/test/Fleet/chat_callers.h
@@ -16,6 +16,7 @@
     int callers = 8;
     int tokens = 8;
     int chatsEach = 4; ///< Chats that each caller returns to in turn.
+    bool isOneChat = false; ///< All callers take part in one chat.
     std::chrono::milliseconds pause { 20 }; ///< Between an answer and the next turn.
     std::chrono::milliseconds patience { 3000 }; ///< How long a turn is tried before it counts as unanswered.
     std::chrono::milliseconds keep { 1900 }; ///< How long an address is kept.
--- a/test/Fleet/test_fleet.cpp
+++ b/test/Fleet/test_fleet.cpp
@@ -29,7 +29,7 @@
     std::ostringstream text;
     text << "services:\n"
          << "  assistant:\n    kind: model\n    models: [hydro-large]\n    cold_limit: " << options.coldLimit
-         << "\n    server_limit: " << options.serverLimit << "\n    load_multiple: " << options.loadMultiple << "\n    request_timeout: 20s\n"
+         << "\n    server_limit: " << options.serverLimit << "\n    load_multiple: " << options.loadMultiple << "\n    first_token: { at_most: " << options.firstTokenAtMost << " }\n    request_timeout: 20s\n"
          << "  records:\n    kind: plain\n    cold_limit: 2\n    server_limit: 16\n    request_timeout: 10s\n"
          << "workspaces:\n  desk: { priority: 3, limit: 400, services: [assistant, records] }\n";
     return text.str();
--- a/test/Fleet/test_fleet.h
+++ b/test/Fleet/test_fleet.h
@@ -25,6 +25,7 @@
     int coldLimit = 2; ///< For the tests' own service file.
     int serverLimit = 16;
     std::string loadMultiple = "1.5";
+    std::string firstTokenAtMost = "2s"; ///< Of a warm engine.
     bool waitForOwners = true; ///< Wait until every backend server has an owner.
 };
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -16,6 +16,7 @@
   4: Execution execution
   5: i32 retryAfterMs      // when to come back; 0 when another server may be tried at once
   6: bool tryNextServer    // the entry may try the next server in rank
+  7: i32 runningThere      // requests at the server that refused for its share; -1 otherwise
 }
 
 // One attempt at one request, from an entry to the owner of a backend server.
@@ -37,6 +38,7 @@
   16: i32 rank             // place of the server in the chat's rank; 0 is the first
   17: i64 fingerprintHigh  // hash of workspace, service and body
   19: i64 fingerprintLow
+  20: i32 witnessedRunning // requests at the other servers that refused this request for their share
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
 }
 
--- a/unittests/Admission/cold_allowance_test.cpp
+++ b/unittests/Admission/cold_allowance_test.cpp
@@ -51,7 +51,7 @@
     { "counter", cold_reason::CounterFellBack, [](cold_allowance& a) { a.observe({ .processStart = 1000, .completed = 4 }); } },
     { "counter alone", cold_reason::CounterFellBack, [](cold_allowance& a) { a.observe({ .completed = 4 }); } },
     { "reset", cold_reason::ConnectionReset, [](cold_allowance& a) { a.connectionReset(); } },
-    { "slow first tokens", cold_reason::SlowFirstTokens, [](cold_allowance& a) { a.firstToken(a.epoch(), 6s); a.firstToken(a.epoch(), 6s); } },
+    { "slow first tokens", cold_reason::SlowFirstTokens, [](cold_allowance& a) { a.firstToken(a.dispatched(), 6s); a.firstToken(a.dispatched(), 6s); } },
 };
 
 BOOST_DATA_TEST_CASE(coldTurnIsDetected, boost::unit_test::data::make(coldTurnCases), test)
@@ -71,8 +71,8 @@
 {
     cold_allowance allowance = warmServer();
     for (int round = 0; round < 10; ++round) {
-        allowance.firstToken(allowance.epoch(), 6s);
-        allowance.firstToken(allowance.epoch(), 1s);
+        allowance.firstToken(allowance.dispatched(), 6s);
+        allowance.firstToken(allowance.dispatched(), 1s);
     }
     BOOST_TEST(allowance.isWarm());
 }
@@ -84,7 +84,7 @@
     for (; allowance.mayDispatch() && sent < 100; ++sent)
         allowance.dispatched();
     BOOST_TEST(sent == std::max(unprovenLimit, 2));
-    allowance.firstToken(allowance.epoch(), 1s);
+    allowance.firstToken(allowance.dispatched(), 1s);
     BOOST_TEST(allowance.mayDispatch());
 }
 
