Test writes in doubt, and let a superseded process end

Two processes of one name took the servers from each other for ever; the older one now ends (isSuperseded). A stop without a table counts as stopped when nothing is held.

--- a/include/radishflow/Terms/ownership_table.h
+++ b/include/radishflow/Terms/ownership_table.h
@@ -50,7 +50,10 @@
 
     /// Starts a graceful stop: later steps release every server, then the term.
     void beginStop() { m_isStopping = true; }
-    bool isStopped() const { return m_isStopping && m_holder.isReleased(); }
+    bool isStopped() const { return m_isStopping && !m_holder.isHeld(); }
+
+    /// Another process has registered under this daemon's name; this one owns nothing any more and should end.
+    bool isSuperseded() const { return m_holder.isSuperseded(); }
 
     /// Returns the daemon that the table says owns a server, also when its term may have lapsed.
     std::optional<daemon_id> ownerOf(const server_id& server) const
@@ -102,7 +105,7 @@
     // A successor counts on this daemon sending nothing under the old incarnation, so the windows must be empty.
     void comeBack()
     {
-        if (!m_holder.isLost())
+        if (!m_holder.isLost() || m_isStopping)
             return;
         for (const auto& [server, gate] : m_gates) {
             if (gate.windowCount() > 0)
@@ -124,7 +127,7 @@
         m_rows.applyPoll(*read.page, sentAt, m_clock.now(), m_options.maxPollGap);
         m_pollAt = sentAt + m_options.pollInterval;
         if (const observed_renewal* own = m_rows.renewalOf(m_self))
-            m_holder.observe(own->row, own->revision);
+            m_holder.observe(own->revision);
     }
 
     bool isOwnRow(const ownership_row& row) const
--- a/include/radishflow/Terms/term_holder.h
+++ b/include/radishflow/Terms/term_holder.h
@@ -30,7 +30,7 @@
     template <transactional_table Table>
     void step(Table& table)
     {
-        if (m_state == holder_state::Released)
+        if (m_state == holder_state::Released || m_state == holder_state::Superseded)
             return;
         if (m_pending || m_state == holder_state::Starting) {
             readBack(table);
@@ -51,18 +51,15 @@
             attempt(table, nextRow(renewal_state::Released));
         else if (m_pending)
             readBack(table);
-        return m_state == holder_state::Released || m_state == holder_state::Lost;
+        return m_state != holder_state::Held;
     }
 
-    /// Takes note of this daemon's own row as read by a poll; a successor may have marked it.
-    void observe(const renewal_row& row, std::int64_t revision)
+    /// Takes note of the revision of this daemon's own row in a poll. When another has written it, the renewal
+    /// that is due at once finds out.
+    void observe(std::int64_t revision)
     {
-        if (m_state != holder_state::Held || revision <= m_revision)
-            return;
-        if (!isOwnLiveRow(row))
-            return lose();
-        // An attempt took effect late; the next renewal finds out which.
-        m_renewAt = m_clock.now();
+        if (m_state == holder_state::Held && revision > m_revision)
+            m_renewAt = m_clock.now();
     }
 
     /// Comes back after a loss with a new incarnation; every gate must have an empty window.
@@ -85,6 +82,8 @@
 
     bool isLost() const { return m_state == holder_state::Lost; }
     bool isReleased() const { return m_state == holder_state::Released; }
+    /// Another process has registered under this daemon's name; this one should end.
+    bool isSuperseded() const { return m_state == holder_state::Superseded; }
     bool isHeld() const { return m_state == holder_state::Held; }
     incarnation_number incarnation() const { return m_row.incarnation; }
 
@@ -102,6 +101,7 @@
         Held,
         Lost,
         Released,
+        Superseded,
     };
 
     struct pending_attempt {
@@ -196,14 +196,16 @@
             return;
         }
         if (m_state == holder_state::Held)
-            return lose();
+            return lose(row.value_or(renewal_row {}));
         m_revision = revision;
         m_row = row.value_or(renewal_row {});
     }
 
-    void lose()
+    // A newer process of the same name keeps it; coming back would only take it away again.
+    void lose(const renewal_row& row)
     {
-        m_state = holder_state::Lost;
+        const bool isNewerProcess = row.nonce != m_nonce && row.incarnation > m_row.incarnation;
+        m_state = isNewerProcess ? holder_state::Superseded : holder_state::Lost;
         m_pending.reset();
         m_lapsesAt.reset();
     }
--- a/unittests/Terms/linked_table.h
+++ b/unittests/Terms/linked_table.h
@@ -19,6 +19,7 @@
     int loseReplies = 0; ///< So many commits take effect and fail as ReplyLost.
     int loseRequests = 0; ///< So many commits have no effect and fail as ReplyLost.
     int delayRequests = 0; ///< So many commits fail as ReplyLost and take effect when they are delivered.
+    std::string delayedKey; ///< Commits that write this key are delayed likewise.
     std::function<void()> duringCall; ///< Called before and after each call takes effect; time may pass in it.
 
     result<table_page> readRange(const std::string& prefix, std::int64_t minModRevision)
@@ -35,8 +36,8 @@
     {
         if (isCut)
             return fail({ .code = failure_code::Unreachable, .step = "write table", .peer = "memory" });
-        if (delayRequests > 0) {
-            --delayRequests;
+        if (delayRequests > 0 || writes.back().key == delayedKey) {
+            delayRequests = std::max(delayRequests - 1, 0);
             m_delayed.push_back({ .conditions = conditions, .writes = writes });
             return fail({ .code = failure_code::ReplyLost, .step = "write table", .peer = "memory" });
         }
--- a/unittests/Terms/server_gate_test.cpp
+++ b/unittests/Terms/server_gate_test.cpp
@@ -49,6 +49,8 @@
     BOOST_TEST(test.allowed() == 4);
     test.report(5);
     BOOST_TEST(test.allowed() == 7);
+    test.gate.acceptReport({ .takenAfter = test.now - 5s, .running = 6, .hasOrigins = true, .runningByOrigin = { { term_number { 1 }, 6 } } });
+    BOOST_TEST(test.allowed() == 7); // A report that comes late is ignored.
     BOOST_TEST(!test.gate.hasObsoleteShares(test.now));
     test.report(0);
     BOOST_TEST(test.allowed() == 12);
