Let a first token speak for its own request only

Cause: one overload remained: requests are numbered before they are written, so one with a lower number can arrive later, after a cold turn, and was taken for proven by another's first token. Ruled out: numbering after the write, since two connections still arrive in any order. Change: cold_allowance proves only the request whose token came. The unit test that expected one sign to clear all is replaced by a stricter one: it makes room for one more request and not for two.

--- a/include/radishflow/Admission/cold_allowance.h
+++ b/include/radishflow/Admission/cold_allowance.h
@@ -63,14 +63,13 @@
     /// Grows with each cold turn.
     std::uint64_t epoch() const { return m_epoch; }
 
-    /// Requests that may have met a cold server if it has just turned cold: a sign of warmth speaks for the
-    /// request that brought it and for those sent before, and for none sent after.
+    /// Requests that may have met a cold server if it has just turned cold. A sign of warmth speaks only for the
+    /// request that brought it: others may have been sent earlier and still arrive after a cold turn.
     int unproven() const { return static_cast<int>(m_unproven.size()); }
 
 private:
     void turnCold(cold_reason);
     bool isStale(std::uint64_t ticket) const { return ticket < m_firstOfEpoch; }
-    void prove(std::uint64_t ticket);
     bool isOtherProcess(const server_sample&) const;
 
     cold_allowance_options m_options;
--- a/lib/Admission/cold_allowance.cpp
+++ b/lib/Admission/cold_allowance.cpp
@@ -43,19 +43,13 @@
     return m_lastTicket;
 }
 
-// What was sent after this request may have arrived after the server turned cold, so it stays unproven.
-void cold_allowance::prove(std::uint64_t ticket)
-{
-    m_unproven.erase(m_unproven.begin(), m_unproven.upper_bound(ticket));
-}
-
 void cold_allowance::firstToken(std::uint64_t ticket, duration wait)
 {
     if (isStale(ticket))
         return;
     if (wait <= m_options.slowFirstToken) {
         m_slowFirstTokens = 0;
-        prove(ticket);
+        m_unproven.erase(ticket);
         return;
     }
     ++m_slowFirstTokens;
@@ -69,7 +63,7 @@
 {
     if (isStale(ticket))
         return;
-    prove(ticket);
+    m_unproven.erase(ticket);
     ++m_completions;
     if (m_completions < m_options.completionsPerStep || m_slowFirstTokens > 0)
         return;
--- a/unittests/Admission/cold_allowance_test.cpp
+++ b/unittests/Admission/cold_allowance_test.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <ostream>
+#include <vector>
 
 using namespace radishflow;
 using namespace std::chrono_literals;
@@ -80,12 +81,15 @@
 BOOST_DATA_TEST_CASE(fewRequestsMeetAServerThatHasJustTurnedCold, boost::unit_test::data::make({ 1, 8, 20 }), unprovenLimit)
 {
     cold_allowance allowance = warmServer({ .unprovenLimit = unprovenLimit });
-    int sent = 0; // The server is gone and shows nothing.
-    for (; allowance.mayDispatch() && sent < 100; ++sent)
-        allowance.dispatched();
-    BOOST_TEST(sent == std::max(unprovenLimit, 2));
-    allowance.firstToken(allowance.dispatched(), 1s);
+    std::vector<std::uint64_t> sent; // The server is gone and shows nothing.
+    while (allowance.mayDispatch() && sent.size() < 100)
+        sent.push_back(allowance.dispatched());
+    BOOST_TEST(sent.size() == static_cast<std::size_t>(std::max(unprovenLimit, 2)));
+    // A sign speaks for its own request alone, so it makes room for one more and not for two.
+    allowance.firstToken(sent.back(), 1s);
     BOOST_TEST(allowance.mayDispatch());
+    allowance.dispatched();
+    BOOST_TEST(!allowance.mayDispatch());
 }
 
 BOOST_AUTO_TEST_CASE(abandonedRequestsDoNotCloseTheServer)
