Measure what a daemon adds to the times of streamed tokens

The issue's targets (under 3 ms to the first token and under 1 ms between tokens at p95, 256 streams under 64 MB, idle under 32 MB and 1.1% of a core) had no measurement. latency-benchmark starts real processes and reads the same streams straight from an engine stand-in and through one daemon.

--- /dev/null
+++ b/benchmarks/latency/stream_round.cpp
@@ -0,0 +1,82 @@
+// Implements the timing of streams, one thread and one connection for each answer.
+#include "stream_round.h"
+
+#include "test_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace radishflow {
+
+using steady = std::chrono::steady_clock;
+
+static double millisecondsBetween(steady::time_point from, steady::time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+static void readAnswer(const round_options& options, const std::string& chat, round_times& times)
+{
+    const auto started = steady::now();
+    auto last = started;
+    int events = 0;
+    bool isWhole = false;
+    const http_call_reply reply = httpStream({ .method = "POST",
+                                                 .url = "http://" + options.address + "/v1/chat/completions",
+                                                 .headers = { { "X-Workspace", "desk" }, { "X-Chat", chat }, { "X-Request-Id", chat }, { "Content-Type", "application/json" } },
+                                                 .body = chatBody("pressure at " + chat, options.tokens, true),
+                                                 .timeout = std::chrono::seconds { 20 } },
+        [&](std::string_view line) {
+            isWhole = isWhole || line == "data: [DONE]";
+            if (!line.starts_with("data: {"))
+                return true;
+            const auto now = steady::now();
+            (events++ == 0 ? times.firstToken : times.betweenTokens).push_back(millisecondsBetween(last, now));
+            last = now;
+            return true;
+        });
+    if (isWhole && reply.status == 200) {
+        ++times.whole;
+        return;
+    }
+    ++times.failed;
+    if (times.firstError.empty())
+        times.firstError = "status " + std::to_string(reply.status) + " after " + std::to_string(events) + " events " + reply.error;
+}
+
+round_times runRound(const round_options& options)
+{
+    std::vector<round_times> parts(static_cast<std::size_t>(options.streams));
+    std::vector<std::thread> callers;
+    for (int stream = 0; stream < options.streams; ++stream) {
+        callers.emplace_back([&, stream] {
+            std::this_thread::sleep_for(std::chrono::microseconds { 20000 * stream / options.streams });
+            for (int answer = 0; answer < options.answers; ++answer)
+                readAnswer(options, "s" + std::to_string(options.streams) + '-' + std::to_string(stream) + '-' + std::to_string(answer), parts[static_cast<std::size_t>(stream)]);
+        });
+    }
+    round_times all;
+    for (std::thread& caller : callers)
+        caller.join();
+    for (const round_times& part : parts) {
+        all.firstToken.insert(all.firstToken.end(), part.firstToken.begin(), part.firstToken.end());
+        all.betweenTokens.insert(all.betweenTokens.end(), part.betweenTokens.begin(), part.betweenTokens.end());
+        all.whole += part.whole;
+        all.failed += part.failed;
+        if (all.firstError.empty())
+            all.firstError = part.firstError;
+    }
+    return all;
+}
+
+double percentileOf(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    const auto place = values.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/benchmarks/latency/stream_round.h
@@ -0,0 +1,30 @@
+// Declares runRound, which holds a number of streams open at once and times their tokens.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace radishflow {
+
+struct round_options {
+    std::string address; ///< "IP:port" of a daemon or an engine.
+    int streams = 1; ///< Streams at once.
+    int answers = 1; ///< Answers that each reads, one after the other.
+    int tokens = 100; ///< Per answer.
+};
+
+struct round_times {
+    std::vector<double> firstToken; ///< Milliseconds from before the connect to the first event.
+    std::vector<double> betweenTokens; ///< Milliseconds between events that follow each other.
+    int whole = 0; ///< Answers that came to their end.
+    int failed = 0;
+    std::string firstError;
+};
+
+/// Runs one thread per stream; the streams start spread over one token interval.
+round_times runRound(const round_options&);
+
+/// Returns the value at a share, such as 0.95, of the sorted values; 0 when there are none.
+double percentileOf(std::vector<double> values, double share);
+
+} // namespace radishflow
