Bound what one caller can take of the callers' interface

POCO bounds each receive, so a caller that sent one byte every few seconds kept a worker for good, and one that did not read its answer kept it as long as it liked. POCO's connection also answers a malformed head without saying that nothing was run, and takes a head or a chunked body that was cut short for a whole one.

A connection of our own on POCO's session takes the place of POCO's. Connections past caller_limit + 64 get a 503 with Retry-After and are closed. Malformed requests get problem details with execution not_run, and nothing is read after them. Transfer-Encoding is refused with 411, since the end of a chunked body can't be trusted. Calls in progress, which a drain waits for, were never counted and are now.

Known gaps: POCO takes a byte 0xFF for the end of a line, so fields after it can be lost when the next begins with G, H, P or D; a head may take up to 0.8 MB before its size is known.

--- a/benchmarks/latency/stream_round.cpp
+++ b/benchmarks/latency/stream_round.cpp
@@ -49,6 +49,7 @@
 {
     std::vector<round_times> parts(static_cast<std::size_t>(options.streams));
     std::vector<std::thread> callers;
+    callers.reserve(parts.size());
     for (int stream = 0; stream < options.streams; ++stream) {
         callers.emplace_back([&, stream] {
             std::this_thread::sleep_for(options.spread * stream / options.streams);
--- a/lib/Edge/answer_writer.cpp
+++ b/lib/Edge/answer_writer.cpp
@@ -32,16 +32,11 @@
     response.sendBuffer(page.body.data(), page.body.size());
 }
 
-static Poco::Net::StreamSocket& socketOf(Poco::Net::HTTPServerRequest& request)
-{
-    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
-}
-
 // A caller that has gone must not hold a slot of an engine until its answer's end.
-static bool hasCallerGone(Poco::Net::HTTPServerRequest& request)
+static bool hasCallerGone(Poco::Net::HTTPServerRequestImpl& request)
 {
     char byte = 0;
-    return recv(socketOf(request).impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    return recv(request.socket().impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
 static void sendHead(Poco::Net::HTTPServerResponse& response, const answer_part& first, const caller_answer& answer)
@@ -53,7 +48,7 @@
 }
 
 // Reads on until there are bytes to send, an end, or a caller that has gone.
-static answer_part readNext(Poco::Net::HTTPServerRequest& request, caller_answer& answer, std::uint64_t offset)
+static answer_part readNext(Poco::Net::HTTPServerRequestImpl& request, caller_answer& answer, std::uint64_t offset)
 {
     while (true) {
         answer_part part = answer.read(offset, readWait);
@@ -69,22 +64,23 @@
 
 // The chunked stream writes its terminating chunk when it is destroyed; closing the socket first makes
 // an answer that ended short look short to every HTTP client.
-static void cutOff(Poco::Net::HTTPServerRequest& request, std::ostream& out)
+static void cutOff(Poco::Net::HTTPServerRequestImpl& request, std::ostream& out)
 {
     out.flush();
-    socketOf(request).shutdown();
+    request.socket().shutdown();
 }
 
-void sendAnswer(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response, caller_answer& answer)
+void sendAnswer(Poco::Net::HTTPServerRequestImpl& request, Poco::Net::HTTPServerResponse& response, caller_answer& answer, const send_limit& limit)
 {
     answer_part part = readNext(request, answer, 0);
+    limit.watched.limit(limit.bound, connection_watch::cut_kind::Both);
     if (part.broken && part.data.empty()) {
         sendRefusal(response, part.refused.value_or(refusal { .status = 502, .title = "Answer lost", .execution = execution_state::Unknown }), answer.request);
         return;
     }
     if (part.status == 0) {
         answer.cancel();
-        socketOf(request).shutdown();
+        request.socket().shutdown();
         return;
     }
     sendHead(response, part, answer);
@@ -109,7 +105,9 @@
             answer.cancel();
             break;
         }
+        limit.watched.lift();
         part = readNext(request, answer, offset);
+        limit.watched.limit(limit.bound, connection_watch::cut_kind::Both);
     }
     cutOff(request, out);
 }
--- a/lib/Edge/answer_writer.h
+++ b/lib/Edge/answer_writer.h
@@ -4,8 +4,12 @@
 #include "radishflow/Edge/caller_answer.h"
 #include "radishflow/Edge/document.h"
 
+#include "connection_watch.h"
+
+#include <chrono>
+
 namespace Poco::Net {
-class HTTPServerRequest;
+class HTTPServerRequestImpl;
 class HTTPServerResponse;
 }
 
@@ -16,7 +20,13 @@
 
 void sendDocument(Poco::Net::HTTPServerResponse&, const document&);
 
+/// How long a caller may take for each part of its answer.
+struct send_limit {
+    connection_watch::entry& watched;
+    std::chrono::milliseconds bound;
+};
+
 /// Sends an answer as it arrives. A broken one is cut off visibly: no terminating chunk follows.
-void sendAnswer(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&, caller_answer&);
+void sendAnswer(Poco::Net::HTTPServerRequestImpl&, Poco::Net::HTTPServerResponse&, caller_answer&, const send_limit&);
 
 } // namespace radishflow
--- a/lib/Edge/edge_server.cpp
+++ b/lib/Edge/edge_server.cpp
@@ -1,105 +1,69 @@
 // Implements the callers' HTTP interface on POCO Net.
 #include "radishflow/Edge/edge_server.h"
 
-#include "answer_writer.h"
-#include "request_parser.h"
-
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include "edge_connection.h"
+#include "raw_answer.h"
+#include "shared_edge.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
-#include <Poco/URI.h>
 
-#include <atomic>
+#include <algorithm>
+#include <string>
+#include <sys/socket.h>
 #include <utility>
 
 namespace radishflow {
 
 namespace {
 
-    struct shared_edge {
-        edge_options options;
-        edge_handlers handlers;
-        std::atomic<int> calls = 0;
-        std::atomic<bool> isLeaving = false;
-    };
-
-    // POCO's own base classes are the only way to receive its requests.
-    class edge_request_handler final : public Poco::Net::HTTPRequestHandler {
+    // POCO's own base classes are the only way to receive its connections.
+    class edge_connection_factory final : public Poco::Net::TCPServerConnectionFactory {
     public:
-        explicit edge_request_handler(shared_edge& edge)
+        explicit edge_connection_factory(shared_edge& edge)
             : m_edge(edge)
         {
         }
 
-        void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
+        Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override
         {
-            if (m_edge.isLeaving)
-                response.setKeepAlive(false);
-            const std::string path = request.getURI().substr(0, request.getURI().find('?'));
-            if (isCallPath(path)) {
-                answerCall(request, response);
-                return;
-            }
-            answerDocument(request, response, path);
+            return new edge_connection { socket, m_edge };
         }
 
     private:
-        void answerCall(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
-        {
-            const auto parsed = readCall(request, m_edge.options);
-            if (const auto* problem = std::get_if<refusal>(&parsed)) {
-                refuseAndClose(response, *problem);
-                return;
-            }
-            caller_answer answer = m_edge.handlers.call(std::get<caller_request>(parsed));
-            if (answer.refused) {
-                sendRefusal(response, *answer.refused, answer.request);
-                return;
-            }
-            sendAnswer(request, response, answer);
-        }
-
-        void answerDocument(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response, const std::string& path)
-        {
-            document_request query { .method = request.getMethod(), .path = path, .credential = request.get("Authorization", "") };
-            for (const auto& [name, value] : Poco::URI { request.getURI() }.getQueryParameters())
-                query.query[name] = value;
-            auto body = readBody(request, m_edge.options);
-            if (const auto* problem = std::get_if<refusal>(&body)) {
-                refuseAndClose(response, *problem);
-                return;
-            }
-            query.body = std::move(std::get<std::string>(body));
-            sendDocument(response, m_edge.handlers.answer(query));
-        }
-
-        // What is left of a body that was refused can't be told from a next request.
-        static void refuseAndClose(Poco::Net::HTTPServerResponse& response, const refusal& problem)
-        {
-            response.setKeepAlive(false);
-            sendRefusal(response, problem, request_id {});
-        }
-
         shared_edge& m_edge;
     };
 
-    class edge_handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
+    // Runs in the thread that accepts, so it never waits for a caller.
+    class full_server_filter final : public Poco::Net::TCPServerConnectionFilter {
     public:
-        explicit edge_handler_factory(shared_edge& edge)
-            : m_edge(edge)
+        full_server_filter(const Poco::Net::TCPServer& server, int limit)
+            : m_server(server)
+            , m_limit(limit)
+            , m_answer(rawAnswer({ .status = 503, .title = "Too many connections", .detail = "this daemon serves no more callers now", .retryAfter = std::chrono::milliseconds { 1000 } }))
         {
         }
 
-        Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
+        bool accept(const Poco::Net::StreamSocket& socket) override
         {
-            return new edge_request_handler { m_edge };
+            if (m_server.currentConnections() + m_server.queuedConnections() < m_limit)
+                return true;
+            const int descriptor = socket.impl()->sockfd();
+            ::send(descriptor, m_answer.data(), m_answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+            ::shutdown(descriptor, SHUT_WR);
+            // A close with unread bytes would reset the connection and take the answer from the caller.
+            char dropped[8192];
+            while (::recv(descriptor, dropped, sizeof dropped, MSG_DONTWAIT) > 0) { }
+            return false;
         }
 
     private:
-        shared_edge& m_edge;
+        const Poco::Net::TCPServer& m_server;
+        int m_limit;
+        std::string m_answer;
     };
 
 } // namespace
@@ -108,12 +72,12 @@
     shared_edge shared;
     Poco::ThreadPool workers;
     Poco::Net::ServerSocket socket;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    std::unique_ptr<Poco::Net::TCPServer> server;
 
     // With POCO's queue of 64 for connections that are not accepted yet, a burst of callers lost some to the
     // kernel's retry after a second.
     state(const edge_options& theOptions, edge_handlers theHandlers)
-        : shared { .options = theOptions, .handlers = std::move(theHandlers) }
+        : shared { .options = theOptions, .handlers = std::move(theHandlers), .parameters = new Poco::Net::HTTPServerParams }
         , workers(2, theOptions.connectionLimit)
         , socket(Poco::Net::SocketAddress { theOptions.host, theOptions.port }, theOptions.connectionLimit)
     {
@@ -128,19 +92,23 @@
 edge_server::edge_server(const edge_options& options, edge_handlers handlers)
     : m_state(std::make_unique<state>(options, std::move(handlers)))
 {
-    Poco::Net::HTTPServerParams::Ptr parameters { new Poco::Net::HTTPServerParams };
-    parameters->setMaxThreads(options.connectionLimit);
-    parameters->setMaxQueued(options.queueLimit);
-    parameters->setTimeout(toTimespan(options.receiveTimeout));
-    parameters->setKeepAliveTimeout(toTimespan(options.keepAliveTimeout));
-    Poco::Net::HTTPRequestHandlerFactory::Ptr factory { new edge_handler_factory { m_state->shared } };
-    m_state->server = std::make_unique<Poco::Net::HTTPServer>(factory, m_state->workers, m_state->socket, parameters);
+    shared_edge& shared = m_state->shared;
+    const int mostConnections = options.connectionLimit + options.queueLimit;
+    shared.parameters->setMaxThreads(options.connectionLimit);
+    shared.parameters->setMaxQueued(mostConnections);
+    // The watch bounds a request as a whole; POCO's own bound of each receive only has to come later.
+    shared.parameters->setTimeout(toTimespan(2 * std::max(options.receiveTimeout, options.sendTimeout)));
+    shared.parameters->setKeepAliveTimeout(toTimespan(options.keepAliveTimeout));
+    const Poco::Net::TCPServerConnectionFactory::Ptr factory { new edge_connection_factory { shared } };
+    m_state->server = std::make_unique<Poco::Net::TCPServer>(factory, m_state->workers, m_state->socket, shared.parameters);
+    m_state->server->setConnectionFilter(new full_server_filter { *m_state->server, mostConnections });
     m_state->server->start();
 }
 
 edge_server::~edge_server()
 {
-    m_state->server->stopAll(true);
+    m_state->server->stop();
+    m_state->shared.watch.cutAll();
     m_state->workers.joinAll();
 }
 
--- a/lib/Edge/request_parser.cpp
+++ b/lib/Edge/request_parser.cpp
@@ -2,6 +2,8 @@
 #include "request_parser.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/String.h>
 #include <Poco/UUIDGenerator.h>
 
 #include <algorithm>
@@ -14,27 +16,79 @@
 static constexpr std::string_view modelPath = "/v1/chat/completions";
 static constexpr std::string_view servicePrefix = "/services/";
 static constexpr std::size_t longestName = 200;
+static constexpr std::size_t longestFields = 32 * 1024;
 
 static refusal badRequest(std::string detail)
 {
     return { .status = 400, .title = "Bad request", .detail = std::move(detail) };
 }
 
+static bool isPrintable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char letter) { return letter >= ' ' && letter <= '~'; });
+}
+
+static std::size_t sizeOfFields(const Poco::Net::HTTPServerRequest& request)
+{
+    std::size_t size = 0;
+    for (const auto& [name, value] : request)
+        size += name.size() + value.size();
+    return size;
+}
+
+static bool isLength(std::string_view text)
+{
+    constexpr std::size_t mostDigits = 15;
+    return !text.empty() && text.size() <= mostDigits && std::all_of(text.begin(), text.end(), [](char digit) { return digit >= '0' && digit <= '9'; });
+}
+
+// A body whose end two readers could see at different places lets one request hide in another; POCO ends a
+// chunked body that was cut short like a whole one, so only a stated length is taken.
+static std::optional<refusal> checkLength(const Poco::Net::HTTPServerRequest& request)
+{
+    if (request.has("Transfer-Encoding"))
+        return refusal { .status = 411, .title = "Length required", .detail = "send Content-Length in place of Transfer-Encoding" };
+    int lengths = 0;
+    for (const auto& [name, value] : request) {
+        if (Poco::icompare(name, "Content-Length") != 0)
+            continue;
+        if (++lengths > 1 || !isLength(value))
+            return badRequest("Content-Length is one number of bytes");
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> checkHead(const Poco::Net::HTTPServerRequest& request)
+{
+    static constexpr std::string_view methods[] { "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE" };
+    if (std::find(std::begin(methods), std::end(methods), request.getMethod()) == std::end(methods))
+        return refusal { .status = 501, .title = "Method not known", .detail = "GET, HEAD, POST, PUT, PATCH and DELETE are" };
+    if (request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_1 && request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_0)
+        return refusal { .status = 505, .title = "HTTP version not supported", .detail = "1.0 and 1.1 are" };
+    if (!request.getURI().starts_with('/') || !isPrintable(request.getURI()))
+        return badRequest("the target is a path of printable ASCII that starts with /");
+    if (sizeOfFields(request) > longestFields)
+        return refusal { .status = 431, .title = "Header fields too large", .detail = "the limit is " + std::to_string(longestFields) + " bytes" };
+    return checkLength(request);
+}
+
 std::variant<std::string, refusal> readBody(Poco::Net::HTTPServerRequest& request, const edge_options& options)
 {
-    const refusal tooLarge { .status = 413, .title = "Body too large", .detail = "the limit is " + std::to_string(options.bodyLimitBytes) + " bytes" };
-    const bool hasLength = request.hasContentLength();
-    if (hasLength && (request.getContentLength64() < 0 || static_cast<std::size_t>(request.getContentLength64()) > options.bodyLimitBytes))
-        return tooLarge;
     std::string body;
+    if (!request.hasContentLength())
+        return body;
+    const auto length = static_cast<std::size_t>(request.getContentLength64());
+    if (length > options.bodyLimitBytes)
+        return refusal { .status = 413, .title = "Body too large", .detail = "the limit is " + std::to_string(options.bodyLimitBytes) + " bytes" };
+    if (request.getExpectContinue())
+        request.response().sendContinue();
     char buffer[8192];
-    while (request.stream().read(buffer, sizeof buffer) || request.stream().gcount() > 0) {
+    while (body.size() < length) {
+        request.stream().read(buffer, static_cast<std::streamsize>(std::min(sizeof buffer, length - body.size())));
+        if (request.stream().gcount() <= 0)
+            return badRequest("the body ended before its stated length");
         body.append(buffer, static_cast<std::size_t>(request.stream().gcount()));
-        if (body.size() > options.bodyLimitBytes)
-            return tooLarge;
     }
-    if (hasLength && body.size() != static_cast<std::size_t>(request.getContentLength64()))
-        return badRequest("the body ended before its stated length");
     return body;
 }
 
@@ -53,13 +107,22 @@
     return value;
 }
 
-// RFC 9218 urgency: the member "u" of the Priority header.
-static std::optional<long> readUrgency(const std::string& header)
+// RFC 9218: the header is a list of members such as "u=1, i"; the last "u" counts. Returns -1 when it has none
+// and nothing when it is malformed.
+static std::optional<int> readUrgency(std::string_view header)
 {
-    const std::size_t place = header.find("u=");
-    if (place == std::string::npos || place + 2 >= header.size())
-        return std::nullopt;
-    return readNumber(std::string_view { header }.substr(place + 2, 1), 0, 7);
+    int urgency = -1;
+    while (!header.empty()) {
+        const std::size_t end = std::min(header.find(','), header.size());
+        const std::string member = Poco::trim(std::string { header.substr(0, end) });
+        header.remove_prefix(std::min(end + 1, header.size()));
+        if (member == "i" || member == "i=?0" || member == "i=?1")
+            continue;
+        if (member.size() != 3 || !member.starts_with("u=") || member[2] < '0' || member[2] > '7')
+            return std::nullopt;
+        urgency = member[2] - '0';
+    }
+    return urgency;
 }
 
 static std::optional<refusal> readNumbers(const Poco::Net::HTTPServerRequest& request, caller_request& call)
@@ -67,8 +130,8 @@
     if (request.has("Priority")) {
         const auto urgency = readUrgency(request.get("Priority"));
         if (!urgency)
-            return badRequest("Priority needs u=0 to u=7");
-        call.priority = static_cast<int>(*urgency);
+            return badRequest("Priority is u=0 to u=7, with or without i");
+        call.priority = *urgency;
     }
     if (request.has("X-Timeout-Ms")) {
         const auto timeout = readNumber(request.get("X-Timeout-Ms"), 1, 3600 * 1000L);
@@ -90,6 +153,8 @@
     for (const char* name : { "X-Workspace", "X-Chat", "Idempotency-Key", "X-Request-Id" }) {
         if (request.get(name, "").size() > longestName)
             return badRequest(std::string { name } + " is longer than " + std::to_string(longestName) + " bytes");
+        if (!isPrintable(request.get(name, "")))
+            return badRequest(std::string { name } + " has other letters than printable ASCII");
     }
     call.workspace = workspace_id { request.get("X-Workspace", "") };
     call.chat = chat_id { request.get("X-Chat", "") };
--- a/lib/Edge/request_parser.h
+++ b/lib/Edge/request_parser.h
@@ -5,6 +5,7 @@
 #include "radishflow/Edge/edge_options.h"
 #include "radishflow/Requests/refusal.h"
 
+#include <optional>
 #include <variant>
 
 namespace Poco::Net {
@@ -13,6 +14,9 @@
 
 namespace radishflow {
 
+/// Refuses a head whose end, method, address or size is in doubt.
+std::optional<refusal> checkHead(const Poco::Net::HTTPServerRequest&);
+
 /// Reads the body within the bounds of the options; a longer or broken one gives a refusal.
 std::variant<std::string, refusal> readBody(Poco::Net::HTTPServerRequest&, const edge_options&);
 
