Show a daemon's metrics at /metrics

Operators had no figures of a daemon but its state dump. daemon_metrics counts, with prometheus-cpp's registry and serializer, calls by service and outcome, times to the first bytes and between reads, and bytes of answers, and reads connections, the version, control traffic by kind and each owned server's running and limit when it is asked. The text is one of the daemon's own pages.

Calls to services that the configuration doesn't have are counted as "other", since a label of a caller's choice would grow without bound. Model calls are counted as "model", because only the router knows their service. Retries spent are left out: shared_retry_budget has no accessor.

There is no whole-program test of the page yet.

--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -15,6 +15,7 @@
 #include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Edge/edge_server.h"
 #include "radishflow/Gossip/gossip_transport.h"
+#include "radishflow/Metrics/daemon_metrics.h"
 #include "radishflow/Peer/peer_client.h"
 #include "radishflow/Peer/peer_server.h"
 #include "radishflow/Platform/platform_client.h"
@@ -79,6 +80,7 @@
     peer_client peers { peer_client_options {} };
     owner_link link;
     shared_retry_budget retries;
+    daemon_metrics metrics;
     std::unique_ptr<edge_server> edge;
     std::unique_ptr<gossip_transport> gossip;
     order_runner orders;
@@ -212,11 +214,31 @@
     edge_handlers handlersForCallers()
     {
         return {
-            .call = [this](const caller_request& request) { return isComplete ? router.route(request) : starting(request); },
-            .answer = [this](const document_request& request) { return isComplete ? pages.answer(request) : document { .status = 503, .contentType = "text/plain", .body = "starting\n" }; },
+            .call = [this](const caller_request& request) { return metrics.observe(labelOf(request), [&] { return isComplete ? router.route(request) : starting(request); }); },
+            .answer = [this](const document_request& request) {
+                if (isComplete && request.path == "/metrics")
+                    return document { .contentType = "text/plain; version=0.0.4", .body = metrics.text(readMetrics()) };
+                return isComplete ? pages.answer(request) : document { .status = 503, .contentType = "text/plain", .body = "starting\n" }; },
         };
     }
 
+    // A label only ever takes names from the configuration, so that no caller can make up new ones.
+    std::string labelOf(const caller_request& request) const
+    {
+        if (request.isModelCall)
+            return "model";
+        const auto inForce = configuration.current();
+        return inForce && findService(inForce->config, request.service) ? request.service.value() : "other";
+    }
+
+    metrics_reading readMetrics() const
+    {
+        metrics_reading reading { .connections = edge->connections(), .configVersion = configuration.version().value(), .control = gossip->traffic() };
+        for (const auto& [server, gate] : gates.view())
+            reading.servers.push_back({ .server = server, .running = gate.reserved, .limit = gate.limit });
+        return reading;
+    }
+
     static caller_answer starting(const caller_request& request)
     {
         return { .refused = refusal { .title = "Starting", .detail = "the daemon is not ready yet", .retryAfter = std::chrono::milliseconds { 1000 } }, .request = request.request };
