--- a/lib/Edge/answer_writer.cpp
+++ b/lib/Edge/answer_writer.cpp
@@ -17,7 +17,7 @@
 void sendRefusal(Poco::Net::HTTPServerResponse& response, const refusal& reason, const request_id& request)
 {
     const std::string body = problemDetails(reason, request);
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reason.status));
+    response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reason.status));
     response.setContentType("application/problem+json");
     response.set("X-Request-Id", request.value());
     if (reason.retryAfter.count() > 0)
@@ -27,7 +27,7 @@
 
 void sendDocument(Poco::Net::HTTPServerResponse& response, const document& page)
 {
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(page.status));
+    response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(page.status));
     response.setContentType(page.contentType);
     response.sendBuffer(page.body.data(), page.body.size());
 }
@@ -41,7 +41,7 @@
 
 static void sendHead(Poco::Net::HTTPServerResponse& response, const answer_part& first, const caller_answer& answer)
 {
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(first.status));
+    response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(first.status));
     response.setContentType(first.contentType);
     response.set("X-Request-Id", answer.resumeId().value());
     response.set("Cache-Control", "no-store");
--- a/unittests/Edge/hostile_requests_test.cpp
+++ b/unittests/Edge/hostile_requests_test.cpp
@@ -74,6 +74,7 @@
     BOOST_TEST(answer.find("application/problem+json") != std::string::npos, answer);
     BOOST_TEST(answer.find("\"execution\":\"not_run\"") != std::string::npos, answer);
     BOOST_TEST(answer.find("HTTP/1.1", 1) == std::string::npos, answer);
+    BOOST_TEST(answer.find(" OK\r\n") == std::string::npos, answer);
     BOOST_TEST(edge.handled() == 0);
 }
 
