--- a/test/Fleet/test_fleet.cpp
+++ b/test/Fleet/test_fleet.cpp
@@ -165,17 +165,24 @@
     return httpCall({ .url = "http://" + address + "/control/record" }).body;
 }
 
-int test_fleet::runTool(const std::vector<std::string>& arguments, std::string* output) const
+int test_fleet::runTool(const std::vector<std::string>& arguments, std::string* output, std::string* errors) const
 {
     std::vector<std::string> all = arguments;
     all.push_back("--platform=" + m_platformAddress);
     Poco::Pipe out;
-    Poco::ProcessHandle handle = Poco::Process::launch(binaries + "/radishflow", all, nullptr, &out, nullptr);
+    Poco::Pipe err;
+    Poco::ProcessHandle handle = Poco::Process::launch(binaries + "/radishflow", all, nullptr, &out, errors ? &err : nullptr);
     Poco::PipeInputStream stream { out };
     std::string text;
     Poco::StreamCopier::copyToString(stream, text);
     if (output)
         *output = text;
+    if (errors) {
+        // The tool's messages are short, so the pipe held them while its output was read.
+        Poco::PipeInputStream errorStream { err };
+        errors->clear();
+        Poco::StreamCopier::copyToString(errorStream, *errors);
+    }
     return handle.wait();
 }
 
--- a/test/Fleet/test_fleet.h
+++ b/test/Fleet/test_fleet.h
@@ -71,8 +71,8 @@
     /// Returns a stand-in's own record.
     static std::string record(const std::string& address);
 
-    /// Runs the operators' tool and returns its exit code.
-    int runTool(const std::vector<std::string>& arguments, std::string* output = nullptr) const;
+    /// Runs the operators' tool and returns its exit code. May run on several threads at once.
+    int runTool(const std::vector<std::string>& arguments, std::string* output = nullptr, std::string* errors = nullptr) const;
 
     /// Publishes the service file with these limits and waits until it is in force.
     int publish(const test_fleet_options&) const;
