Let a daemon join by seeds while the platform is dark

The configuration then comes from a peer by the way that there was already. At most 64, each an IP number and port.

Not mended: the list of backend servers comes from the platform only, so such a daemon has its configuration and is ready, but knows no server until the platform is back.

--- a/include/radishflow/Daemon/daemon_options.h
+++ b/include/radishflow/Daemon/daemon_options.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace radishflow {
 
@@ -20,6 +21,7 @@
     std::uint16_t httpPort = 0;
     std::uint16_t peerPort = 0;
     std::string platform; ///< "IP:port" of the platform's service.
+    std::vector<std::string> seeds; ///< "IP:port" of other daemons' peer interfaces, for a start while the platform can't be asked.
     int callerLimit = 1024; ///< Callers' connections at once.
     int requestLimit = 1024; ///< Requests at owned servers at once.
     std::size_t bodyLimitBytes = 1 << 20;
--- a/include/radishflow/Daemon/fleet_watch.h
+++ b/include/radishflow/Daemon/fleet_watch.h
@@ -50,6 +50,7 @@
 
 private:
     void pollHosts();
+    void seedGossip(const std::vector<listed_host>&);
     void pollConfiguration();
     void askPeers();
     void announceVersion();
--- a/lib/Daemon/fleet_watch.cpp
+++ b/lib/Daemon/fleet_watch.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include <mutex>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -20,6 +21,7 @@
     , m_follower(theParts.platform, theParts.platform, theParts.configuration)
     , m_zones(theParts.gossip)
 {
+    seedGossip({});
 }
 
 // Runs one look at the platform; a failure is logged and leaves what was known.
@@ -48,12 +50,7 @@
 {
     tryLook([&]() -> result<bool> {
         BOOST_LEAF_AUTO(listed, m_parts.platform.listHosts());
-        std::vector<seed_peer> seeds;
-        for (const listed_host& host : listed) {
-            if (host.role == "daemon")
-                seeds.push_back({ .address = peer_address { host.target }, .isLeaving = host.leaving });
-        }
-        m_parts.gossip.seed(std::move(seeds));
+        seedGossip(listed);
         const std::lock_guard lock { m_mutex };
         m_hosts = std::move(listed);
         if (!m_hosts.empty() && m_firstListed == time_point {})
@@ -62,6 +59,22 @@
     });
 }
 
+// The daemon's own seeds let it join while the platform is dark; the fleet's configuration then comes from a peer.
+void fleet_watch::seedGossip(const std::vector<listed_host>& listed)
+{
+    std::vector<seed_peer> seeds;
+    std::set<std::string> targets;
+    for (const listed_host& host : listed) {
+        if (host.role == "daemon" && targets.insert(host.target).second)
+            seeds.push_back({ .address = peer_address { host.target }, .isLeaving = host.leaving });
+    }
+    for (const std::string& address : m_parts.options.seeds) {
+        if (targets.insert(address).second)
+            seeds.push_back({ .address = peer_address { address } });
+    }
+    m_parts.gossip.seed(std::move(seeds));
+}
+
 void fleet_watch::pollConfiguration()
 {
     tryLook([&]() -> result<bool> {
--- a/test/configuration_test.cpp
+++ b/test/configuration_test.cpp
@@ -202,3 +202,37 @@
     BOOST_TEST(publishedVersion(fleet) == 1);
     BOOST_TEST(isInForceEverywhere(fleet, 1));
 }
+
+BOOST_AUTO_TEST_CASE(aDaemonRestartedWhileThePlatformIsDarkTakesWhatItsPeersHold)
+{
+    test_fleet fleet { quietFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    const marked_file second { "second" };
+    BOOST_TEST(publishAt(fleet, second, 1) == 0);
+    BOOST_REQUIRE(arrives("in force", [&] { return isInForceEverywhere(fleet, 2); }));
+    test_fleet::setFaults(fleet.platformControl(), R"({"down":"refuse"})");
+    fleet_member& restarted = fleet.daemons()[5];
+    const auto isReady = [&] { return httpCall({ .url = "http://" + restarted.http + "/readyz" }).status; };
+    restarted.process->signal(SIGKILL);
+    fleet.restartDaemon(5);
+    BOOST_REQUIRE(!restarted.http.empty());
+    // On its own it knows nobody and has nothing, and says so.
+    for (int look = 0; look < 20; ++look) {
+        BOOST_TEST(isReady() == 503);
+        BOOST_TEST(versionAt(restarted) == 0);
+        std::this_thread::sleep_for(milliseconds { 100 });
+    }
+    restarted.process->signal(SIGKILL);
+    restarted.arguments.push_back("--seeds=" + fleet.daemons()[0].target + ',' + fleet.daemons()[1].target);
+    fleet.restartDaemon(5);
+    bool wasReadyEmpty = false;
+    BOOST_TEST(arrives("in force at the restarted daemon", [&] {
+        const int status = isReady();
+        const long version = versionAt(restarted);
+        wasReadyEmpty = wasReadyEmpty || (status == 200 && version != 2);
+        return status == 200 && version == 2;
+    }));
+    BOOST_TEST(!wasReadyEmpty);
+    BOOST_TEST(second.isInForceAt(restarted));
+    test_fleet::setFaults(fleet.platformControl(), R"({"down":false})");
+}
--- a/tools/radishflowd/settings.cpp
+++ b/tools/radishflowd/settings.cpp
@@ -4,6 +4,7 @@
 #include "radishflow/Flags/flag_reader.h"
 
 #include <Poco/Net/IPAddress.h>
+#include <Poco/StringTokenizer.h>
 #include <gflags/gflags.h>
 
 #include <set>
@@ -16,6 +17,7 @@
 DEFINE_int32(http_port, 0, "Port for callers; 0 takes a free one.");
 DEFINE_int32(peer_port, 0, "Port for other daemons; 0 takes a free one.");
 DEFINE_string(platform, "", "IP number and port of the platform's service, such as 10.0.0.9:7000.");
+DEFINE_string(seeds, "", "Peer addresses of some daemons, such as 10.0.0.1:7101,10.0.1.1:7101, to join by when the platform can't be asked; 64 at most.");
 DEFINE_int32(caller_limit, 1024, "Callers' connections at once, 1 to 65536.");
 DEFINE_int32(request_limit, 1024, "Requests at owned servers at once, 1 to 65536.");
 DEFINE_int32(body_limit_bytes, 1 << 20, "Largest request body in bytes, 1024 to 67108864.");
@@ -29,7 +31,7 @@
 
 namespace radishflow {
 
-static const std::vector<std::string> ownFlags { "name", "host", "zone", "region", "address", "http_port", "peer_port", "platform", "caller_limit", "request_limit", "body_limit_bytes", "poll_interval_ms", "term_ms", "report_lag_ms", "longest_request_seconds", "drain_seconds", "address_keep_seconds", "log_level" };
+static const std::vector<std::string> ownFlags { "name", "host", "zone", "region", "address", "http_port", "peer_port", "platform", "seeds", "caller_limit", "request_limit", "body_limit_bytes", "poll_interval_ms", "term_ms", "report_lag_ms", "longest_request_seconds", "drain_seconds", "address_keep_seconds", "log_level" };
 
 static void requireText(const char* flag, const std::string& value, std::vector<std::string>& problems)
 {
@@ -53,6 +55,26 @@
     return !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos && std::stoi(port) >= 1 && std::stoi(port) <= 65535;
 }
 
+static std::vector<std::string> seedAddresses()
+{
+    if (FLAGS_seeds.empty())
+        return {};
+    const Poco::StringTokenizer parts { FLAGS_seeds, "," };
+    return { parts.begin(), parts.end() };
+}
+
+static void checkSeeds(std::vector<std::string>& problems)
+{
+    constexpr std::size_t mostSeeds = 64;
+    const std::vector<std::string> seeds = seedAddresses();
+    if (seeds.size() > mostSeeds)
+        problems.push_back("--seeds names " + std::to_string(seeds.size()) + " addresses, more than " + std::to_string(mostSeeds));
+    for (const std::string& seed : seeds) {
+        if (!isAddressWithPort(seed))
+            problems.push_back("--seeds: '" + seed + "' is not an IP number and port");
+    }
+}
+
 static void checkValues(std::vector<std::string>& problems)
 {
     requireText("name", FLAGS_name, problems);
@@ -63,6 +85,7 @@
         problems.push_back("--address=" + FLAGS_address + " is not an IP number");
     if (!isAddressWithPort(FLAGS_platform))
         problems.push_back("--platform=" + FLAGS_platform + " is not an IP number and port");
+    checkSeeds(problems);
     requireRange("http_port", FLAGS_http_port, 0, 65535, problems);
     requireRange("peer_port", FLAGS_peer_port, 0, 65535, problems);
     if (FLAGS_http_port != 0 && FLAGS_http_port == FLAGS_peer_port)
@@ -104,6 +127,7 @@
         .httpPort = static_cast<std::uint16_t>(FLAGS_http_port),
         .peerPort = static_cast<std::uint16_t>(FLAGS_peer_port),
         .platform = FLAGS_platform,
+        .seeds = seedAddresses(),
         .callerLimit = FLAGS_caller_limit,
         .requestLimit = FLAGS_request_limit,
         .bodyLimitBytes = static_cast<std::size_t>(FLAGS_body_limit_bytes),
