Test that stale reads never make a daemon revert

The platform's stand-in answered stale reads only from rows frozen when the fault was set, which daemons had seen already, so no daemon could be shown less than it held. "stale_reads": "alternate" answers every second read from the frozen rows, as behind a balancer with one replica that lags.

--- a/include/radishflow/Emulator/platform_emulator.h
+++ b/include/radishflow/Emulator/platform_emulator.h
@@ -12,7 +12,8 @@
 /// Serves table, objects, weights and host list until it is destroyed. Thread-safe.
 ///
 /// Faults: "down" (false, true or "hang": never answers; "refuse": refuses connections), "slow_ms",
-/// "lose_replies" and "lose_requests" (so many writes), "host_lag_ms", "stale_reads".
+/// "lose_replies" and "lose_requests" (so many writes), "host_lag_ms", "stale_reads" (false, true, or
+/// "alternate": every second read).
 class platform_emulator {
 public:
     /// Throws Poco::Exception when an address can't be had.
--- a/lib/Emulator/etcd_table.cpp
+++ b/lib/Emulator/etcd_table.cpp
@@ -104,7 +104,10 @@
 Object::Ptr etcd_table::range(const Object& request) const
 {
     const std::lock_guard lock { m_mutex };
-    return rangeOf(m_isStale ? m_stale : m_now, request);
+    if (m_readAge == read_age::Alternate)
+        m_isTurnStale = !m_isTurnStale;
+    const bool isStale = m_readAge == read_age::Stale || (m_readAge == read_age::Alternate && m_isTurnStale);
+    return rangeOf(isStale ? m_stale : m_now, request);
 }
 
 bool etcd_table::holds(const Object& comparison) const
@@ -204,12 +207,12 @@
     return answer;
 }
 
-void etcd_table::setStaleReads(bool isStale)
+void etcd_table::setReadAge(read_age age)
 {
     const std::lock_guard lock { m_mutex };
-    if (isStale && !m_isStale)
+    if (m_readAge == read_age::Newest)
         m_stale = m_now;
-    m_isStale = isStale;
+    m_readAge = age;
 }
 
 std::int64_t etcd_table::revision() const
--- a/lib/Emulator/etcd_table.h
+++ b/lib/Emulator/etcd_table.h
@@ -11,14 +11,21 @@
 
 namespace radishflow {
 
+/// Which rows ranges are answered from.
+enum class read_age {
+    Newest,
+    Stale, ///< Those of the moment when this was set.
+    Alternate, ///< By turns, as behind a balancer with one replica that lags.
+};
+
 /// Answers range and transaction requests. Thread-safe; throws Poco::Exception on a request that is not valid.
 class etcd_table {
 public:
     Poco::JSON::Object::Ptr range(const Poco::JSON::Object& request) const;
     Poco::JSON::Object::Ptr transact(const Poco::JSON::Object& request);
 
-    /// Answers ranges from the rows as they are now until it is taken back.
-    void setStaleReads(bool);
+    /// The stale rows are those of the last change from Newest.
+    void setReadAge(read_age);
 
     std::int64_t revision() const;
 
@@ -43,7 +50,8 @@
     mutable std::mutex m_mutex;
     snapshot m_now;
     snapshot m_stale;
-    bool m_isStale = false;
+    read_age m_readAge = read_age::Newest;
+    mutable bool m_isTurnStale = false; ///< Whether the last range of Alternate was stale.
 };
 
 } // namespace radishflow
--- a/lib/Emulator/platform_core.cpp
+++ b/lib/Emulator/platform_core.cpp
@@ -169,6 +169,13 @@
     return faults.optValue<std::string>("down", "") == "refuse";
 }
 
+static read_age readAgeOf(const std::string& text)
+{
+    if (text == "alternate")
+        return read_age::Alternate;
+    return text == "true" ? read_age::Stale : read_age::Newest;
+}
+
 void platform_core::setFaults(const Object& faults)
 {
     if (faults.has("down")) {
@@ -182,7 +189,7 @@
     if (faults.has("host_lag_ms"))
         m_hosts.setLag(std::chrono::milliseconds { faults.getValue<int>("host_lag_ms") });
     if (faults.has("stale_reads"))
-        m_table.setStaleReads(faults.getValue<bool>("stale_reads"));
+        m_table.setReadAge(readAgeOf(faults.getValue<std::string>("stale_reads")));
 }
 
 Object::Ptr platform_core::record()
--- a/test/configuration_test.cpp
+++ b/test/configuration_test.cpp
@@ -177,6 +177,78 @@
     BOOST_TEST(record->getValue<int>("lost_replies") > mostLost);
 }
 
+/// Asks every daemon for its version again and again and counts each time that one fell.
+class version_sampler {
+public:
+    explicit version_sampler(test_fleet& fleet)
+        : m_highest(fleet.daemons().size(), 0)
+        , m_thread([this, &fleet] { run(fleet); })
+    {
+    }
+    ~version_sampler() { stop(); }
+    version_sampler(const version_sampler&) = delete;
+    version_sampler& operator=(const version_sampler&) = delete;
+
+    void stop()
+    {
+        m_isStopping = true;
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+    int falls() const { return m_falls; }
+    int samples() const { return m_samples; }
+
+private:
+    void run(test_fleet& fleet)
+    {
+        while (!m_isStopping) {
+            for (std::size_t index = 0; index < m_highest.size(); ++index) {
+                const long seen = versionAt(fleet.daemons()[index]);
+                m_samples += seen >= 0 ? 1 : 0;
+                m_falls += seen >= 0 && seen < m_highest[index] ? 1 : 0;
+                m_highest[index] = std::max(m_highest[index], seen);
+            }
+            // A daemon that went back hears of the higher version from its peers within milliseconds.
+            std::this_thread::sleep_for(milliseconds { 5 });
+        }
+    }
+
+    std::vector<long> m_highest;
+    std::atomic<int> m_falls = 0;
+    std::atomic<int> m_samples = 0;
+    std::atomic<bool> m_isStopping = false;
+    std::thread m_thread;
+};
+
+BOOST_AUTO_TEST_CASE(staleReadsNeverMakeADaemonRevert)
+{
+    test_fleet fleet { quietFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    version_sampler sampler { fleet };
+    constexpr long rounds = 6;
+    for (long base = 1; base <= rounds; ++base) {
+        const marked_file file { "stale" + std::to_string(base) };
+        const marked_file late { "late" + std::to_string(base) };
+        test_fleet::setFaults(fleet.platformControl(), R"({"stale_reads":true})");
+        BOOST_TEST(publishAt(fleet, file, base) == 0);
+        // Whoever reads what was in force before can't replace what is in force now.
+        BOOST_TEST(publishAt(fleet, late, base) == 3);
+        std::this_thread::sleep_for(milliseconds { 400 });
+        // A replica that lags answers every second read from before the publication.
+        test_fleet::setFaults(fleet.platformControl(), R"({"stale_reads":"alternate"})");
+        BOOST_TEST(arrives("in force beside stale reads", [&] { return isInForceEverywhere(fleet, base + 1); }));
+        std::this_thread::sleep_for(milliseconds { 1000 });
+        test_fleet::setFaults(fleet.platformControl(), R"({"stale_reads":false})");
+        BOOST_TEST(isInForceEverywhere(fleet, base + 1));
+        BOOST_TEST(file.isInForceAt(fleet.daemons()[static_cast<std::size_t>(base)]));
+        BOOST_TEST(!late.isInForceAt(fleet.daemons()[static_cast<std::size_t>(base)]));
+    }
+    sampler.stop();
+    BOOST_TEST_MESSAGE("samples " << sampler.samples() << ", falls " << sampler.falls());
+    BOOST_TEST(sampler.samples() > 300);
+    BOOST_TEST(sampler.falls() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(aBadServiceFileIsRefusedAndChangesNothing)
 {
     test_fleet fleet { quietFleet };
--- a/unittests/Emulator/etcd_table_test.cpp
+++ b/unittests/Emulator/etcd_table_test.cpp
@@ -102,4 +102,19 @@
     BOOST_TEST(rowsIn(table, R"({"key":"Yg=="})") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(answersFromOldRowsAsLongAsItIsAsked)
+{
+    const std::string all = R"({"key":"AA==","range_end":"AA=="})";
+    table.setReadAge(read_age::Stale);
+    transact(table, "", put("Yg==", "YQ=="));
+    BOOST_TEST(rowsIn(table, all) == 1U);
+    BOOST_TEST(rowsIn(table, all) == 1U);
+    table.setReadAge(read_age::Alternate);
+    const std::size_t first = rowsIn(table, all);
+    BOOST_TEST(first + rowsIn(table, all) == 3U);
+    BOOST_TEST(rowsIn(table, all) == first);
+    table.setReadAge(read_age::Newest);
+    BOOST_TEST(rowsIn(table, all) == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
