Tell an unsettled publication from a failed one

When the reply to the version row's write was lost and the row couldn't be read back, the publisher reported the failed read. The tool then ended with 1 (failed) although the version may be in force; it is 4 (can't be told). The lost reply is returned now. A compare that failed is still told as before.

--- a/include/radishflow/Config/config_publisher.h
+++ b/include/radishflow/Config/config_publisher.h
@@ -117,11 +117,16 @@
         result<table_commit> commit = m_table.commit({ { .key = configPointerKey, .modRevision = modRevision } }, { { .key = configPointerKey, .value = encode(next) } });
         if (commit && commit->succeeded)
             return publish_outcome { .isAccepted = true, .current = next };
-        // The reply was lost or another publisher was first; the row tells which.
-        BOOST_LEAF_AUTO(now, current());
+        if (commit) {
+            BOOST_LEAF_AUTO(now, current());
+            return publish_outcome { .isAccepted = now == next, .current = now };
+        }
+        // The reply was lost; the row tells whether this publisher was first. When the row can't be read, what is
+        // told is that the outcome isn't known, not that the read failed.
+        const config_pointer now = valueOr([&] { return current(); }, [](const failure&) { return config_pointer {}; });
         if (now == next)
             return publish_outcome { .isAccepted = true, .current = now };
-        if (commit || now.version == next.version)
+        if (now.version == next.version)
             return publish_outcome { .isAccepted = false, .current = now };
         return commit.error();
     }
--- a/unittests/Config/config_publisher_test.cpp
+++ b/unittests/Config/config_publisher_test.cpp
@@ -129,6 +129,35 @@
     BOOST_TEST(store.version().value() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(aLostReplyThatCantBeReadBackIsNotAFailure, fixture)
+{
+    // The platform goes dark right after the version row was written, so nobody can tell.
+    struct darkening_table {
+        memory_table& table;
+
+        result<table_page> readRange(const std::string& prefix, std::int64_t minModRevision) { return table.readRange(prefix, minModRevision); }
+
+        result<table_commit> commit(const std::vector<row_condition>& conditions, const std::vector<row_write>& writes)
+        {
+            table.loseReplies = 1;
+            result<table_commit> written = table.commit(conditions, writes);
+            table.isDown = true;
+            return written;
+        }
+    };
+    darkening_table darkening { table };
+    config_publisher<darkening_table, memory_object_store> cutOff(darkening, objects);
+    const failure_code seen = valueOr(
+        [&]() -> result<failure_code> {
+            BOOST_LEAF_CHECK(cutOff.publish(configWithColdLimit(1), config_version {}));
+            return failure_code::Broken;
+        },
+        [](const failure& error) { return error.code; });
+    BOOST_TEST((seen == failure_code::ReplyLost));
+    table.isDown = false;
+    BOOST_TEST(publish(1, 0).isAccepted);
+}
+
 BOOST_FIXTURE_TEST_CASE(nothingIsInForceWithoutItsObject, fixture)
 {
     objects.isDown = true;
