--- a/test/configuration_test.cpp
+++ b/test/configuration_test.cpp
@@ -249,6 +249,19 @@
     BOOST_TEST(sampler.falls() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(anAcceptedVersionIsNotCalledFailedWhenTheDaemonsCantBeFound)
+{
+    test_fleet fleet { quietFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    httpCall({ .method = "PUT", .url = "http://" + fleet.platformControl() + "/control/hosts", .body = "broken" });
+    const marked_file second { "second" };
+    std::string errors;
+    BOOST_TEST(fleet.runTool({ "publish", second.path(), "--wait=2" }, nullptr, &errors) == 4);
+    BOOST_TEST(errors.find("radishflow: published version 2\n") == 0);
+    BOOST_TEST(errors.find("can't tell where it is in force") != std::string::npos, errors);
+    BOOST_TEST(arrives("in force without a host list", [&] { return isInForceEverywhere(fleet, 2); }));
+}
+
 BOOST_AUTO_TEST_CASE(aBadServiceFileIsRefusedAndChangesNothing)
 {
     test_fleet fleet { quietFleet };
--- a/tools/radishflow/publish_command.cpp
+++ b/tools/radishflow/publish_command.cpp
@@ -8,7 +8,9 @@
 
 #include <chrono>
 #include <iostream>
+#include <optional>
 #include <thread>
+#include <utility>
 
 namespace radishflow {
 
@@ -24,6 +26,19 @@
     return count.inForce == count.daemons ? exit_code::Done : exit_code::Unknown;
 }
 
+static std::optional<std::vector<std::string>> findDaemons(const command_options& options)
+{
+    return valueOr(
+        [&]() -> result<std::optional<std::vector<std::string>>> {
+            BOOST_LEAF_AUTO(addresses, daemonAddresses(options));
+            return std::optional { std::move(addresses) };
+        },
+        [](const failure& error) {
+            std::cerr << "radishflow: can't tell where it is in force: " << describe(error) << '\n';
+            return std::optional<std::vector<std::string>> {};
+        });
+}
+
 exit_code runPublish(const command_options& options, const std::vector<std::string>& arguments)
 {
     const auto config = readServiceFiles(arguments);
@@ -43,8 +58,9 @@
             std::cerr << "radishflow: published version " << outcome.current.version.value() << '\n';
             if (options.waitSeconds <= 0)
                 return exit_code::Done;
-            BOOST_LEAF_AUTO(addresses, daemonAddresses(options));
-            return waitInForce(options, addresses, outcome.current.version);
+            // It is published whatever follows, so what fails from here on is only the count.
+            const std::optional<std::vector<std::string>> addresses = findDaemons(options);
+            return addresses ? waitInForce(options, *addresses, outcome.current.version) : exit_code::Unknown;
         },
         reportFailure);
 }
