Name a chat's prefix to the engine as placement does

Cause: the raw chat id went out as X-Chat-Prefix, so two workspaces with the same chat id shared a prefix, and cache events named what no daemon ranks by. Ruled out: a chat hash in the submission; Backend and Peer would have to use Placement for its name. Change: a submission carries the prefix's name (Thrift field 20), computed from service, workspace and chat as the rank is. A request without a chat, and a plain call, names none.

--- a/include/radishflow/Requests/request_submission.h
+++ b/include/radishflow/Requests/request_submission.h
@@ -17,6 +17,7 @@
     server_id server;
     workspace_id workspace;
     chat_id chat;
+    std::string prefix; ///< Name of the chat's prefix towards an engine; empty for a request without a chat.
     std::string method;
     std::string path;
     std::string contentType;
--- a/lib/Backend/backend_exchange.cpp
+++ b/lib/Backend/backend_exchange.cpp
@@ -78,8 +78,8 @@
     request.set("Priority", "u=" + std::to_string(m_submission.priority));
     if (!m_submission.key.empty())
         request.set("Idempotency-Key", m_submission.key.value());
-    if (!m_submission.chat.empty())
-        request.set("X-Chat-Prefix", m_submission.chat.value());
+    if (!m_submission.prefix.empty())
+        request.set("X-Chat-Prefix", m_submission.prefix);
     if (m_lastEvent > 0)
         request.set("Last-Event-ID", std::to_string(m_lastEvent));
     session.sendRequest(request) << m_submission.body << std::flush;
--- a/lib/Daemon/request_router.cpp
+++ b/lib/Daemon/request_router.cpp
@@ -49,6 +49,12 @@
     return holders;
 }
 
+// Two workspaces may name their chats alike, and must not meet in an engine's cache.
+static chat_id chatOf(const caller_request& request)
+{
+    return chat_id { request.workspace.value() + '/' + request.chat.value() };
+}
+
 std::vector<known_server> request_router::rankServers(const service_settings& service, const caller_request& request) const
 {
     const auto fleet = m_directory.current();
@@ -63,7 +69,7 @@
     for (const known_server& server : found->second)
         candidates.push_back({ .id = server.id, .zone = server.zone, .region = server.region, .admitsNew = server.takesNewWork() });
     // A request without a chat returns to nothing, so each gets a rank of its own.
-    const chat_id chat { request.chat.empty() ? request.request.value() : request.workspace.value() + '/' + request.chat.value() };
+    const chat_id chat = request.chat.empty() ? chat_id { request.request.value() } : chatOf(request);
     const placement_request wanted { .chatHash = hashOfChat(service.id, chat), .region = m_options.region };
     std::vector<known_server> rank;
     for (const std::uint32_t index : m_placement.rank(wanted, candidates, longestWalk)) {
@@ -82,6 +88,7 @@
         .service = service.id,
         .workspace = request.workspace,
         .chat = request.chat,
+        .prefix = request.isModelCall && !request.chat.empty() ? prefixName(hashOfChat(service.id, chatOf(request))) : std::string {},
         .method = request.method,
         .path = request.path,
         .contentType = request.contentType,
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -59,6 +59,7 @@
     message.__set_serverId(submission.server.value());
     message.__set_workspaceId(submission.workspace.value());
     message.__set_chatId(submission.chat.value());
+    message.__set_prefix(submission.prefix);
     message.__set_method(submission.method);
     message.__set_path(submission.path);
     message.__set_contentType(submission.contentType);
@@ -83,6 +84,7 @@
         .server = server_id { message.serverId },
         .workspace = workspace_id { message.workspaceId },
         .chat = chat_id { message.chatId },
+        .prefix = message.prefix,
         .method = message.method,
         .path = message.path,
         .contentType = message.contentType,
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -38,6 +38,7 @@
   17: i64 fingerprintHigh  // hash of workspace, service and body
   19: i64 fingerprintLow
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
+  20: string prefix        // name of the chat's prefix towards an engine; empty without a chat
 }
 
 struct SubmitReply {
