Follow the cache events of owned engines

Cause: an owner does not know which prefixes its engines hold, so it can't say whether a chat should come to it. Change: prefix_watch keeps one cache sketch for each owned engine, fed by the load task from /kv/events after each load report; another process start empties it and reads from the first event; an engine that goes to another owner is forgotten. Prefixes answered within the event lag count as likely, at most 1024 an engine: events come 1 to 1.5 s late, and a chat may be back before. Ruled out: reading events of every backend server; a plain service has none and would answer 404 twice a second. Nothing asks the watch yet.

--- a/include/radishflow/Daemon/request_runner.h
+++ b/include/radishflow/Daemon/request_runner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Backend/backend_client.h"
+#include "radishflow/Daemon/prefix_watch.h"
 #include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Daemon/stream_table.h"
 #include "radishflow/Daemon/worker_pool.h"
@@ -19,7 +20,7 @@
 /// Admits submissions to the servers that this daemon owns and runs them. Thread-safe.
 class request_runner {
 public:
-    request_runner(server_gates&, const backend_client&, int mostThreads);
+    request_runner(server_gates&, const backend_client&, prefix_watch&, int mostThreads);
 
     /// Admits and starts a submission, or says why not. Never waits for the server.
     submit_outcome submit(const request_submission&);
@@ -34,8 +35,11 @@
     std::size_t undelivered() const { return m_streams.undelivered(); }
 
 private:
+    void runAdmitted(const request_submission&, answer_buffer&);
+
     server_gates& m_gates;
     const backend_client& m_client;
+    prefix_watch& m_prefixes;
     stream_table m_streams;
     worker_pool m_workers;
 };
--- a/include/radishflow/Support/lock_rank.h
+++ b/include/radishflow/Support/lock_rank.h
@@ -13,6 +13,7 @@
     Crashes = 45,
     RetryBudget = 46,
     Placement = 50,
+    Prefixes = 55,
     Orders = 60,
     Streams = 70,
     OneStream = 80,
--- a/lib/Daemon/load_reader.cpp
+++ b/lib/Daemon/load_reader.cpp
@@ -1,6 +1,7 @@
-// Implements the reading of engines' load reports.
+// Implements the reading of engines' load reports and cache events.
 #include "radishflow/Daemon/load_reader.h"
 
+#include "radishflow/Daemon/cache_event_page.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <spdlog/spdlog.h>
@@ -81,13 +82,36 @@
     if (report->startTime > 0)
         m_crashes.noteStart(server, report->startTime);
     m_gates.observe(server, { .processStart = report->startTime > 0 ? std::optional { report->startTime } : std::nullopt, .completed = report->completed });
-    if (report->hasLoad)
-        m_ownership.acceptReport(server, { .takenAfter = askedAt - m_reportLag, .running = report->running, .hasOrigins = report->hasOrigins, .runningByOrigin = report->runningByOrigin });
+    if (!report->hasLoad)
+        return;
+    m_ownership.acceptReport(server, { .takenAfter = askedAt - m_reportLag, .running = report->running, .hasOrigins = report->hasOrigins, .runningByOrigin = report->runningByOrigin });
+    if (report->startTime > 0)
+        m_prefixes.noteStart(server, report->startTime);
+    readCacheEvents(server);
+}
+
+// Only an engine reports its load, and only an engine that has just answered is asked for its events.
+void load_reader::readCacheEvents(const server_id& server)
+{
+    const std::string path = "/kv/events?since=" + std::to_string(m_prefixes.nextEvent(server));
+    const auto page = valueOr(
+        [&]() -> result<std::optional<cache_event_page>> {
+            BOOST_LEAF_AUTO(text, m_client.readPage(server, path));
+            return parseCacheEvents(text);
+        },
+        [](const failure& error) -> std::optional<cache_event_page> {
+            spdlog::debug("step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, describe(error));
+            return std::nullopt;
+        });
+    if (page)
+        m_prefixes.apply(server, page->events, page->next);
 }
 
 void load_reader::readAll()
 {
-    for (const server_id& server : m_ownership.ownedServers())
+    const std::vector<server_id> owned = m_ownership.ownedServers();
+    m_prefixes.keepOnly(owned);
+    for (const server_id& server : owned)
         readOne(server);
 }
 
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -10,6 +10,7 @@
 #include "radishflow/Daemon/owner_link.h"
 #include "radishflow/Daemon/ownership_keeper.h"
 #include "radishflow/Daemon/periodic_task.h"
+#include "radishflow/Daemon/prefix_watch.h"
 #include "radishflow/Daemon/request_router.h"
 #include "radishflow/Daemon/request_runner.h"
 #include "radishflow/Daemon/server_gates.h"
@@ -70,10 +71,11 @@
     fleet_directory directory;
     ownership_keeper ownership { platform, options.name, termOptionsOf(options), randomNumber() };
     crash_watch crashes;
+    prefix_watch prefixes { { .eventLag = options.reportLag + std::chrono::seconds { 1 } } };
     server_gates gates { { options, configuration, directory, ownership, crashes } };
     backend_client backends { backend_client_options {} };
     crash_confirmation confirmation { backends };
-    request_runner runner { gates, backends, options.requestLimit };
+    request_runner runner { gates, backends, prefixes, options.requestLimit };
     peer_server peerInterface;
     std::string peerAddress;
     peer_client peers { peer_client_options {} };
@@ -85,7 +87,7 @@
     request_router router { configuration, directory, link, retries, orders, options };
     fleet_watch watch;
     own_pages pages;
-    load_reader loads { backends, ownership, gates, confirmation, options.reportLag };
+    load_reader loads { backends, ownership, gates, confirmation, prefixes, options.reportLag };
     periodic_task platformTask;
     periodic_task ownershipTask;
     periodic_task refreshTask;
--- a/lib/Daemon/request_runner.cpp
+++ b/lib/Daemon/request_runner.cpp
@@ -1,6 +1,7 @@
 // Implements the owner's side of a request.
 #include "radishflow/Daemon/request_runner.h"
 
+#include "radishflow/Placement/placement_request.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <memory>
@@ -10,9 +11,10 @@
 static constexpr std::size_t answerBufferBytes = 64 * 1024;
 static constexpr std::chrono::seconds unreadBound { 15 };
 
-request_runner::request_runner(server_gates& gates, const backend_client& client, int mostThreads)
+request_runner::request_runner(server_gates& gates, const backend_client& client, prefix_watch& prefixes, int mostThreads)
     : m_gates(gates)
     , m_client(client)
+    , m_prefixes(prefixes)
     , m_workers(mostThreads)
 {
 }
@@ -28,7 +30,7 @@
         return { .refused = *std::move(reason) };
     }
     const bool isStarted = m_workers.tryStart([this, submission, answer] {
-        m_gates.finish(submission, m_client.run(submission, m_gates.gateFor(submission), *answer));
+        runAdmitted(submission, *answer);
     });
     if (!isStarted) {
         m_gates.finish(submission, exchange_outcome {});
@@ -38,6 +40,15 @@
     return { .streamId = streamId };
 }
 
+void request_runner::runAdmitted(const request_submission& submission, answer_buffer& answer)
+{
+    const exchange_outcome outcome = m_client.run(submission, m_gates.gateFor(submission), answer);
+    std::uint64_t prefix = 0;
+    if (outcome.isWhole && parsePrefixName(submission.prefix, prefix))
+        m_prefixes.noteServed(submission.server, prefix, boottime_clock {}.now());
+    m_gates.finish(submission, outcome);
+}
+
 answer_part request_runner::read(const std::string& streamId, std::uint64_t offset, std::chrono::milliseconds wait, std::size_t most)
 {
     const std::shared_ptr<answer_buffer> answer = m_streams.find(streamId, boottime_clock {}.now());
