Refuse a request whose prefix the server does not hold, when asked to

Cause: an entry can't learn which of a chat's homes holds its prefix without handing the request over. Change: a submission with onlyIfHeld (Thrift field) is refused when the prefix is not probably held, before a place or a workspace's share is taken. Refusals for lack of room or prefix tell whether there is room, the exact load as a share of what is admitted now, and whether the prefix is probably held. Ruled out: the four states of prefix_state on the wire; the walk only asks whether it is probably held. Conclusion: no entry asks yet, so nothing changes for callers.

--- a/include/radishflow/Daemon/server_gates.h
+++ b/include/radishflow/Daemon/server_gates.h
@@ -10,6 +10,7 @@
 #include "radishflow/Daemon/daemon_options.h"
 #include "radishflow/Daemon/fleet_directory.h"
 #include "radishflow/Daemon/ownership_keeper.h"
+#include "radishflow/Daemon/prefix_watch.h"
 #include "radishflow/Daemon/service_admission.h"
 #include "radishflow/Daemon/service_load_sum.h"
 #include "radishflow/Requests/refusal.h"
@@ -42,6 +43,7 @@
         const fleet_directory& directory;
         ownership_keeper& ownership;
         crash_watch& crashes;
+        const prefix_watch& prefixes;
     };
 
     explicit server_gates(const parts& theParts)
@@ -84,6 +86,7 @@
     };
 
     std::optional<refusal> checkPlace(const request_submission&) const;
+    bool isProbablyHeldAt(const request_submission&) const;
     std::optional<refusal> reserveAt(const request_submission&, const service_settings&, const config_snapshot&);
     server_state& stateOf(const request_submission&, const service_settings&);
     service_admission& admissionOf(const service_settings&, const config_snapshot&);
--- a/include/radishflow/Requests/refusal.h
+++ b/include/radishflow/Requests/refusal.h
@@ -16,6 +16,9 @@
     execution_state execution = execution_state::NotRun;
     std::chrono::milliseconds retryAfter { 0 }; ///< When to come back; zero when unsaid.
     bool tryNextServer = false; ///< Another server may be tried now; only ever with NotRun.
+    bool hasRoom = false; ///< The server would take the request although it does not hold its prefix.
+    double load = 1; ///< The server's exact load as a share of what it admits now.
+    bool isHeld = false; ///< The server probably holds the request's prefix.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Requests/request_submission.h
+++ b/include/radishflow/Requests/request_submission.h
@@ -27,6 +27,7 @@
     idempotency_key key; ///< Empty for a call that may be repeated.
     bool isModelCall = false;
     std::uint64_t resumeAfter = 0; ///< Events that the caller already has; 0 starts anew.
+    bool onlyIfHeld = false; ///< The owner takes it only when it believes the prefix to be held.
     std::uint32_t rank = 0; ///< Place of the server in the chat's rank.
     std::uint64_t fingerprint = 0; ///< Hash of workspace, service, method, path and body.
     std::uint64_t fingerprintLow = 0; ///< Further bits, since a quarantine must not meet another request.
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -72,7 +72,7 @@
     ownership_keeper ownership { platform, options.name, termOptionsOf(options), randomNumber() };
     crash_watch crashes;
     prefix_watch prefixes { { .eventLag = options.reportLag + std::chrono::seconds { 1 } } };
-    server_gates gates { { options, configuration, directory, ownership, crashes } };
+    server_gates gates { { options, configuration, directory, ownership, crashes, prefixes } };
     backend_client backends { backend_client_options {} };
     crash_confirmation confirmation { backends };
     request_runner runner { gates, backends, prefixes, options.requestLimit };
--- a/lib/Daemon/server_gates.cpp
+++ b/lib/Daemon/server_gates.cpp
@@ -2,6 +2,7 @@
 #include "radishflow/Daemon/server_gates.h"
 
 #include "radishflow/Config/fleet_config.h"
+#include "radishflow/Placement/placement_request.h"
 
 #include <algorithm>
 #include <cassert>
@@ -79,16 +80,34 @@
     admission.setLoads(running, servers, listed == m_listed.end() ? servers : listed->second, fleet == m_fleetLoads.end() ? fleet_load {} : fleet->second);
 }
 
+bool server_gates::isProbablyHeldAt(const request_submission& submission) const
+{
+    std::uint64_t prefix = 0;
+    return parsePrefixName(submission.prefix, prefix) && isProbablyHeld(m_parts.prefixes.stateOf(submission.server, prefix, m_clock.now()));
+}
+
 std::optional<refusal> server_gates::reserveAt(const request_submission& submission, const service_settings& service, const config_snapshot& config)
 {
+    const bool isHeld = isProbablyHeldAt(submission);
     const std::lock_guard lock { m_mutex };
     server_state& state = stateOf(submission, service);
     service_admission& admission = admissionOf(service, config);
     setLoadsOf(admission, service);
+    const bool isModel = service.kind == service_kind::Model;
+    const int admitted = isModel ? std::min(state.allowance->limit(), admission.boundNow()) : state.allowance->limit();
+    const auto refuse = [&](const char* title, bool hasRoom) {
+        refusal reason = refuseServer(submission, title);
+        reason.hasRoom = hasRoom;
+        reason.load = static_cast<double>(state.reserved) / std::max(1, admitted);
+        reason.isHeld = isHeld;
+        return reason;
+    };
     if (state.reserved >= state.allowance->limit() || !state.allowance->mayDispatch())
-        return refuseServer(submission, state.allowance->isWarm() ? "Server is full" : "Server is warming up");
-    if (service.kind == service_kind::Model && !admission.isWithinBound(state.reserved))
-        return refuseServer(submission, "Server is above its share of the load");
+        return refuse(state.allowance->isWarm() ? "Server is full" : "Server is warming up", false);
+    if (isModel && !admission.isWithinBound(state.reserved))
+        return refuse("Server is above its share of the load", false);
+    if (submission.onlyIfHeld && !isHeld)
+        return refuse("Prefix is not held", true);
     if (!admission.workspaces().tryStart(submission.workspace))
         return refusal { .status = 429, .title = "Workspace is at its limit", .detail = submission.workspace.value(), .retryAfter = workspaceRetry };
     ++state.reserved;
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -2,6 +2,7 @@
 #include "wire_conversion.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace radishflow {
 
@@ -35,6 +36,9 @@
     message.__set_execution(toWire(reason.execution));
     message.__set_retryAfterMs(static_cast<std::int32_t>(reason.retryAfter.count()));
     message.__set_tryNextServer(reason.tryNextServer);
+    message.__set_hasRoom(reason.hasRoom);
+    message.__set_load(reason.load);
+    message.__set_isHeld(reason.isHeld);
     return message;
 }
 
@@ -47,6 +51,9 @@
         .execution = fromWire(message.execution),
         .retryAfter = std::chrono::milliseconds { std::max(0, message.retryAfterMs) },
         .tryNextServer = message.tryNextServer,
+        .hasRoom = message.hasRoom,
+        .load = std::isfinite(message.load) ? message.load : 1,
+        .isHeld = message.isHeld,
     };
 }
 
@@ -68,6 +75,7 @@
     message.__set_deadlineMs(static_cast<std::int32_t>(submission.timeLeft.count()));
     message.__set_idempotencyKey(submission.key.value());
     message.__set_isModelCall(submission.isModelCall);
+    message.__set_onlyIfHeld(submission.onlyIfHeld);
     message.__set_rank(static_cast<std::int32_t>(submission.rank));
     message.__set_fingerprintHigh(static_cast<std::int64_t>(submission.fingerprint));
     message.__set_fingerprintLow(static_cast<std::int64_t>(submission.fingerprintLow));
@@ -94,6 +102,7 @@
         .key = idempotency_key { message.idempotencyKey },
         .isModelCall = message.isModelCall,
         .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
+        .onlyIfHeld = message.onlyIfHeld,
         .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
         .fingerprint = static_cast<std::uint64_t>(message.fingerprintHigh),
         .fingerprintLow = static_cast<std::uint64_t>(message.fingerprintLow),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -16,6 +16,9 @@
   4: Execution execution
   5: i32 retryAfterMs      // when to come back; 0 when another server may be tried at once
   6: bool tryNextServer    // the entry may try the next server in rank
+  7: bool hasRoom          // the server would take the request although its prefix is not held
+  8: double load = 1       // the server's load as a share of what it admits now
+  9: bool isHeld           // the server probably holds the request's prefix
 }
 
 // One attempt at one request, from an entry to the owner of a backend server.
@@ -39,6 +42,7 @@
   19: i64 fingerprintLow
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
   20: string prefix        // name of the chat's prefix towards an engine; empty without a chat
+  21: bool onlyIfHeld      // take it only when the prefix is believed to be held
 }
 
 struct SubmitReply {
