Walk over a chat's servers by where its prefix is held

Cause: entries went down a plain rank, so a chat that was moved on by the load bound missed its prefix at the second server, and two idle homes were filled in rank order. Change: a model call of a chat, unless resumed, goes by server_walk over a rank with a fresh random spread. Orders, plain services, resumed requests and calls without a chat keep the plain order.

--- a/include/radishflow/Daemon/answer_route.h
+++ b/include/radishflow/Daemon/answer_route.h
@@ -4,6 +4,7 @@
 #include "radishflow/Daemon/known_server.h"
 #include "radishflow/Daemon/owner_link.h"
 #include "radishflow/Daemon/shared_retry_budget.h"
+#include "radishflow/Placement/server_walk.h"
 #include "radishflow/Requests/answer_part.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Support/monotonic_clock.h"
@@ -17,12 +18,18 @@
 
 namespace radishflow {
 
+/// How a route goes over its rank.
+enum class rank_order {
+    AsRanked, ///< One server after the other.
+    HeldFirst, ///< The servers that may hold the chat's prefix are asked for it first, as server_walk does.
+};
+
 /// Tries the servers in rank until one answers. Used by one thread.
 ///
 /// A call that may not be repeated moves on only from a server that has said that nothing was run.
 class answer_route {
 public:
-    answer_route(owner_link&, shared_retry_budget&, request_submission prototype, std::vector<known_server> rank, bool isRepeatable);
+    answer_route(owner_link&, shared_retry_budget&, request_submission prototype, std::vector<known_server> rank, bool isRepeatable, rank_order order = rank_order::AsRanked);
 
     /// Hands the request to the first server that takes it. Returns the reason when none does.
     std::optional<refusal> start();
@@ -33,7 +40,7 @@
     void cancel();
 
     /// The server that has the request; valid after start.
-    const server_id& server() const { return m_rank[m_next - 1].id; }
+    const server_id& server() const { return m_rank[m_step.server].id; }
 
     /// Attempts that were made.
     std::size_t attempts() const { return m_attempts; }
@@ -41,13 +48,17 @@
 private:
     answer_part readOnce(std::uint64_t offset, std::chrono::milliseconds wait);
     bool mayMoveOn(const refusal&);
-    std::optional<refusal> submitTo(const known_server&);
+    std::optional<walk_step> nextStep();
+    std::optional<refusal> submitTo(const walk_step&);
+    std::optional<refusal> offer(const known_server&);
 
     owner_link& m_link;
     shared_retry_budget& m_retries;
     request_submission m_submission;
     std::vector<known_server> m_rank;
-    std::size_t m_next = 0; ///< Place in rank of the next server to try.
+    std::optional<server_walk> m_walk; ///< Only for HeldFirst.
+    std::uint32_t m_next = 0; ///< Place in rank of the next server to try, without a walk.
+    walk_step m_step; ///< The last one.
     std::size_t m_attempts = 0;
     std::string m_peer;
     std::string m_streamId;
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -5,6 +5,7 @@
 
 #include <Poco/UUIDGenerator.h>
 
+#include <numeric>
 #include <utility>
 
 namespace radishflow {
@@ -12,7 +13,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-answer_route::answer_route(owner_link& link, shared_retry_budget& retries, request_submission prototype, std::vector<known_server> rank, bool isRepeatable)
+answer_route::answer_route(owner_link& link, shared_retry_budget& retries, request_submission prototype, std::vector<known_server> rank, bool isRepeatable, rank_order order)
     : m_link(link)
     , m_retries(retries)
     , m_submission(std::move(prototype))
@@ -20,6 +21,20 @@
     , m_deadline(boottime_clock {}.now() + m_submission.timeLeft)
     , m_isRepeatable(isRepeatable)
 {
+    if (order == rank_order::AsRanked)
+        return;
+    server_ranking places(m_rank.size());
+    std::iota(places.begin(), places.end(), 0U);
+    m_walk.emplace(std::as_const(places));
+}
+
+std::optional<walk_step> answer_route::nextStep()
+{
+    if (m_walk)
+        return m_walk->next();
+    if (m_next == m_rank.size())
+        return std::nullopt;
+    return walk_step { .server = m_next++ };
 }
 
 // After a server may have failed under the request, one more may be tried and no third: the request itself may
@@ -34,7 +49,19 @@
     return m_retries.tryRetry();
 }
 
-std::optional<refusal> answer_route::submitTo(const known_server& server)
+// An owner that can't be reached or that has no room leaves the defaults of its refusal: no room, not held.
+std::optional<refusal> answer_route::submitTo(const walk_step& step)
+{
+    m_step = step;
+    m_submission.rank = step.server;
+    m_submission.onlyIfHeld = step.onlyIfHeld;
+    std::optional<refusal> reason = offer(m_rank[step.server]);
+    if (reason && m_walk)
+        m_walk->refused({ .hasRoom = reason->hasRoom, .load = reason->load, .held = reason->isHeld ? prefix_state::Likely : prefix_state::Unknown });
+    return reason;
+}
+
+std::optional<refusal> answer_route::offer(const known_server& server)
 {
     m_submission.server = server.id;
     m_submission.attempt = attempt_id { Poco::UUIDGenerator::defaultGenerator().createRandom().toString() };
@@ -65,10 +92,8 @@
 std::optional<refusal> answer_route::start()
 {
     refusal last { .status = 503, .title = "No server available", .detail = m_submission.service.value(), .retryAfter = milliseconds { 1000 } };
-    while (m_next < m_rank.size()) {
-        const known_server& server = m_rank[m_next++];
-        m_submission.rank = static_cast<std::uint32_t>(m_next - 1);
-        std::optional<refusal> reason = submitTo(server);
+    while (const std::optional<walk_step> step = nextStep()) {
+        std::optional<refusal> reason = submitTo(*step);
         if (!reason)
             return std::nullopt;
         if (!mayMoveOn(*reason))
--- a/lib/Daemon/request_router.cpp
+++ b/lib/Daemon/request_router.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <random>
 #include <utility>
 
 namespace radishflow {
@@ -55,6 +56,19 @@
     return chat_id { request.workspace.value() + '/' + request.chat.value() };
 }
 
+// Only a model call of a chat has a prefix to look for. A resumed one belongs to the server that has its generation.
+static rank_order orderOf(const caller_request& request)
+{
+    return request.isModelCall && !request.isResumed && !request.chat.empty() ? rank_order::HeldFirst : rank_order::AsRanked;
+}
+
+// Never 0, which stands for no spread.
+static std::uint64_t randomSpread()
+{
+    thread_local std::mt19937_64 source { std::random_device {}() };
+    return source() | 1U;
+}
+
 std::vector<known_server> request_router::rankServers(const service_settings& service, const caller_request& request) const
 {
     const auto fleet = m_directory.current();
@@ -70,7 +84,7 @@
         candidates.push_back({ .id = server.id, .zone = server.zone, .region = server.region, .admitsNew = server.takesNewWork() });
     // A request without a chat returns to nothing, so each gets a rank of its own.
     const chat_id chat = request.chat.empty() ? chat_id { request.request.value() } : chatOf(request);
-    const placement_request wanted { .chatHash = hashOfChat(service.id, chat), .region = m_options.region };
+    const placement_request wanted { .chatHash = hashOfChat(service.id, chat), .region = m_options.region, .spread = orderOf(request) == rank_order::HeldFirst ? randomSpread() : 0 };
     std::vector<known_server> rank;
     for (const std::uint32_t index : m_placement.rank(wanted, candidates, longestWalk)) {
         if (candidates[index].admitsNew)
@@ -126,7 +140,7 @@
         submission.key = request.key;
         return m_orders.run(submission, rank);
     }
-    auto route = std::make_shared<answer_route>(m_link, m_retries, std::move(submission), std::move(rank), canRepeat);
+    auto route = std::make_shared<answer_route>(m_link, m_retries, std::move(submission), std::move(rank), canRepeat, orderOf(request));
     if (auto reason = route->start())
         return refuse(request, *reason);
     return {
