--- a/include/radishflow/Daemon/answer_route.h
+++ b/include/radishflow/Daemon/answer_route.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace radishflow {
@@ -49,6 +50,8 @@
     answer_part readOnce(std::uint64_t offset, std::chrono::milliseconds wait);
     bool mayMoveOn(const refusal&);
     std::optional<walk_step> nextStep();
+    bool beginSecondRound();
+    int witnessedBeside(const server_id&) const;
     std::optional<refusal> submitTo(const walk_step&);
     std::optional<refusal> offer(const known_server&);
 
@@ -60,6 +63,8 @@
     std::uint32_t m_next = 0; ///< Place in rank of the next server to try, without a walk.
     walk_step m_step; ///< The last one.
     std::size_t m_attempts = 0;
+    std::unordered_map<server_id, int> m_witnessed; ///< What servers that refused for their share run.
+    bool m_isSecondRound = false;
     std::string m_peer;
     std::string m_streamId;
     time_point m_deadline;
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -28,15 +28,6 @@
     m_walk.emplace(std::as_const(places));
 }
 
-std::optional<walk_step> answer_route::nextStep()
-{
-    if (m_walk)
-        return m_walk->next();
-    if (m_next == m_rank.size())
-        return std::nullopt;
-    return walk_step { .server = m_next++ };
-}
-
 // After a server may have failed under the request, one more may be tried and no third: the request itself may
 // be what brings servers down. The budget keeps a failing fleet from being asked twice for everything.
 bool answer_route::mayMoveOn(const refusal& reason)
@@ -55,8 +46,9 @@
     m_step = step;
     m_submission.rank = step.server;
     m_submission.onlyIfHeld = step.onlyIfHeld;
+    m_submission.witnessedRunning = witnessedBeside(m_rank[step.server].id);
     std::optional<refusal> reason = offer(m_rank[step.server]);
-    if (reason && m_walk)
+    if (reason && m_walk && !m_isSecondRound)
         m_walk->refused({ .hasRoom = reason->hasRoom, .load = reason->load, .held = reason->isHeld ? prefix_state::Likely : prefix_state::Unknown });
     return reason;
 }
@@ -89,6 +81,38 @@
     return std::nullopt;
 }
 
+// Every server that refused for its share has told what it runs; with that a second round may find room that
+// the gossip doesn't know of yet.
+bool answer_route::beginSecondRound()
+{
+    if (m_witnessed.empty() || m_isSecondRound)
+        return false;
+    m_isSecondRound = true;
+    m_next = 0;
+    return true;
+}
+
+// The second round looks for room only, so it goes in the plain order.
+std::optional<walk_step> answer_route::nextStep()
+{
+    if (m_walk && !m_isSecondRound) {
+        if (const std::optional<walk_step> step = m_walk->next())
+            return step;
+        m_next = static_cast<std::uint32_t>(m_rank.size());
+    }
+    if (m_next == m_rank.size() && !beginSecondRound())
+        return std::nullopt;
+    return walk_step { .server = m_next++ };
+}
+
+int answer_route::witnessedBeside(const server_id& server) const
+{
+    int sum = 0;
+    for (const auto& [other, running] : m_witnessed)
+        sum += other == server ? 0 : running;
+    return sum;
+}
+
 std::optional<refusal> answer_route::start()
 {
     refusal last { .status = 503, .title = "No server available", .detail = m_submission.service.value(), .retryAfter = milliseconds { 1000 } };
@@ -98,6 +122,8 @@
             return std::nullopt;
         if (!mayMoveOn(*reason))
             return reason;
+        if (reason->runningThere >= 0)
+            m_witnessed[m_rank[step->server].id] = reason->runningThere;
         last = *std::move(reason);
     }
     return last;
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -35,6 +35,7 @@
     message.__set_detail(reason.detail);
     message.__set_execution(toWire(reason.execution));
     message.__set_retryAfterMs(static_cast<std::int32_t>(reason.retryAfter.count()));
+    message.__set_runningThere(reason.runningThere);
     message.__set_tryNextServer(reason.tryNextServer);
     message.__set_hasRoom(reason.hasRoom);
     message.__set_load(reason.load);
@@ -50,6 +51,7 @@
         .detail = message.detail,
         .execution = fromWire(message.execution),
         .retryAfter = std::chrono::milliseconds { std::max(0, message.retryAfterMs) },
+        .runningThere = message.runningThere,
         .tryNextServer = message.tryNextServer,
         .hasRoom = message.hasRoom,
         .load = std::isfinite(message.load) ? message.load : 1,
@@ -76,6 +78,7 @@
     message.__set_idempotencyKey(submission.key.value());
     message.__set_isModelCall(submission.isModelCall);
     message.__set_onlyIfHeld(submission.onlyIfHeld);
+    message.__set_witnessedRunning(submission.witnessedRunning);
     message.__set_rank(static_cast<std::int32_t>(submission.rank));
     message.__set_fingerprintHigh(static_cast<std::int64_t>(submission.fingerprint));
     message.__set_fingerprintLow(static_cast<std::int64_t>(submission.fingerprintLow));
@@ -103,6 +106,7 @@
         .isModelCall = message.isModelCall,
         .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
         .onlyIfHeld = message.onlyIfHeld,
+        .witnessedRunning = std::max(0, message.witnessedRunning),
         .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
         .fingerprint = static_cast<std::uint64_t>(message.fingerprintHigh),
         .fingerprintLow = static_cast<std::uint64_t>(message.fingerprintLow),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -16,9 +16,10 @@
   4: Execution execution
   5: i32 retryAfterMs      // when to come back; 0 when another server may be tried at once
   6: bool tryNextServer    // the entry may try the next server in rank
-  7: bool hasRoom          // the server would take the request although its prefix is not held
-  8: double load = 1       // the server's load as a share of what it admits now
-  9: bool isHeld           // the server probably holds the request's prefix
+  7: i32 runningThere      // requests at the server that refused for its share; -1 otherwise
+  8: bool hasRoom          // the server would take the request although its prefix is not held
+  9: double load = 1       // the server's load as a share of what it admits now
+  10: bool isHeld          // the server probably holds the request's prefix
 }
 
 // One attempt at one request, from an entry to the owner of a backend server.
@@ -40,9 +41,10 @@
   16: i32 rank             // place of the server in the chat's rank; 0 is the first
   17: i64 fingerprintHigh  // hash of workspace, service and body
   19: i64 fingerprintLow
+  20: i32 witnessedRunning // requests at the other servers that refused this request for their share
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
-  20: string prefix        // name of the chat's prefix towards an engine; empty without a chat
-  21: bool onlyIfHeld      // take it only when the prefix is believed to be held
+  21: string prefix        // name of the chat's prefix towards an engine; empty without a chat
+  22: bool onlyIfHeld      // take it only when the prefix is believed to be held
 }
 
 struct SubmitReply {
--- a/unittests/Admission/cold_allowance_test.cpp
+++ b/unittests/Admission/cold_allowance_test.cpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <ostream>
+#include <vector>
 
 using namespace radishflow;
 using namespace std::chrono_literals;
@@ -51,7 +52,7 @@
     { "counter", cold_reason::CounterFellBack, [](cold_allowance& a) { a.observe({ .processStart = 1000, .completed = 4 }); } },
     { "counter alone", cold_reason::CounterFellBack, [](cold_allowance& a) { a.observe({ .completed = 4 }); } },
     { "reset", cold_reason::ConnectionReset, [](cold_allowance& a) { a.connectionReset(); } },
-    { "slow first tokens", cold_reason::SlowFirstTokens, [](cold_allowance& a) { a.firstToken(a.epoch(), 6s); a.firstToken(a.epoch(), 6s); } },
+    { "slow first tokens", cold_reason::SlowFirstTokens, [](cold_allowance& a) { a.firstToken(a.dispatched(), 6s); a.firstToken(a.dispatched(), 6s); } },
 };
 
 BOOST_DATA_TEST_CASE(coldTurnIsDetected, boost::unit_test::data::make(coldTurnCases), test)
@@ -71,8 +72,8 @@
 {
     cold_allowance allowance = warmServer();
     for (int round = 0; round < 10; ++round) {
-        allowance.firstToken(allowance.epoch(), 6s);
-        allowance.firstToken(allowance.epoch(), 1s);
+        allowance.firstToken(allowance.dispatched(), 6s);
+        allowance.firstToken(allowance.dispatched(), 1s);
     }
     BOOST_TEST(allowance.isWarm());
 }
@@ -80,12 +81,15 @@
 BOOST_DATA_TEST_CASE(fewRequestsMeetAServerThatHasJustTurnedCold, boost::unit_test::data::make({ 1, 8, 20 }), unprovenLimit)
 {
     cold_allowance allowance = warmServer({ .unprovenLimit = unprovenLimit });
-    int sent = 0; // The server is gone and shows nothing.
-    for (; allowance.mayDispatch() && sent < 100; ++sent)
-        allowance.dispatched();
-    BOOST_TEST(sent == std::max(unprovenLimit, 2));
-    allowance.firstToken(allowance.epoch(), 1s);
+    std::vector<std::uint64_t> sent; // The server is gone and shows nothing.
+    while (allowance.mayDispatch() && sent.size() < 100)
+        sent.push_back(allowance.dispatched());
+    BOOST_TEST(sent.size() == static_cast<std::size_t>(std::max(unprovenLimit, 2)));
+    // A sign speaks for its own request alone, so it makes room for one more and not for two.
+    allowance.firstToken(sent.back(), 1s);
     BOOST_TEST(allowance.mayDispatch());
+    allowance.dispatched();
+    BOOST_TEST(!allowance.mayDispatch());
 }
 
 BOOST_AUTO_TEST_CASE(abandonedRequestsDoNotCloseTheServer)
