--- a/include/radishflow/Requests/request_submission.h
+++ b/include/radishflow/Requests/request_submission.h
@@ -17,6 +17,7 @@
     server_id server;
     workspace_id workspace;
     chat_id chat;
+    std::string prefix; ///< Name of the chat's prefix towards an engine; empty for a request without a chat.
     std::string method;
     std::string path;
     std::string contentType;
@@ -26,6 +27,7 @@
     idempotency_key key; ///< Empty for a call that may be repeated.
     bool isModelCall = false;
     std::uint64_t resumeAfter = 0; ///< Events that the caller already has; 0 starts anew.
+    bool onlyIfHeld = false; ///< The owner takes it only when it believes the prefix to be held.
     int witnessedRunning = 0; ///< Requests at the other servers that refused this request for their share.
     std::uint32_t rank = 0; ///< Place of the server in the chat's rank.
     std::uint64_t fingerprint = 0; ///< Hash of workspace, service, method, path and body.
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -2,6 +2,7 @@
 #include "wire_conversion.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace radishflow {
 
@@ -36,6 +37,9 @@
     message.__set_retryAfterMs(static_cast<std::int32_t>(reason.retryAfter.count()));
     message.__set_runningThere(reason.runningThere);
     message.__set_tryNextServer(reason.tryNextServer);
+    message.__set_hasRoom(reason.hasRoom);
+    message.__set_load(reason.load);
+    message.__set_isHeld(reason.isHeld);
     return message;
 }
 
@@ -49,6 +53,9 @@
         .retryAfter = std::chrono::milliseconds { std::max(0, message.retryAfterMs) },
         .runningThere = message.runningThere,
         .tryNextServer = message.tryNextServer,
+        .hasRoom = message.hasRoom,
+        .load = std::isfinite(message.load) ? message.load : 1,
+        .isHeld = message.isHeld,
     };
 }
 
@@ -61,6 +68,7 @@
     message.__set_serverId(submission.server.value());
     message.__set_workspaceId(submission.workspace.value());
     message.__set_chatId(submission.chat.value());
+    message.__set_prefix(submission.prefix);
     message.__set_method(submission.method);
     message.__set_path(submission.path);
     message.__set_contentType(submission.contentType);
@@ -69,6 +77,7 @@
     message.__set_deadlineMs(static_cast<std::int32_t>(submission.timeLeft.count()));
     message.__set_idempotencyKey(submission.key.value());
     message.__set_isModelCall(submission.isModelCall);
+    message.__set_onlyIfHeld(submission.onlyIfHeld);
     message.__set_witnessedRunning(submission.witnessedRunning);
     message.__set_rank(static_cast<std::int32_t>(submission.rank));
     message.__set_fingerprintHigh(static_cast<std::int64_t>(submission.fingerprint));
@@ -86,6 +95,7 @@
         .server = server_id { message.serverId },
         .workspace = workspace_id { message.workspaceId },
         .chat = chat_id { message.chatId },
+        .prefix = message.prefix,
         .method = message.method,
         .path = message.path,
         .contentType = message.contentType,
@@ -95,6 +105,7 @@
         .key = idempotency_key { message.idempotencyKey },
         .isModelCall = message.isModelCall,
         .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
+        .onlyIfHeld = message.onlyIfHeld,
         .witnessedRunning = std::max(0, message.witnessedRunning),
         .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
         .fingerprint = static_cast<std::uint64_t>(message.fingerprintHigh),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -17,6 +17,9 @@
   5: i32 retryAfterMs      // when to come back; 0 when another server may be tried at once
   6: bool tryNextServer    // the entry may try the next server in rank
   7: i32 runningThere      // requests at the server that refused for its share; -1 otherwise
+  8: bool hasRoom          // the server would take the request although its prefix is not held
+  9: double load = 1       // the server's load as a share of what it admits now
+  10: bool isHeld          // the server probably holds the request's prefix
 }
 
 // One attempt at one request, from an entry to the owner of a backend server.
@@ -40,6 +43,8 @@
   19: i64 fingerprintLow
   20: i32 witnessedRunning // requests at the other servers that refused this request for their share
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
+  21: string prefix        // name of the chat's prefix towards an engine; empty without a chat
+  22: bool onlyIfHeld      // take it only when the prefix is believed to be held
 }
 
 struct SubmitReply {
