Check a call in steps of its own; initialise readiness first

Cause: request_router::route checked and routed in forty lines; isComplete was initialised after the interfaces that read it had begun to listen; one lint finding in the reuse test. Change: serviceOf and checkCall say what is wrong, route only routes; isComplete stands before the interfaces.

--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -24,6 +24,7 @@
 #include <Poco/Exception.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <random>
 #include <string>
 #include <thread>
@@ -66,6 +67,7 @@
 // Members stand in the order of their dependence: a later one uses earlier ones and is destroyed before them.
 struct radishflow_daemon::state {
     daemon_options options;
+    std::atomic<bool> isComplete = false; ///< Callers and peers may come while the parts are still made.
     incarnation_number processIncarnation = incarnationNow();
     platform_client platform { platform_options { .address = options.platform } };
     config_store configuration;
@@ -247,8 +249,6 @@
     {
         return { .refused = refusal { .title = "Starting", .detail = "the daemon is not ready yet", .retryAfter = std::chrono::milliseconds { 1000 } }, .request = request.request };
     }
-
-    std::atomic<bool> isComplete = false;
 };
 
 radishflow_daemon::radishflow_daemon(const daemon_options& options)
--- a/lib/Daemon/request_router.cpp
+++ b/lib/Daemon/request_router.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <random>
 #include <utility>
+#include <variant>
 
 namespace radishflow {
 
@@ -116,26 +117,59 @@
     };
 }
 
-caller_answer request_router::route(const caller_request& request)
+namespace {
+
+    /// What the configuration says of a call that may be routed.
+    struct checked_call {
+        const service_settings* service = nullptr;
+        const workspace_settings* workspace = nullptr;
+        bool canRepeat = true;
+    };
+
+} // namespace
+
+static refusal badRequest(std::string detail)
+{
+    return { .status = 400, .title = "Bad request", .detail = std::move(detail) };
+}
+
+static std::variant<const service_settings*, refusal> serviceOf(const caller_request& request, const fleet_config& config)
 {
-    const auto snapshot = m_configuration.current();
-    if (!snapshot)
-        return refuse(request, { .status = 503, .title = "Not ready", .detail = "no configuration is in force yet", .retryAfter = milliseconds { 1000 } });
-    const fleet_config& config = snapshot->config;
     const model_id model = request.isModelCall ? modelOf(request.body) : model_id {};
     if (request.isModelCall && model.empty())
-        return refuse(request, { .status = 400, .title = "Bad request", .detail = "the body is a JSON object with the member \"model\"" });
+        return badRequest("the body is a JSON object with the member \"model\"");
     const service_settings* service = request.isModelCall ? findServiceOfModel(config, model) : findService(config, request.service);
     if (!service)
-        return refuse(request, { .status = 404, .title = "No such service", .detail = request.isModelCall ? model.value() : request.service.value() });
+        return refusal { .status = 404, .title = "No such service", .detail = request.isModelCall ? model.value() : request.service.value() };
+    return service;
+}
+
+static std::variant<checked_call, refusal> checkCall(const caller_request& request, const fleet_config& config)
+{
+    const auto found = serviceOf(request, config);
+    if (const auto* reason = std::get_if<refusal>(&found))
+        return *reason;
+    const service_settings* service = std::get<const service_settings*>(found);
     const workspace_settings* workspace = findWorkspace(config, request.workspace);
     if (!workspace || !mayCall(*workspace, service->id))
-        return refuse(request, { .status = 403, .title = "Workspace not allowed", .detail = "X-Workspace names a workspace that may call " + service->id.value() });
+        return refusal { .status = 403, .title = "Workspace not allowed", .detail = "X-Workspace names a workspace that may call " + service->id.value() };
     if (request.body.size() > static_cast<std::size_t>(service->maxBodyBytes))
-        return refuse(request, { .status = 413, .title = "Body too large", .detail = service->id.value() + " takes at most " + std::to_string(service->maxBodyBytes) + " bytes" });
+        return refusal { .status = 413, .title = "Body too large", .detail = service->id.value() + " takes at most " + std::to_string(service->maxBodyBytes) + " bytes" };
     const bool canRepeat = isRepeatable(*service, request.method, request.path);
     if (!canRepeat && request.key.empty())
-        return refuse(request, { .status = 400, .title = "Idempotency-Key missing", .detail = "this call may not be repeated, so it needs a key" });
+        return refusal { .status = 400, .title = "Idempotency-Key missing", .detail = "this call may not be repeated, so it needs a key" };
+    return checked_call { .service = service, .workspace = workspace, .canRepeat = canRepeat };
+}
+
+caller_answer request_router::route(const caller_request& request)
+{
+    const auto snapshot = m_configuration.current();
+    if (!snapshot)
+        return refuse(request, { .status = 503, .title = "Not ready", .detail = "no configuration is in force yet", .retryAfter = milliseconds { 1000 } });
+    const auto checked = checkCall(request, snapshot->config);
+    if (const auto* reason = std::get_if<refusal>(&checked))
+        return refuse(request, *reason);
+    const auto& [service, workspace, canRepeat] = std::get<checked_call>(checked);
     request_submission submission = submissionOf(request, *service, *workspace);
     std::vector<known_server> rank = rankServers(*service, request);
     if (!canRepeat) {
--- a/test/reuse_test.cpp
+++ b/test/reuse_test.cpp
@@ -51,6 +51,7 @@
 {
     std::atomic<int> answered = 0;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
             std::mt19937 random { seed + static_cast<std::uint32_t>(caller) };
