Remove what nobody reads from attempts and outcomes

Cause: found on reading the whole change again: exchange_outcome carried a status and a first-byte time that no caller read, and two flags that were always set together; answer_route counted attempts that nobody asked for. Change: they are gone; wasSent stands for both flags.

--- a/include/radishflow/Backend/exchange_outcome.h
+++ b/include/radishflow/Backend/exchange_outcome.h
@@ -1,9 +1,6 @@
 // Declares exchange_outcome, what one attempt at a backend server showed about that server.
 #pragma once
 
-#include <chrono>
-#include <optional>
-
 namespace radishflow {
 
 /// How an attempt at a backend server ended.
@@ -11,9 +8,6 @@
     bool wasSent = false; ///< Any byte of the request may have reached the server.
     bool isWhole = false; ///< The whole answer arrived.
     bool wasReset = false; ///< The connection broke although the server had accepted it.
-    bool wasConnected = false;
-    int status = 0; ///< HTTP status of the last answer; 0 for none.
-    std::optional<std::chrono::milliseconds> firstByteAfter;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Daemon/answer_route.h
+++ b/include/radishflow/Daemon/answer_route.h
@@ -43,9 +43,6 @@
     /// The server that has the request; valid after start.
     const server_id& server() const { return m_rank[m_step.server].id; }
 
-    /// Attempts that were made.
-    std::size_t attempts() const { return m_attempts; }
-
 private:
     answer_part readOnce(std::uint64_t offset, std::chrono::milliseconds wait);
     std::optional<refusal> walkOn(refusal last);
@@ -64,7 +61,6 @@
     std::optional<server_walk> m_walk; ///< Only for HeldFirst.
     std::uint32_t m_next = 0; ///< Place in rank of the next server to try, without a walk.
     walk_step m_step; ///< The last one.
-    std::size_t m_attempts = 0;
     std::unordered_map<server_id, int> m_witnessed; ///< What servers that refused for their share run.
     bool m_isSecondRound = false;
     std::string m_peer;
--- a/lib/Backend/backend_exchange.cpp
+++ b/lib/Backend/backend_exchange.cpp
@@ -90,8 +90,7 @@
     if (m_hasBegun)
         return;
     m_hasBegun = true;
-    m_outcome.firstByteAfter = duration_cast<milliseconds>(boottime_clock {}.now() - m_started);
-    m_gate.firstByte(*m_outcome.firstByteAfter);
+    m_gate.firstByte(duration_cast<milliseconds>(boottime_clock {}.now() - m_started));
     m_answer.begin(response.getStatus(), response.getContentType());
 }
 
@@ -156,7 +155,6 @@
 {
     Poco::Net::HTTPResponse response;
     std::istream& in = session.receiveResponse(response);
-    m_outcome.status = response.getStatus();
     if (response.getStatus() == 200 && response.getContentType().starts_with("text/event-stream"))
         return copyEvents(in, response);
     constexpr int notFound = 404;
@@ -182,7 +180,7 @@
         return step::Ended;
     }
     const term_number term = std::get<term_number>(admission);
-    m_outcome.wasConnected = m_outcome.wasSent = true;
+    m_outcome.wasSent = true;
     bool isWritten = false;
     try {
         sendRequest(session, term);
@@ -202,7 +200,7 @@
 
 void backend_exchange::noteReset()
 {
-    if (m_outcome.wasReset || !m_outcome.wasConnected)
+    if (m_outcome.wasReset || !m_outcome.wasSent)
         return;
     m_outcome.wasReset = true;
     m_gate.reset();
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -60,7 +60,6 @@
     m_submission.timeLeft = duration_cast<milliseconds>(m_deadline - boottime_clock {}.now());
     if (m_submission.timeLeft.count() <= 0)
         return refusal { .status = 504, .title = "Deadline passed", .detail = "no server took the request in its time", .execution = execution_state::NotRun, .retryAfter = milliseconds { 1000 } };
-    ++m_attempts;
     const submit_outcome outcome = valueOr(
         [&] { return m_link.submit(server.ownerPeer, m_submission); },
         [&](const failure& error) {
