Relay requests straight to backend servers on the users' platform

Cause: the product speaks its own interface only; the users' platform has its own. Change: platform/ translates headers, store rows and settings; Routing decides on routes, servers, retries and cold shares; Relay carries HTTP; radishflow-relayd wires them with the gossip for the fleet.

--- /dev/null
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -0,0 +1,40 @@
+// Declares fleet_membership, the daemons of a relaying fleet as they find each other.
+#pragma once
+
+#include "radishflow/Fleet/fleet_options.h"
+#include "radishflow/Gossip/gossip_transport.h"
+#include "radishflow/Routing/fleet_view.h"
+#include "radishflow/Support/boottime_clock.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishflow {
+
+/// Thread-safe but for view(), which one thread calls.
+class fleet_membership {
+public:
+    /// Throws Poco::RuntimeException when the gossip's socket can't be bound.
+    explicit fleet_membership(const fleet_options&);
+
+    /// Names addresses at which other daemons may be found.
+    void seed(const std::vector<std::string>& peers);
+    /// Tells the others whether callers may be sent here.
+    void setTakesCallers(bool);
+    /// Says goodbye; the others stop naming this daemon to callers.
+    void leave();
+    /// Returns the fleet as of now.
+    std::shared_ptr<const fleet_view> view();
+    bool isIsolated() const { return m_gossip->isIsolated(); }
+
+private:
+    std::size_t sizeFor(std::size_t alive, time_point now);
+
+    fleet_options m_options;
+    std::unique_ptr<gossip_transport> m_gossip;
+    std::size_t m_largest = 1;
+    time_point m_largestAt {};
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/body_step.h
@@ -0,0 +1,14 @@
+// Declares body_step, what one read of an answer's body brought.
+#pragma once
+
+namespace radishflow {
+
+enum class body_step {
+    Data,
+    Whole, ///< The body has ended as its framing says.
+    Broken,
+    TimedOut,
+    CallerGone,
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/dispatch_facts.h
@@ -0,0 +1,21 @@
+// Declares dispatch_facts, what the relay adds to a request that it sends to a backend server.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace radishflow {
+
+struct dispatch_facts {
+    server_id server; ///< The only one that may run it.
+    workspace_id workspace; ///< Empty where no key was needed.
+    std::chrono::milliseconds timeLeft { 0 };
+    int priority = 0; ///< 0 is the most urgent.
+    std::optional<std::uint64_t> resumeAfter; ///< Last event that was passed on.
+    bool isModelRequest = false;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/event_splitter.h
@@ -0,0 +1,28 @@
+// Declares event_splitter, which passes on whole events of a stream in their order.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace radishflow {
+
+/// Splits a WHATWG event stream that arrives in pieces. Used by one thread.
+class event_splitter {
+public:
+    /// Moves whole events from the input to the output. Returns false when an event's number does not follow the
+    /// last one, so that the stream can't be passed on.
+    bool feed(std::string& input, std::string& output);
+
+    /// Number of the last event that was passed on.
+    std::uint64_t last() const { return m_last; }
+    bool hasNumbers() const { return m_hasNumbers; }
+
+private:
+    bool takeNumber(std::string_view event);
+
+    std::uint64_t m_last = 0;
+    bool m_hasNumbers = false;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -0,0 +1,362 @@
+// Implements relay_call.
+#pragma once
+
+#include "radishflow/Support/hashing.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+namespace radishflow {
+
+// A connection that takes longer is one to a host that doesn't answer; within a region one takes a few milliseconds.
+inline constexpr std::chrono::milliseconds connectTimeout { 300 };
+// Idle time up to which a connection is used again. One that the server has just closed loses a request that can't
+// be repeated, so those only take connections that were in use a moment ago.
+inline constexpr std::chrono::seconds mostIdle { 30 };
+inline constexpr std::chrono::milliseconds mostIdleForOneRun { 800 };
+// The part of the latency objective for which a request may wait for a server; the rest is left for the retry.
+inline constexpr int waitPartOfObjective = 8;
+inline constexpr std::chrono::milliseconds waitStep { 15 };
+// Taken off the caller's deadline for the way back, so that the final answer still reaches it.
+inline constexpr std::chrono::milliseconds wayBack { 10 };
+// Time without a deadline of the caller or the route.
+inline constexpr std::chrono::seconds defaultTimeout { 60 };
+// Longest time in which a caller takes a part of its answer.
+inline constexpr std::chrono::seconds callerSendTimeout { 10 };
+// Requests that begin later than this before the end of a stopping process go to another daemon.
+inline constexpr std::chrono::milliseconds streamTimeBeforeStop { 5200 };
+inline constexpr std::chrono::milliseconds callTimeBeforeStop { 1200 };
+inline constexpr std::chrono::milliseconds stoppingRetryAfter { 20 };
+inline constexpr std::size_t mostWholeBytes = 16U << 20U; // Larger answers that are no streams aren't held in memory.
+
+template <relay_protocol Protocol>
+relay_call<Protocol>::relay_call(const Protocol& protocol, const relay_parts& parts, relay_socket& caller, const caller_message& message, bool keepsOpen)
+    : m_protocol(protocol)
+    , m_parts(parts)
+    , m_caller(caller)
+    , m_message(message)
+    , m_keepsOpen(keepsOpen)
+    , m_request(protocol.readRequest(message.head))
+    , m_admitted(admit(m_request, parts.routing.routes(), parts.freshness, now()))
+    , m_servers(parts.routing.servers())
+    , m_fleet(parts.routing.fleet())
+{
+    m_record.request = m_request.id;
+    m_record.configAge = parts.freshness.age(now());
+    m_record.fleetSize = m_fleet->size;
+    if (!m_admitted.target)
+        return;
+    m_record.route = m_admitted.target->name;
+    m_record.service = m_admitted.service;
+    m_record.config = m_admitted.routes->version();
+    if (m_admitted.workspace)
+        m_record.workspace = m_admitted.workspace->id;
+    m_deadline = message.receivedAt + defaultTimeout;
+    if (m_admitted.target->timeout.count() > 0)
+        m_deadline = message.receivedAt + m_admitted.target->timeout;
+    if (m_request.timeLeft)
+        m_deadline = std::min<time_point>(m_deadline, message.receivedAt + *m_request.timeLeft - wayBack);
+}
+
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::run()
+{
+    if (m_admitted.problem)
+        return refuse(*m_admitted.problem);
+    if (const auto problem = refusalWhileStopping())
+        return refuse(*problem);
+    if (!m_servers)
+        return refuse(refusalAfter(m_history, false));
+    m_parts.retries.countRequest(m_admitted.service);
+    while (true) {
+        const bool isResend = m_record.sends > 0;
+        if (isResend && (!maySendAgain(*m_admitted.target, m_history) || now() >= m_deadline || !m_parts.retries.tryTake(m_admitted.service, m_fleet->size)))
+            return giveUp();
+        const auto server = chooseServer();
+        if (m_caller.hasPeerLeft()) {
+            if (server)
+                m_parts.ledger.finish(server->id, server_outcome::Abandoned);
+            record(0, "caller_gone");
+            return false;
+        }
+        if (!server)
+            return giveUp();
+        switch (attempt(*server)) {
+        case attempt_end::Finished:
+            return m_isAnswered;
+        case attempt_end::CallerGone:
+            record(0, "caller_gone");
+            return false;
+        case attempt_end::Failed:
+            break;
+        }
+    }
+}
+
+// New work would be cut when the process ends; nothing of it was sent, so another daemon may serve it at once.
+template <relay_protocol Protocol>
+std::optional<refusal> relay_call<Protocol>::refusalWhileStopping() const
+{
+    if (!m_parts.stop.isStopping())
+        return std::nullopt;
+    const duration needed = m_admitted.target->kind == work_kind::Stream ? streamTimeBeforeStop : callTimeBeforeStop;
+    if (m_parts.stop.end() - now() >= needed)
+        return std::nullopt;
+    return refusal { .status = 503, .title = "Stopping", .detail = "this daemon is stopping; another one serves", .retryAfter = stoppingRetryAfter };
+}
+
+template <relay_protocol Protocol>
+std::uint64_t relay_call<Protocol>::affinity() const
+{
+    if (m_request.prompt.empty())
+        return 0;
+    // The last part is the request's own, so the one before it is the longest prefix that others share.
+    const std::size_t shared = m_request.prompt.size() > 1 ? m_request.prompt.size() - 2 : 0;
+    return m_request.prompt[shared].id | 1U;
+}
+
+template <relay_protocol Protocol>
+server_query relay_call<Protocol>::queryFor(const fleet_view& fleet) const
+{
+    const service_policy* policy = m_admitted.routes->policyOf(m_admitted.service);
+    return {
+        .service = m_admitted.service,
+        .affinity = affinity(),
+        .tieBreak = stableHash(m_request.id.value()),
+        .zone = m_parts.zone,
+        .coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0,
+        .excluded = m_history.servers,
+        .fleet = &fleet,
+    };
+}
+
+// Waits for a moment where every server is cold and has had its share.
+template <relay_protocol Protocol>
+std::optional<listed_server> relay_call<Protocol>::chooseServer()
+{
+    const time_point waitEnd = std::min<time_point>(m_deadline, m_message.receivedAt + m_admitted.target->objective / waitPartOfObjective);
+    while (true) {
+        m_servers = m_parts.routing.servers();
+        m_fleet = m_parts.routing.fleet();
+        m_record.eligibleServers = m_servers->eligible(m_admitted.service).size();
+        const auto server = m_parts.ledger.begin(*m_servers, queryFor(*m_fleet));
+        if (server || m_record.eligibleServers == 0 || now() + waitStep > waitEnd || m_caller.hasPeerLeft())
+            return server;
+        std::this_thread::sleep_for(waitStep);
+    }
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::attempt(const listed_server& server)
+{
+    ++m_record.sends;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
+    if (left.count() <= 0) {
+        m_parts.ledger.finish(server.id, server_outcome::Abandoned);
+        note(server, "no_time");
+        ++m_history.notRun;
+        return attempt_end::Failed;
+    }
+    const dispatch_facts facts {
+        .server = server.id,
+        .workspace = m_admitted.workspace ? m_admitted.workspace->id : workspace_id {},
+        .timeLeft = left,
+        .priority = m_admitted.priority(),
+        .resumeAfter = m_events.hasNumbers() ? std::optional { m_events.last() } : std::nullopt,
+        .isModelRequest = !m_request.prompt.empty(),
+    };
+    server_exchange exchange { m_parts.connections,
+        { .server = server,
+            .caller = m_caller,
+            .deadline = m_deadline,
+            .connectTimeout = connectTimeout,
+            .mostIdle = isRepeatable(*m_admitted.target) ? duration { mostIdle } : duration { mostIdleForOneRun },
+            .isHeadOnly = m_message.head.method == "HEAD" } };
+    const std::string head = m_protocol.writeRequest(m_message.head, facts, m_message.body.size());
+    const auto isForRequest = [&](const response_head& answer) {
+        const answer_facts answered = m_protocol.readAnswer(answer);
+        return !answered.answered || *answered.answered == m_request.id;
+    };
+    switch (exchange.start(head, m_message.body, isForRequest)) {
+    case exchange_state::Answered:
+        return judgeAnswer(server, exchange);
+    case exchange_state::NotSent:
+        return fail(server, server_outcome::Unreachable, false, "unreachable");
+    case exchange_state::MayHaveRun:
+        return fail(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
+    case exchange_state::TimedOut:
+        return fail(server, server_outcome::Failed, true, "silent");
+    case exchange_state::CallerGone:
+        break;
+    }
+    m_parts.ledger.finish(server.id, server_outcome::Abandoned);
+    note(server, "caller_gone");
+    return attempt_end::CallerGone;
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::judgeAnswer(const listed_server& server, server_exchange& exchange)
+{
+    constexpr int firstServerError = 500;
+    const answer_facts facts = m_protocol.readAnswer(exchange.head());
+    if (facts.load)
+        m_parts.ledger.noteReport(server.id, *facts.load);
+    if (facts.isOtherServer) {
+        m_parts.connections.drop(server.id);
+        return fail(server, server_outcome::Unreachable, false, "other_server");
+    }
+    if (facts.isNotRun)
+        return fail(server, server_outcome::Failed, false, "not_run");
+    if (!facts.isSigned)
+        return fail(server, server_outcome::Failed, true, "unsigned");
+    if (exchange.head().status < firstServerError)
+        return facts.isEventStream ? passEvents(server, exchange) : passWhole(server, exchange);
+    server_failure failure { .head = exchange.head(), .body = {} };
+    body_step step = body_step::Data;
+    while (step == body_step::Data && failure.body.size() < mostWholeBytes)
+        step = exchange.read(failure.body);
+    if (step == body_step::CallerGone)
+        return endOfFailure(server, step);
+    if (step == body_step::Whole) {
+        exchange.keep();
+        m_failure = std::move(failure);
+    }
+    return fail(server, server_outcome::Failed, true, "server_error");
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::passWhole(const listed_server& server, server_exchange& exchange)
+{
+    std::string body;
+    body_step step = body_step::Data;
+    while (step == body_step::Data && body.size() < mostWholeBytes)
+        step = exchange.read(body);
+    if (step != body_step::Whole)
+        return endOfFailure(server, step);
+    exchange.keep();
+    m_parts.ledger.finish(server.id, server_outcome::Served);
+    note(server, "served");
+    std::string text = writeAnswerHead(exchange.head(), body.size(), m_keepsOpen);
+    if (m_message.head.method != "HEAD")
+        text += body;
+    if (!sendToCaller(text))
+        return attempt_end::CallerGone;
+    m_isAnswered = finishAnswer(exchange.head().status);
+    return attempt_end::Finished;
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::passEvents(const listed_server& server, server_exchange& exchange)
+{
+    std::string received;
+    while (true) {
+        const body_step step = exchange.read(received);
+        std::string events;
+        const bool isInOrder = m_events.feed(received, events);
+        const bool isEnd = step == body_step::Whole && isInOrder && received.empty();
+        if (!events.empty() || isEnd) {
+            std::string text;
+            if (!std::exchange(m_hasBegun, true))
+                text = writeAnswerHead(exchange.head(), std::nullopt, m_keepsOpen);
+            if (!events.empty())
+                appendChunk(text, events);
+            if (isEnd)
+                text += lastChunk;
+            if (!sendToCaller(text)) {
+                m_parts.ledger.finish(server.id, server_outcome::Abandoned);
+                return attempt_end::CallerGone;
+            }
+        }
+        if (isEnd) {
+            exchange.keep();
+            m_parts.ledger.finish(server.id, server_outcome::Served);
+            note(server, "served");
+            m_isAnswered = finishAnswer(exchange.head().status);
+            return attempt_end::Finished;
+        }
+        if (step != body_step::Data || !isInOrder)
+            return endOfFailure(server, isInOrder && step != body_step::Whole ? step : body_step::Broken);
+    }
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::endOfFailure(const listed_server& server, body_step step)
+{
+    if (step != body_step::CallerGone)
+        return fail(server, server_outcome::Failed, true, step == body_step::TimedOut ? "silent" : "broke_off");
+    m_parts.ledger.finish(server.id, server_outcome::Abandoned);
+    note(server, "caller_gone");
+    return attempt_end::CallerGone;
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::fail(const listed_server& server, server_outcome outcome, bool mayHaveRun, const char* how)
+{
+    m_parts.ledger.finish(server.id, outcome);
+    note(server, how);
+    ++(mayHaveRun ? m_history.mayHaveRun : m_history.notRun);
+    return attempt_end::Failed;
+}
+
+// Ends the request with the best that is known: what a server said, or that it didn't run, or that it may have.
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::giveUp()
+{
+    if (m_hasBegun) {
+        // Without its last chunk, the caller sees that the stream is not whole.
+        record(m_record.status, "stream_broken");
+        return false;
+    }
+    if (!m_failure)
+        return refuse(refusalAfter(m_history, now() >= m_deadline));
+    if (!sendToCaller(writeAnswerHead(m_failure->head, m_failure->body.size(), m_keepsOpen) + m_failure->body))
+        return false;
+    record(m_failure->head.status, "server_error");
+    return true;
+}
+
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::refuse(const refusal& reason)
+{
+    const bool isSent = sendToCaller(writeRefusal(reason, m_request.id, m_keepsOpen));
+    record(reason.status, reason.execution == execution_state::NotRun ? "refused" : "failed");
+    return isSent;
+}
+
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::sendToCaller(std::string_view text)
+{
+    if (!m_record.firstBytes)
+        m_record.firstBytes = now() - m_message.receivedAt;
+    return m_caller.send(text, now() + callerSendTimeout) == io_outcome::Done;
+}
+
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::finishAnswer(int status)
+{
+    record(status, "served");
+    return true;
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::note(const listed_server& server, const char* how)
+{
+    m_history.servers.push_back(server.id);
+    if (!m_record.servers.empty())
+        m_record.servers += ' ';
+    m_record.servers += server.id.value() + ':' + how;
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::record(int status, const char* outcome)
+{
+    m_record.status = status;
+    m_record.outcome = outcome;
+    m_record.total = now() - m_message.receivedAt;
+    m_parts.metrics.count(m_record);
+    logRequest(m_record);
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/retry_shares.h
@@ -0,0 +1,44 @@
+// Declares retry_shares, this daemon's retry budget for each service.
+#pragma once
+
+#include "radishflow/Routing/retry_share.h"
+#include "radishflow/Support/ids.h"
+#include "radishflow/Support/ranked_mutex.h"
+
+#include <mutex>
+#include <unordered_map>
+
+namespace radishflow {
+
+/// Thread-safe under one lock of rank RetryBudget.
+template <monotonic_clock Clock>
+class retry_shares {
+public:
+    retry_shares(const Clock& clock, const retry_share_options& options)
+        : m_clock(clock)
+        , m_options(options)
+    {
+    }
+
+    void countRequest(const service_id& service)
+    {
+        const std::lock_guard lock { m_mutex };
+        shareOf(service).countRequest();
+    }
+
+    bool tryTake(const service_id& service, std::size_t fleetSize)
+    {
+        const std::lock_guard lock { m_mutex };
+        return shareOf(service).tryTake(fleetSize);
+    }
+
+private:
+    retry_share<Clock>& shareOf(const service_id& service) { return m_shares.try_emplace(service, m_clock, m_options).first->second; }
+
+    const Clock& m_clock;
+    retry_share_options m_options;
+    ranked_mutex m_mutex { lock_rank::RetryBudget };
+    std::unordered_map<service_id, retry_share<Clock>> m_shares;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/session_end.h
@@ -0,0 +1,11 @@
+// Declares session_end, what becomes of a connection that was served.
+#pragma once
+
+namespace radishflow {
+
+enum class session_end {
+    Idle, ///< Waits for its next request.
+    Closed,
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Relay/stop_state.h
@@ -0,0 +1,28 @@
+// Declares stop_state, whether and since when a daemon is stopping.
+#pragma once
+
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <atomic>
+
+namespace radishflow {
+
+/// Thread-safe.
+class stop_state {
+public:
+    /// The process ends at this moment, whatever is still running.
+    void begin(time_point end)
+    {
+        m_end = end;
+        m_isStopping = true;
+    }
+
+    bool isStopping() const { return m_isStopping; }
+    time_point end() const { return m_end; }
+
+private:
+    std::atomic<time_point> m_end { time_point {} };
+    std::atomic<bool> m_isStopping = false;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Requests/request_record.h
@@ -0,0 +1,31 @@
+// Declares request_record, what is logged and counted of one request.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <optional>
+#include <string>
+
+namespace radishflow {
+
+struct request_record {
+    request_id request;
+    std::string route;
+    workspace_id workspace;
+    service_id service;
+    std::string servers; ///< Those tried, in order, each with how the attempt ended.
+    std::string outcome; ///< Why the request ended as it did, in one word.
+    int status = 0; ///< As sent to the caller; 0 where it left first.
+    int sends = 0;
+    config_version config;
+    duration configAge {}; ///< Since the configuration was last confirmed.
+    std::size_t eligibleServers = 0;
+    std::size_t fleetSize = 0;
+    duration total {};
+    std::optional<duration> firstBytes; ///< Until the first bytes of the answer.
+
+    bool isServed() const { return status >= 200 && status < 300 && outcome == "served"; }
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Routing/choose_server.h
@@ -0,0 +1,24 @@
+// Declares how one of several backend servers is chosen for a request.
+#pragma once
+
+#include "radishflow/Routing/server_candidate.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace radishflow {
+
+struct choose_server_options {
+    double loadMultiple = 1.4; ///< Of the mean load, above which a server is passed over.
+    double loadSlack = 2; ///< Requests above the multiple that a server may hold.
+    double zonePenalty = 0.5; ///< Requests by which another zone counts as more loaded.
+};
+
+/// Answers skewed load. A request with an affinity goes to the first server by rendezvous rank whose load is within
+/// the bound, so that requests that share a prompt meet where it is cached and a hot one spills to its next rank.
+/// Others go to the least loaded. Returns an index into the candidates; nothing when there are none.
+std::optional<std::size_t> chooseServer(std::span<const server_candidate>, std::uint64_t affinity, std::uint64_t tieBreak, const choose_server_options& = {});
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Routing/decaying_count.h
@@ -0,0 +1,32 @@
+// Declares decaying_count, a count whose entries lose their weight as they age.
+#pragma once
+
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <chrono>
+#include <cmath>
+
+namespace radishflow {
+
+/// Halves with each half-life. Not thread-safe.
+class decaying_count {
+public:
+    void add(time_point now, double amount, duration halfLife)
+    {
+        m_value = at(now, halfLife) + amount;
+        m_countedAt = now;
+    }
+
+    double at(time_point now, duration halfLife) const
+    {
+        const std::chrono::duration<double> age = now - m_countedAt;
+        const std::chrono::duration<double> half = halfLife;
+        return m_value * std::exp2(-age.count() / half.count());
+    }
+
+private:
+    double m_value = 0;
+    time_point m_countedAt {};
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Routing/second_counts.h
@@ -0,0 +1,46 @@
+// Declares second_counts, a sum over a sliding window in steps of a second.
+#pragma once
+
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace radishflow {
+
+/// Counts of the last Seconds seconds. Not thread-safe.
+template <std::size_t Seconds>
+class second_counts {
+public:
+    void add(time_point now, int amount = 1)
+    {
+        bucket& current = m_buckets[secondOf(now) % Seconds];
+        if (current.second != secondOf(now))
+            current = { .second = secondOf(now), .count = 0 };
+        current.count += amount;
+    }
+
+    int sum(time_point now) const
+    {
+        int total = 0;
+        for (const bucket& each : m_buckets) {
+            if (each.second + static_cast<std::int64_t>(Seconds) > secondOf(now))
+                total += each.count;
+        }
+        return total;
+    }
+
+private:
+    struct bucket {
+        std::int64_t second = -static_cast<std::int64_t>(Seconds);
+        int count = 0;
+    };
+
+    static std::int64_t secondOf(time_point now) { return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count(); }
+
+    std::array<bucket, Seconds> m_buckets {};
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Routing/weighted_service.h
@@ -0,0 +1,13 @@
+// Declares weighted_service, one target of a route that is split.
+#pragma once
+
+#include "radishflow/Support/ids.h"
+
+namespace radishflow {
+
+struct weighted_service {
+    service_id service;
+    int weight = 1; ///< Share of the route's requests relative to the other targets.
+};
+
+} // namespace radishflow
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -9,7 +9,7 @@
 #include "radishflow/Daemon/own_pages.h"
 #include "radishflow/Daemon/owner_link.h"
 #include "radishflow/Daemon/ownership_keeper.h"
-#include "radishflow/Daemon/periodic_task.h"
+#include "radishflow/Threads/periodic_task.h"
 #include "radishflow/Daemon/prefix_watch.h"
 #include "radishflow/Daemon/request_router.h"
 #include "radishflow/Daemon/request_runner.h"
--- /dev/null
+++ b/lib/Relay/caller_listener.cpp
@@ -0,0 +1,190 @@
+// Implements the accepting and watching of connections on POCO's poll set.
+#include "radishflow/Relay/caller_listener.h"
+
+#include "radishflow/Support/boottime_clock.h"
+#include "radishflow/Support/ranked_mutex.h"
+#include "radishflow/Threads/worker_pool.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace radishflow {
+
+// Connections that the kernel holds until they are accepted; a burst beyond it waits for the caller's retry.
+static constexpr int acceptBacklog = 1024;
+// Bounds how late an idle connection is closed and how long a stop waits.
+static constexpr std::chrono::milliseconds pollInterval { 500 };
+
+struct caller_listener::state {
+    struct idle_connection {
+        relay_socket socket;
+        std::size_t endpoint = 0;
+        time_point since {};
+    };
+
+    std::vector<listen_endpoint> endpoints;
+    caller_listener_options options;
+    std::vector<Poco::Net::ServerSocket> sockets;
+    Poco::Net::PollSet polled;
+    ranked_mutex mutex { lock_rank::Connections };
+    std::map<Poco::Net::Socket, idle_connection> idle;
+    std::atomic<int> open = 0;
+    time_point scannedAt {};
+    std::atomic<bool> isStopping = false;
+    worker_pool workers;
+    std::thread thread;
+
+    state(std::vector<listen_endpoint> theEndpoints, caller_listener_options theOptions)
+        : endpoints(std::move(theEndpoints))
+        , options(std::move(theOptions))
+        , workers(options.workers)
+    {
+        for (const listen_endpoint& endpoint : endpoints) {
+            sockets.emplace_back();
+            sockets.back().bind(Poco::Net::SocketAddress { endpoint.address }, true);
+            sockets.back().listen(acceptBacklog);
+            sockets.back().setBlocking(false);
+            polled.add(sockets.back(), Poco::Net::PollSet::POLL_READ);
+        }
+        thread = std::thread { [this] { loop(); } };
+    }
+
+    void loop()
+    {
+        while (!isStopping) {
+            try {
+                for (const auto& [socket, mode] : polled.poll(Poco::Timespan { std::chrono::microseconds { pollInterval }.count() }))
+                    handle(socket);
+            } catch (const Poco::Exception&) {
+                continue; // A connection ended between the poll and its handling; the next poll shows the rest.
+            }
+            closeIdle();
+        }
+    }
+
+    void handle(const Poco::Net::Socket& socket)
+    {
+        const auto listening = std::find(sockets.begin(), sockets.end(), socket);
+        if (listening != sockets.end()) {
+            accept(static_cast<std::size_t>(listening - sockets.begin()));
+            return;
+        }
+        idle_connection connection;
+        {
+            const std::lock_guard lock { mutex };
+            const auto found = idle.find(socket);
+            if (found == idle.end())
+                return;
+            polled.remove(socket);
+            connection = std::move(found->second);
+            idle.erase(found);
+        }
+        dispatch(std::move(connection));
+    }
+
+    void accept(std::size_t endpoint)
+    {
+        constexpr int mostAtOnce = 64;
+        for (int count = 0; count < mostAtOnce; ++count) {
+            if (!sockets[endpoint].poll(Poco::Timespan {}, Poco::Net::Socket::SELECT_READ))
+                return;
+            relay_socket accepted { sockets[endpoint].acceptConnection() };
+            if (static_cast<std::size_t>(++open) > options.mostConnections) {
+                accepted.close();
+                --open;
+                continue;
+            }
+            watch({ .socket = std::move(accepted), .endpoint = endpoint });
+        }
+    }
+
+    void watch(idle_connection connection)
+    {
+        connection.since = boottime_clock {}.now();
+        connection.socket.shrink();
+        const Poco::Net::Socket socket = connection.socket.socket();
+        const std::lock_guard lock { mutex };
+        idle.insert_or_assign(socket, std::move(connection));
+        polled.add(socket, Poco::Net::PollSet::POLL_READ);
+    }
+
+    void dispatch(idle_connection connection)
+    {
+        if (connection.socket.hasPeerLeft()) {
+            close(connection);
+            return;
+        }
+        auto shared = std::make_shared<idle_connection>(std::move(connection));
+        const bool isStarted = workers.tryStart([this, shared] {
+            if (endpoints[shared->endpoint].serve(shared->socket) == session_end::Idle) {
+                watch(std::move(*shared));
+                return;
+            }
+            close(*shared);
+        });
+        if (isStarted)
+            return;
+        // The refusal says that the request was not run, and nobody has read it.
+        std::size_t sent = 0;
+        shared->socket.send(options.overloadAnswer, boottime_clock {}.now(), nullptr, &sent);
+        shared->socket.closeSending();
+        close(*shared);
+    }
+
+    void close(idle_connection& connection)
+    {
+        if (connection.socket.isOpen())
+            connection.socket.close();
+        --open;
+    }
+
+    void closeIdle()
+    {
+        const time_point now = boottime_clock {}.now();
+        if (now - scannedAt < pollInterval)
+            return;
+        scannedAt = now;
+        const auto timeout = options.idleTimeout();
+        const std::lock_guard lock { mutex };
+        for (auto each = idle.begin(); each != idle.end();) {
+            if (now - each->second.since < timeout) {
+                ++each;
+                continue;
+            }
+            polled.remove(each->first);
+            close(each->second);
+            each = idle.erase(each);
+        }
+    }
+};
+
+caller_listener::caller_listener(std::vector<listen_endpoint> endpoints, caller_listener_options options)
+    : m_state(std::make_unique<state>(std::move(endpoints), std::move(options)))
+{
+}
+
+caller_listener::~caller_listener()
+{
+    m_state->isStopping = true;
+    m_state->thread.join();
+}
+
+int caller_listener::busy() const
+{
+    return m_state->workers.busy();
+}
+
+int caller_listener::connections() const
+{
+    return m_state->open;
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Relay/relay_log.cpp
@@ -0,0 +1,81 @@
+// Implements the structured log on spdlog's asynchronous logger.
+#include "radishflow/Relay/relay_log.h"
+
+#include "radishflow/Routing/second_counts.h"
+#include "radishflow/Support/boottime_clock.h"
+
+#include <chrono>
+#include <mutex>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <string>
+#include <utility>
+
+namespace radishflow {
+
+static constexpr std::size_t queuedLines = 256; // Each takes some 400 bytes of memory for the whole run.
+static constexpr int servedLinesPerSecond = 40;
+
+namespace {
+
+    // Decides which lines of served requests are written.
+    class line_rate {
+    public:
+        // Returns how many were left out since the last line, or -1 to leave this one out too.
+        int take()
+        {
+            const std::lock_guard lock { m_mutex };
+            const time_point now = boottime_clock {}.now();
+            if (m_written.sum(now) >= servedLinesPerSecond) {
+                ++m_leftOut;
+                return -1;
+            }
+            m_written.add(now);
+            return std::exchange(m_leftOut, 0);
+        }
+
+    private:
+        std::mutex m_mutex;
+        second_counts<1> m_written;
+        int m_leftOut = 0;
+    };
+
+} // namespace
+
+void startLog(std::string_view level)
+{
+    spdlog::init_thread_pool(queuedLines, 1);
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto logger = std::make_shared<spdlog::async_logger>("radishflow", std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    spdlog::set_default_logger(std::move(logger));
+    spdlog::set_level(spdlog::level::from_str(std::string { level }));
+    spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
+}
+
+void stopLog()
+{
+    spdlog::shutdown();
+}
+
+static double milliseconds(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+void logRequest(const request_record& record)
+{
+    static line_rate servedLines;
+    int leftOut = 0;
+    if (record.isServed()) {
+        leftOut = servedLines.take();
+        if (leftOut < 0)
+            return;
+    }
+    const auto level = record.isServed() ? spdlog::level::info : spdlog::level::warn;
+    spdlog::log(level, "event=request request={} route={} workspace={} service={} outcome={} status={} sends={} servers=\"{}\" eligible={} config={} config_age_ms={:.0f} fleet={} first_ms={:.1f} total_ms={:.1f} left_out={}",
+        record.request.value(), record.route, record.workspace.value(), record.service.value(), record.outcome, record.status, record.sends, record.servers,
+        record.eligibleServers, record.config.value(), milliseconds(record.configAge), record.fleetSize, record.firstBytes ? milliseconds(*record.firstBytes) : -1, milliseconds(record.total), leftOut);
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Relay/relay_socket.cpp
@@ -0,0 +1,195 @@
+// Implements the relay's connections on POCO's sockets, with poll() for waits on two of them at once.
+#include "radishflow/Relay/relay_socket.h"
+
+#include "radishflow/Support/boottime_clock.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace radishflow {
+
+// Time after which bytes that the peer's host hasn't acknowledged break the connection; a host that lost power
+// answers nothing, not even a reset.
+static constexpr int unacknowledgedLimitMs = 2500;
+static constexpr std::chrono::milliseconds gentleCloseTime { 500 };
+static constexpr std::size_t readBytes = 8192;
+
+static int pollTimeout(time_point deadline)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - boottime_clock {}.now());
+    return static_cast<int>(std::clamp<std::chrono::milliseconds::rep>(left.count(), 0, 60000));
+}
+
+relay_socket::relay_socket(const Poco::Net::StreamSocket& socket)
+    : m_socket(socket)
+    , m_isOpen(true)
+{
+    m_socket.setBlocking(false);
+    m_socket.setNoDelay(true);
+    m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
+}
+
+io_outcome relay_socket::connect(const std::string& address, time_point deadline, const relay_socket* caller, relay_socket& made)
+{
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connectNB(Poco::Net::SocketAddress { address });
+        made = relay_socket { socket };
+        short seen = 0;
+        const io_outcome outcome = made.wait(POLLOUT, deadline, caller, seen);
+        if (outcome != io_outcome::Done || socket.impl()->socketError() != 0) {
+            made.close();
+            return outcome == io_outcome::Done ? io_outcome::Broken : outcome;
+        }
+        return io_outcome::Done;
+    } catch (const Poco::Exception&) {
+        made.close();
+        return io_outcome::Broken;
+    }
+}
+
+io_outcome relay_socket::wait(short events, time_point deadline, const relay_socket* caller, short& seen) const
+{
+    std::array<pollfd, 2> waited {};
+    waited[0] = { .fd = descriptor(), .events = events, .revents = 0 };
+    nfds_t count = 1;
+    if (caller) {
+        if (!caller->isOpen())
+            return io_outcome::CallerGone;
+        // A caller that has sent more can't be told from one that has left by POLLIN alone.
+        const short watched = caller->m_input.empty() ? POLLIN | POLLRDHUP : POLLRDHUP;
+        waited[1] = { .fd = caller->descriptor(), .events = watched, .revents = 0 };
+        count = 2;
+    }
+    while (true) {
+        const int ready = ::poll(waited.data(), count, pollTimeout(deadline));
+        if (ready < 0 && errno != EINTR)
+            return io_outcome::Broken;
+        if (caller && waited[1].revents != 0) {
+            if (caller->hasPeerLeft())
+                return io_outcome::CallerGone;
+            waited[1].events = POLLRDHUP;
+        }
+        if (waited[0].revents != 0) {
+            seen = waited[0].revents;
+            return io_outcome::Done;
+        }
+        if (pollTimeout(deadline) == 0)
+            return io_outcome::TimedOut;
+    }
+}
+
+io_outcome relay_socket::waitForInput(time_point deadline, const relay_socket* caller) const
+{
+    short seen = 0;
+    return wait(POLLIN, deadline, caller, seen);
+}
+
+io_outcome relay_socket::fill(time_point deadline, const relay_socket* caller)
+{
+    while (true) {
+        // A read that didn't fill the buffer took all there was, so the next one would find nothing.
+        if (std::exchange(m_isDrained, false)) {
+            const io_outcome outcome = waitForInput(deadline, caller);
+            if (outcome != io_outcome::Done)
+                return outcome;
+        }
+        const std::size_t before = m_input.size();
+        m_input.resize(before + readBytes);
+        const ssize_t received = ::recv(descriptor(), m_input.data() + before, readBytes, MSG_DONTWAIT);
+        const int error = errno;
+        m_input.resize(before + static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
+        if (received > 0) {
+            m_isDrained = static_cast<std::size_t>(received) < readBytes;
+            return io_outcome::Done;
+        }
+        if (received == 0)
+            return io_outcome::Ended;
+        if (error != EAGAIN && error != EWOULDBLOCK && error != EINTR)
+            return io_outcome::Broken;
+        m_isDrained = true;
+    }
+}
+
+io_outcome relay_socket::send(std::string_view bytes, time_point deadline, const relay_socket* caller, std::size_t* sent)
+{
+    std::size_t done = 0;
+    io_outcome outcome = io_outcome::Done;
+    while (done < bytes.size()) {
+        const ssize_t written = ::send(descriptor(), bytes.data() + done, bytes.size() - done, MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (written >= 0) {
+            done += static_cast<std::size_t>(written);
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            outcome = io_outcome::Broken;
+            break;
+        }
+        short seen = 0;
+        outcome = wait(sent ? POLLOUT | POLLIN : POLLOUT, deadline, caller, seen);
+        if (outcome != io_outcome::Done || (sent && (seen & POLLIN) != 0))
+            break;
+    }
+    if (sent)
+        *sent = done;
+    return outcome;
+}
+
+bool relay_socket::hasPeerLeft() const
+{
+    char byte = 0;
+    const ssize_t peeked = ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (peeked == 0)
+        return true;
+    if (peeked < 0)
+        return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    pollfd ended { .fd = descriptor(), .events = POLLRDHUP, .revents = 0 };
+    return ::poll(&ended, 1, 0) > 0 && (ended.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool relay_socket::isQuiet() const
+{
+    char byte = 0;
+    return m_input.empty() && ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void relay_socket::close()
+{
+    m_isOpen = false;
+    m_socket.close();
+}
+
+void relay_socket::abort()
+{
+    const linger reset { .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(descriptor(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    close();
+}
+
+void relay_socket::closeSending()
+{
+    ::shutdown(descriptor(), SHUT_WR);
+    std::array<char, readBytes> dropped;
+    while (::recv(descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT) > 0) { }
+}
+
+void relay_socket::closeGently()
+{
+    ::shutdown(descriptor(), SHUT_WR);
+    const time_point deadline = boottime_clock {}.now() + gentleCloseTime;
+    while (fill(deadline) == io_outcome::Done)
+        m_input.clear();
+    close();
+}
+
+} // namespace radishflow
--- /dev/null
+++ b/lib/Routing/choose_server.cpp
@@ -0,0 +1,50 @@
+// Implements the choice of a backend server.
+#include "radishflow/Routing/choose_server.h"
+
+#include "radishflow/Support/hashing.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace radishflow {
+
+static std::uint64_t rankOf(const server_candidate& candidate, std::uint64_t affinity)
+{
+    return stableHash(candidate.server->id.value(), affinity);
+}
+
+static std::size_t leastLoaded(std::span<const server_candidate> candidates, std::uint64_t tieBreak, const choose_server_options& options)
+{
+    std::size_t best = 0;
+    double bestLoad = std::numeric_limits<double>::max();
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const std::size_t index = (step + tieBreak) % candidates.size();
+        const double load = candidates[index].load + (candidates[index].isOwnZone ? 0 : options.zonePenalty);
+        if (load < bestLoad) {
+            best = index;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
+std::optional<std::size_t> chooseServer(std::span<const server_candidate> candidates, std::uint64_t affinity, std::uint64_t tieBreak, const choose_server_options& options)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    if (affinity == 0)
+        return leastLoaded(candidates, tieBreak, options);
+    const double total = std::accumulate(candidates.begin(), candidates.end(), 0.0, [](double sum, const server_candidate& each) { return sum + each.load; });
+    const double bound = options.loadMultiple * total / static_cast<double>(candidates.size()) + options.loadSlack;
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (candidates[index].load > bound)
+            continue;
+        if (!best || rankOf(candidates[index], affinity) > rankOf(candidates[*best], affinity))
+            best = index;
+    }
+    return best ? best : leastLoaded(candidates, tieBreak, options);
+}
+
+} // namespace radishflow
--- a/lib/Daemon/periodic_task.cpp
+++ b/lib/Threads/periodic_task.cpp
@@ -1,5 +1,5 @@
 // Implements a thread that does one thing again and again.
-#include "radishflow/Daemon/periodic_task.h"
+#include "radishflow/Threads/periodic_task.h"
 
 #include <utility>
 
--- a/lib/Daemon/worker_pool.cpp
+++ b/lib/Threads/worker_pool.cpp
@@ -1,5 +1,5 @@
 // Implements the pool of threads on POCO's.
-#include "radishflow/Daemon/worker_pool.h"
+#include "radishflow/Threads/worker_pool.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Runnable.h>
