--- a/include/radishflow/Relay/dispatch_facts.h
+++ b/include/radishflow/Relay/dispatch_facts.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace radishflow {
 
@@ -15,6 +16,7 @@
     std::chrono::milliseconds timeLeft { 0 };
     int priority = 0; ///< 0 is the most urgent.
     std::optional<std::uint64_t> resumeAfter; ///< Last event that was passed on.
+    std::string cacheSource; ///< "IP:port" from which the server may copy what it lacks of the prompt; empty for none.
     bool isModelRequest = false;
 };
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -39,10 +39,10 @@
 
     bool refuse(const refusal&);
     std::optional<refusal> refusalWhileStopping() const;
-    std::optional<listed_server> chooseServer();
+    std::optional<chosen_server> chooseServer();
     server_query queryFor(const fleet_view&) const;
     std::uint64_t affinity() const;
-    attempt_end attempt(const listed_server&);
+    attempt_end attempt(const chosen_server&);
     attempt_end judgeAnswer(const listed_server&, server_exchange&);
     attempt_end passWhole(const listed_server&, server_exchange&);
     attempt_end passEvents(const listed_server&, server_exchange&);
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -77,7 +77,7 @@
         const auto server = chooseServer();
         if (m_caller.hasPeerLeft()) {
             if (server)
-                m_parts.ledger.finish(server->id, server_outcome::Abandoned);
+                m_parts.ledger.finish(server->server.id, server_outcome::Abandoned);
             record(0, "caller_gone");
             return false;
         }
@@ -134,7 +134,7 @@
 
 // Waits for a moment where every server is cold and has had its share.
 template <relay_protocol Protocol>
-std::optional<listed_server> relay_call<Protocol>::chooseServer()
+std::optional<chosen_server> relay_call<Protocol>::chooseServer()
 {
     const time_point waitEnd = std::min<time_point>(m_deadline, m_message.receivedAt + m_admitted.target->objective / waitPartOfObjective);
     while (true) {
@@ -149,8 +149,9 @@
 }
 
 template <relay_protocol Protocol>
-typename relay_call<Protocol>::attempt_end relay_call<Protocol>::attempt(const listed_server& server)
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::attempt(const chosen_server& chosen)
 {
+    const listed_server& server = chosen.server;
     ++m_record.sends;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     if (left.count() <= 0) {
@@ -165,6 +166,7 @@
         .timeLeft = left,
         .priority = m_admitted.priority(),
         .resumeAfter = m_events.hasNumbers() ? std::optional { m_events.last() } : std::nullopt,
+        .cacheSource = chosen.cacheSource,
         .isModelRequest = !m_request.prompt.empty(),
     };
     server_exchange exchange { m_parts.connections,
--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -1,7 +1,9 @@
 // Declares server_ledger, the load and health of the backend servers as this daemon sees them.
 #pragma once
 
+#include "radishflow/Routing/cache_source.h"
 #include "radishflow/Routing/choose_server.h"
+#include "radishflow/Routing/chosen_server.h"
 #include "radishflow/Routing/cold_senders.h"
 #include "radishflow/Routing/server_list.h"
 #include "radishflow/Routing/server_outcome.h"
@@ -13,6 +15,7 @@
 #include <chrono>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -40,7 +43,7 @@
     }
 
     /// Chooses a server and counts the request there until finish(); nothing when none can take it now.
-    std::optional<listed_server> begin(const server_list& list, const server_query& query)
+    std::optional<chosen_server> begin(const server_list& list, const server_query& query)
     {
         const std::lock_guard lock { m_mutex };
         const time_point now = m_clock.now();
@@ -55,7 +58,7 @@
         if (isColdFor(server, query, now))
             record.cold.take(now, coldRate(query));
         ++record.inFlight;
-        return server;
+        return chosen_server { .server = server, .cacheSource = cacheSourceAddress(list, query, server, now) };
     }
 
     void finish(const server_id& server, server_outcome outcome)
@@ -122,6 +125,17 @@
         return candidates;
     }
 
+    std::string cacheSourceAddress(const server_list& list, const server_query& query, const listed_server& chosen, time_point now) const
+    {
+        std::vector<const listed_server*> servers = list.serversOf(query.service);
+        std::erase_if(servers, [&](const listed_server* server) {
+            const auto record = m_records.find(server->id);
+            return record != m_records.end() && record->second.ejectedUntil > now;
+        });
+        const listed_server* source = cacheSourceFor(servers, chosen, query.affinity, now);
+        return source ? source->address : std::string {};
+    }
+
     // A report shows the other daemons' requests; without a fresh one they are taken to send as much as this one.
     double estimatedLoad(const server_record& record, std::size_t fleetSize, time_point now) const
     {
--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -32,6 +32,9 @@
     void put(listed_server server)
     {
         m_missing.erase(server.id);
+        const auto known = m_servers.find(server.id);
+        const bool isSameProcess = known != m_servers.end() && known->second.bornAt == server.bornAt;
+        server.listedAt = isSameProcess ? known->second.listedAt : m_clock.now();
         m_servers.insert_or_assign(server.id, std::move(server));
     }
 
--- a/lib/Routing/choose_server.cpp
+++ b/lib/Routing/choose_server.cpp
@@ -1,7 +1,7 @@
 // Implements the choice of a backend server.
 #include "radishflow/Routing/choose_server.h"
 
-#include "radishflow/Support/hashing.h"
+#include "radishflow/Routing/server_rank.h"
 
 #include <algorithm>
 #include <limits>
@@ -9,11 +9,6 @@
 
 namespace radishflow {
 
-static std::uint64_t rankOf(const server_candidate& candidate, std::uint64_t affinity)
-{
-    return stableHash(candidate.server->id.value(), affinity);
-}
-
 static std::size_t leastLoaded(std::span<const server_candidate> candidates, std::uint64_t tieBreak, const choose_server_options& options)
 {
     std::size_t best = 0;
@@ -41,7 +36,7 @@
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         if (candidates[index].load > bound)
             continue;
-        if (!best || rankOf(candidates[index], affinity) > rankOf(candidates[*best], affinity))
+        if (!best || rankOf(*candidates[index].server, affinity) > rankOf(*candidates[*best].server, affinity))
             best = index;
     }
     return best ? best : leastLoaded(candidates, tieBreak, options);
