--- /dev/null
+++ b/unittests/Relay/body_decoder_test.cpp
@@ -0,0 +1,106 @@
+// Tests that bodies are whole only where their framing says so.
+#include "radishflow/Relay/body_decoder.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace radishflow;
+
+namespace {
+
+using decoder_state = body_decoder::state;
+
+struct body_case {
+    const char* name;
+    header_fields fields;
+    std::string bytes;
+    decoder_state expected;
+    std::string body;
+    std::string rest;
+};
+
+std::ostream& operator<<(std::ostream& out, const body_case& each) { return out << each.name; }
+
+const header_fields chunked { .all = { { "Transfer-Encoding", "chunked" } } };
+
+const body_case bodies[] {
+    { "length", { { { "Content-Length", "3" } } }, "abcdef", decoder_state::Whole, "abc", "def" },
+    { "length, cut", { { { "Content-Length", "4" } } }, "abc", decoder_state::Reading, "abc", "" },
+    { "length zero", { { { "Content-Length", "0" } } }, "x", decoder_state::Whole, "", "x" },
+    { "chunks", chunked, "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\nnext", decoder_state::Whole, "abcde", "next" },
+    { "chunks with trailer", chunked, "1\r\na\r\n0\r\nT: v\r\n\r\n", decoder_state::Whole, "a", "" },
+    { "chunks, no last", chunked, "3\r\nabc\r\n", decoder_state::Reading, "abc", "" },
+    { "chunks, cut in the size", chunked, "3\r\nabc\r\n1", decoder_state::Reading, "abc", "1" },
+    { "chunk too long", chunked, "2\r\nabc\r\n", decoder_state::Malformed, "ab", "" },
+    { "size is no number", chunked, "g\r\n", decoder_state::Malformed, "", "" },
+    { "negative size", chunked, "-1\r\n", decoder_state::Malformed, "", "" },
+    { "until the end", {}, "abc", decoder_state::Reading, "abc", "" },
+};
+
+struct framing_case {
+    const char* name;
+    header_fields fields;
+};
+
+std::ostream& operator<<(std::ostream& out, const framing_case& each) { return out << each.name; }
+
+const framing_case unclearFramings[] {
+    { "length and chunks", { { { "Content-Length", "3" }, { "Transfer-Encoding", "chunked" } } } },
+    { "two lengths", { { { "Content-Length", "3" }, { "Content-Length", "4" } } } },
+    { "two equal lengths", { { { "Content-Length", "3" }, { "Content-Length", "3" } } } },
+    { "length is no number", { { { "Content-Length", "3x" } } } },
+    { "signed length", { { { "Content-Length", "+3" } } } },
+    { "other encoding", { { { "Transfer-Encoding", "gzip, chunked" } } } },
+    { "two encodings", { { { "Transfer-Encoding", "chunked" }, { "Transfer-Encoding", "identity" } } } },
+};
+
+response_head answerWith(const header_fields& fields, int status = 200)
+{
+    return { .status = status, .fields = fields };
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(bodiesAreDecodedAtOnce, boost::unit_test::data::make(bodies), each)
+{
+    auto decoder = body_decoder::ofResponse(answerWith(each.fields), false);
+    std::string input = each.bytes;
+    std::string output;
+    BOOST_TEST((decoder->feed(input, output) == each.expected));
+    BOOST_TEST(output == each.body);
+    if (each.expected != decoder_state::Malformed)
+        BOOST_TEST(input == each.rest);
+}
+
+BOOST_DATA_TEST_CASE(bodiesAreDecodedByteByByte, boost::unit_test::data::make(bodies), each)
+{
+    auto decoder = body_decoder::ofResponse(answerWith(each.fields), false);
+    std::string input;
+    std::string output;
+    decoder_state state = decoder->feed(input, output);
+    for (const char byte : each.bytes) {
+        input += byte;
+        state = decoder->feed(input, output);
+    }
+    BOOST_TEST((state == each.expected));
+    BOOST_TEST(output == each.body);
+}
+
+BOOST_DATA_TEST_CASE(unclearFramingIsRefused, boost::unit_test::data::make(unclearFramings), each)
+{
+    BOOST_TEST(!body_decoder::ofRequest({ .method = "POST", .target = "/", .fields = each.fields }).has_value());
+    BOOST_TEST(!body_decoder::ofResponse(answerWith(each.fields), false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(onlyUnframedAnswersEndWithTheConnection)
+{
+    BOOST_TEST(body_decoder::ofResponse(answerWith({}), false)->endsWithConnection());
+    BOOST_TEST(!body_decoder::ofResponse(answerWith(chunked), false)->endsWithConnection());
+    BOOST_TEST(body_decoder::ofResponse(answerWith({}), true)->isWhole());
+    BOOST_TEST(body_decoder::ofResponse(answerWith({}, 204), false)->isWhole());
+    BOOST_TEST(body_decoder::ofRequest({ .method = "GET", .target = "/" })->isWhole());
+}
--- /dev/null
+++ b/unittests/Relay/parse_head_test.cpp
@@ -0,0 +1,90 @@
+// Tests that heads are read in one way only, and refused where there are two.
+#include "radishflow/Relay/parse_head.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace radishflow;
+
+namespace {
+
+struct head_case {
+    const char* name;
+    std::string text;
+    parse_state expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const head_case& each) { return out << each.name; }
+
+const head_case requestHeads[] {
+    { "plain", "GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n", parse_state::Whole },
+    { "no fields", "GET / HTTP/1.0\r\n\r\n", parse_state::Whole },
+    { "cut", "GET / HTTP/1.1\r\nHost: x\r\n", parse_state::Incomplete },
+    { "empty", "", parse_state::Incomplete },
+    { "bare line feeds", "GET / HTTP/1.1\nHost: x\n\r\n\r\n", parse_state::Malformed },
+    { "folded line", "GET / HTTP/1.1\r\nHost: x\r\n y\r\n\r\n", parse_state::Malformed },
+    { "space before colon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n", parse_state::Malformed },
+    { "no colon", "GET / HTTP/1.1\r\nHost\r\n\r\n", parse_state::Malformed },
+    { "bare carriage return", "GET / HTTP/1.1\r\nA: x\ry\r\n\r\n", parse_state::Malformed },
+    { "zero byte", std::string { "GET / HTTP/1.1\r\nA: x\0y\r\n\r\n", 27 }, parse_state::Malformed },
+    { "two spaces", "GET  / HTTP/1.1\r\n\r\n", parse_state::Malformed },
+    { "other version", "GET / HTTP/2.0\r\n\r\n", parse_state::Malformed },
+    { "no target", "GET HTTP/1.1\r\n\r\n", parse_state::Malformed },
+    { "byte 0xFF in a value", "GET / HTTP/1.1\r\nA: \xff\r\nB: c\r\n\r\n", parse_state::Whole },
+    { "large", "GET / HTTP/1.1\r\nA: " + std::string(300, 'x') + "\r\n\r\n", parse_state::TooLarge },
+    { "large without end", std::string(300, 'x'), parse_state::TooLarge },
+};
+
+const head_case responseHeads[] {
+    { "plain", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", parse_state::Whole },
+    { "no reason", "HTTP/1.1 200\r\n\r\n", parse_state::Whole },
+    { "three words", "HTTP/1.1 503 Service Unavailable\r\n\r\n", parse_state::Whole },
+    { "not a response", "event: data\r\n\r\n", parse_state::Malformed },
+    { "no number", "HTTP/1.1 2x0 OK\r\n\r\n", parse_state::Malformed },
+    { "number too large", "HTTP/1.1 999 OK\r\n\r\n", parse_state::Malformed },
+    { "no space", "HTTP/1.1 200OK\r\n\r\n", parse_state::Malformed },
+};
+
+constexpr std::size_t mostBytes = 200;
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(requestHeadsAreReadStrictly, boost::unit_test::data::make(requestHeads), each)
+{
+    request_head head;
+    std::size_t length = 0;
+    BOOST_TEST((parseRequestHead(each.text, mostBytes, head, length) == each.expected));
+}
+
+BOOST_DATA_TEST_CASE(responseHeadsAreReadStrictly, boost::unit_test::data::make(responseHeads), each)
+{
+    response_head head;
+    std::size_t length = 0;
+    BOOST_TEST((parseResponseHead(each.text, mostBytes, head, length) == each.expected));
+}
+
+BOOST_AUTO_TEST_CASE(bytesBehindTheHeadAreLeft)
+{
+    const std::string text = "POST /a HTTP/1.1\r\nHost:  x y\t\r\nhost: z\r\n\r\nrest";
+    request_head head;
+    std::size_t length = 0;
+    BOOST_REQUIRE((parseRequestHead(text, mostBytes, head, length) == parse_state::Whole));
+    BOOST_TEST(text.substr(length) == "rest");
+    BOOST_TEST(*head.fields.find("HOST") == "x y");
+    BOOST_TEST(head.fields.count("Host") == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(fieldsOfOneConnectionAreKnown)
+{
+    const header_fields fields { .all = { { "Connection", "close, X-Mine" }, { "X-Mine", "1" }, { "X-Other", "1" } } };
+    BOOST_TEST(isHopByHop(fields, "x-mine"));
+    BOOST_TEST(isHopByHop(fields, "transfer-encoding"));
+    BOOST_TEST(!isHopByHop(fields, "X-Other"));
+    BOOST_TEST(!keepsConnection(1, fields));
+    BOOST_TEST(keepsConnection(1, {}));
+    BOOST_TEST(!keepsConnection(0, {}));
+}
--- /dev/null
+++ b/unittests/Relay/server_exchange_test.cpp
@@ -0,0 +1,202 @@
+// Tests one request at one server against every way in which a server can fail.
+#include "radishflow/Relay/server_exchange.h"
+#include "radishflow/Support/boottime_clock.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class ending {
+    Stay,
+    Close,
+    Reset,
+};
+
+struct exchange_case {
+    const char* name;
+    std::string answer;
+    ending end;
+    exchange_state state;
+    body_step body;
+    bool isKept;
+};
+
+std::ostream& operator<<(std::ostream& out, const exchange_case& each) { return out << each.name; }
+
+const std::string whole = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+const std::string other = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 3\r\n\r\nold";
+
+const exchange_case exchanges[] {
+    { "whole", whole, ending::Stay, exchange_state::Answered, body_step::Whole, true },
+    { "interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, ending::Stay, exchange_state::Answered, body_step::Whole, true },
+    { "bytes behind the answer", whole + "HTTP", ending::Stay, exchange_state::Answered, body_step::Whole, false },
+    { "answer of an earlier request first", other + whole, ending::Stay, exchange_state::Answered, body_step::Whole, false },
+    { "server closes afterwards", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", ending::Close, exchange_state::Answered, body_step::Whole, false },
+    { "unframed, clean end", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nok", ending::Close, exchange_state::Answered, body_step::Whole, false },
+    { "unframed, reset", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nok", ending::Reset, exchange_state::Answered, body_step::Broken, false },
+    { "cut body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nok", ending::Close, exchange_state::Answered, body_step::Broken, false },
+    { "no last chunk", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", ending::Close, exchange_state::Answered, body_step::Broken, false },
+    { "silent body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nok", ending::Stay, exchange_state::Answered, body_step::TimedOut, false },
+    { "no answer", "", ending::Close, exchange_state::MayHaveRun, body_step::Broken, false },
+    { "reset", "", ending::Reset, exchange_state::MayHaveRun, body_step::Broken, false },
+    { "cut head", "HTTP/1.1 200 OK\r\nX-", ending::Close, exchange_state::MayHaveRun, body_step::Broken, false },
+    { "not HTTP", "garbage\r\n\r\n", ending::Stay, exchange_state::MayHaveRun, body_step::Broken, false },
+    { "silent", "", ending::Stay, exchange_state::TimedOut, body_step::Broken, false },
+};
+
+constexpr auto exchangeTime = 300ms;
+
+/// A connected pair of sockets.
+struct socket_pair {
+    Poco::Net::ServerSocket listener { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+    Poco::Net::StreamSocket near { listener.address() };
+    Poco::Net::StreamSocket far = listener.acceptConnection();
+};
+
+listed_server serverAt(const Poco::Net::ServerSocket& socket)
+{
+    return { .id = server_id { "s" }, .address = socket.address().toString() };
+}
+
+exchange_options optionsFor(const listed_server& server, const relay_socket& caller)
+{
+    return { .server = server, .caller = caller, .deadline = boottime_clock {}.now() + exchangeTime, .connectTimeout = 200ms, .mostIdle = 10s };
+}
+
+bool isFirst(const response_head& head)
+{
+    const std::string* id = head.fields.find("X-Id");
+    return id && *id == "1";
+}
+
+void answerOnce(Poco::Net::ServerSocket& socket, const exchange_case& each, std::atomic<bool>& isOver)
+{
+    Poco::Net::StreamSocket peer = socket.acceptConnection();
+    char request[256];
+    peer.receiveBytes(request, sizeof request);
+    if (!each.answer.empty())
+        peer.sendBytes(each.answer.data(), static_cast<int>(each.answer.size()));
+    if (each.end == ending::Reset) {
+        std::this_thread::sleep_for(30ms);
+        peer.setLinger(true, 0);
+    }
+    if (each.end == ending::Stay) {
+        while (!isOver)
+            std::this_thread::sleep_for(2ms);
+    }
+    peer.close();
+}
+
+body_step readAll(server_exchange& exchange, std::string& body)
+{
+    body_step step = body_step::Data;
+    while (step == body_step::Data)
+        step = exchange.read(body);
+    return step;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(everyEndOfAnAnswerIsTold, boost::unit_test::data::make(exchanges), each)
+{
+    Poco::Net::ServerSocket socket { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+    std::atomic<bool> isOver = false;
+    std::thread server { [&] { answerOnce(socket, each, isOver); } };
+    socket_pair callerPair;
+    const relay_socket caller { callerPair.near };
+    server_connections connections;
+    const listed_server listed = serverAt(socket);
+    {
+        server_exchange exchange { connections, optionsFor(listed, caller) };
+        BOOST_TEST((exchange.start("GET / HTTP/1.1\r\n\r\n", "", isFirst) == each.state));
+        if (each.state == exchange_state::Answered) {
+            std::string body;
+            BOOST_TEST((readAll(exchange, body) == each.body));
+            BOOST_TEST(body == "ok");
+            exchange.keep();
+        }
+    }
+    BOOST_TEST(connections.take(listed.id, boottime_clock {}.now(), 10s).has_value() == each.isKept);
+    isOver = true;
+    server.join();
+}
+
+BOOST_AUTO_TEST_CASE(refusedConnectionSentNothing)
+{
+    listed_server listed;
+    {
+        Poco::Net::ServerSocket socket { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+        listed = serverAt(socket);
+    }
+    socket_pair callerPair;
+    const relay_socket caller { callerPair.near };
+    server_connections connections;
+    server_exchange exchange { connections, optionsFor(listed, caller) };
+    BOOST_TEST((exchange.start("GET / HTTP/1.1\r\n\r\n", "", isFirst) == exchange_state::NotSent));
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesEndsTheWaitAndTheWork)
+{
+    Poco::Net::ServerSocket socket { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+    std::atomic<bool> hasEnded = false;
+    std::thread server { [&] {
+        Poco::Net::StreamSocket peer = socket.acceptConnection();
+        char request[256];
+        while (peer.receiveBytes(request, sizeof request) > 0) { }
+        hasEnded = true;
+    } };
+    socket_pair callerPair;
+    const relay_socket caller { callerPair.near };
+    std::thread leaver { [&] {
+        std::this_thread::sleep_for(50ms);
+        callerPair.far.close();
+    } };
+    server_connections connections;
+    const listed_server listed = serverAt(socket);
+    const time_point began = boottime_clock {}.now();
+    {
+        server_exchange exchange { connections, optionsFor(listed, caller) };
+        BOOST_TEST((exchange.start("GET / HTTP/1.1\r\n\r\n", "", isFirst) == exchange_state::CallerGone));
+    }
+    BOOST_TEST((boottime_clock {}.now() - began < exchangeTime));
+    leaver.join();
+    server.join();
+    BOOST_TEST(hasEnded.load());
+}
+
+// A server that refuses a long body early has the connection closed: the rest of the body would be read as a request.
+BOOST_AUTO_TEST_CASE(earlyAnswerSpoilsAConnectionWithAnUnsentBody)
+{
+    Poco::Net::ServerSocket socket { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+    std::atomic<bool> isOver = false;
+    const exchange_case early { "early", whole, ending::Stay, exchange_state::Answered, body_step::Whole, false };
+    std::thread server { [&] { answerOnce(socket, early, isOver); } };
+    socket_pair callerPair;
+    const relay_socket caller { callerPair.near };
+    server_connections connections;
+    const listed_server listed = serverAt(socket);
+    {
+        server_exchange exchange { connections, optionsFor(listed, caller) };
+        const std::string body(64U << 20U, 'x');
+        BOOST_TEST((exchange.start("POST / HTTP/1.1\r\n\r\n", body, isFirst) == exchange_state::Answered));
+        std::string answer;
+        BOOST_TEST((readAll(exchange, answer) == body_step::Whole));
+        exchange.keep();
+    }
+    BOOST_TEST(!connections.take(listed.id, boottime_clock {}.now(), 10s).has_value());
+    isOver = true;
+    server.join();
+}
--- /dev/null
+++ b/unittests/Routing/choose_server_test.cpp
@@ -0,0 +1,89 @@
+// Tests the choice among backend servers under even, skewed and hot load.
+#include "radishflow/Routing/choose_server.h"
+
+#include "test_servers.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+using namespace radishflow;
+
+namespace {
+
+struct loaded_fleet {
+    std::vector<listed_server> servers;
+    std::vector<server_candidate> candidates;
+
+    explicit loaded_fleet(int count)
+    {
+        for (int number = 0; number < count; ++number)
+            servers.push_back(testServer(number));
+        for (const listed_server& server : servers)
+            candidates.push_back({ .server = &server });
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(nothingIsChosenFromNothing)
+{
+    BOOST_TEST(!chooseServer({}, 1, 1).has_value());
+}
+
+BOOST_DATA_TEST_CASE(requestsOfOnePromptMeetOnOneServer, boost::unit_test::data::make({ 2, 18, 90 }), count)
+{
+    loaded_fleet fleet { count };
+    for (std::uint64_t prompt = 1; prompt < 50; ++prompt) {
+        const auto first = chooseServer(fleet.candidates, prompt, 1);
+        std::reverse(fleet.candidates.begin(), fleet.candidates.end());
+        const auto second = chooseServer(fleet.candidates, prompt, 7);
+        BOOST_TEST(*first == fleet.candidates.size() - 1 - *second);
+        std::reverse(fleet.candidates.begin(), fleet.candidates.end());
+    }
+}
+
+// One prompt gets half of the traffic: its server must stay within the bound while others take the rest.
+BOOST_DATA_TEST_CASE(hotPromptSpillsAtTheBound, boost::unit_test::data::make({ 4, 18 }), count)
+{
+    const choose_server_options options;
+    loaded_fleet fleet { count };
+    const int requests = 20 * count;
+    for (int request = 0; request < requests; ++request) {
+        const std::uint64_t prompt = request % 2 == 0 ? 1 : static_cast<std::uint64_t>(request);
+        ++fleet.candidates[*chooseServer(fleet.candidates, prompt, static_cast<std::uint64_t>(request), options)].load;
+    }
+    const double mean = static_cast<double>(requests) / count;
+    for (const server_candidate& candidate : fleet.candidates)
+        BOOST_TEST(candidate.load <= options.loadMultiple * mean + options.loadSlack + 1);
+}
+
+BOOST_AUTO_TEST_CASE(plainRequestsGoToTheLeastLoadedAndNearest)
+{
+    loaded_fleet fleet { 3 };
+    fleet.candidates[0].load = 2;
+    fleet.candidates[1].load = 1;
+    fleet.candidates[2].load = 1;
+    fleet.candidates[2].isOwnZone = true;
+    for (std::uint64_t tie = 0; tie < 5; ++tie)
+        BOOST_TEST(*chooseServer(fleet.candidates, 0, tie) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(serverThatComesMovesOnlyItsOwnPrompts)
+{
+    loaded_fleet before { 18 };
+    loaded_fleet after { 19 };
+    int moved = 0;
+    constexpr int prompts = 2000;
+    for (std::uint64_t prompt = 1; prompt <= prompts; ++prompt) {
+        const std::size_t chosen = *chooseServer(after.candidates, prompt, 0);
+        const bool stays = chosen == *chooseServer(before.candidates, prompt, 0);
+        BOOST_TEST((stays || chosen == 18U));
+        moved += stays ? 0 : 1;
+    }
+    BOOST_TEST(moved < 2 * prompts / 19);
+}
--- /dev/null
+++ b/unittests/Routing/server_ledger_test.cpp
@@ -0,0 +1,112 @@
+// Tests the load and health that a daemon keeps of backend servers.
+#include "radishflow/Routing/server_ledger.h"
+#include "radishflow/Support/manual_clock.h"
+
+#include "test_servers.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ledger_fixture {
+    manual_clock clock;
+    server_ledger<manual_clock> ledger { clock };
+    server_list list = testServers(4);
+    fleet_view fleet = testFleet(3);
+    std::uint64_t tie = 0;
+
+    std::optional<chosen_server> begin(std::uint64_t affinity = 0, double coldRate = 0)
+    {
+        return ledger.begin(list, { .service = service_id { "model" }, .affinity = affinity, .tieBreak = tie++, .zone = zone_id { "za" }, .coldRequestsPerSecond = coldRate, .fleet = &fleet });
+    }
+
+    std::map<std::string, int> spread(int requests)
+    {
+        std::map<std::string, int> counts;
+        for (int request = 0; request < requests; ++request)
+            ++counts[begin()->server.id.value()];
+        return counts;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServerLedger, ledger_fixture)
+
+BOOST_AUTO_TEST_CASE(requestsSpreadEvenly)
+{
+    for (const auto& [server, count] : spread(40))
+        BOOST_TEST(count == 10);
+}
+
+BOOST_AUTO_TEST_CASE(reportsShowTheLoadOfOtherDaemons)
+{
+    ledger.noteReport(server_id { "s0" }, { .running = 30, .waiting = 2, .slots = 64 });
+    for (const std::string name : { "s1", "s2", "s3" })
+        ledger.noteReport(server_id { name }, { .running = 1, .waiting = 0, .slots = 64 });
+    BOOST_TEST(!spread(30).contains("s0"));
+    clock.advance(10s);
+    BOOST_TEST(spread(30).contains("s0"));
+}
+
+BOOST_AUTO_TEST_CASE(failingServersAreEjectedForATime)
+{
+    for (int failure = 0; failure < 4; ++failure)
+        ledger.finish(server_id { "s2" }, server_outcome::Failed);
+    BOOST_TEST(!spread(20).contains("s2"));
+    clock.advance(3s);
+    BOOST_TEST(spread(20).contains("s2"));
+}
+
+BOOST_AUTO_TEST_CASE(fewFailuresAmongManySuccessesEjectNobody)
+{
+    for (int request = 0; request < 20; ++request)
+        ledger.finish(server_id { "s2" }, request % 5 == 0 ? server_outcome::Failed : server_outcome::Served);
+    BOOST_TEST(spread(8).contains("s2"));
+}
+
+BOOST_AUTO_TEST_CASE(whereAllFailSomeoneIsStillTried)
+{
+    for (const std::string name : { "s0", "s1", "s2", "s3" })
+        ledger.finish(server_id { name }, server_outcome::Unreachable);
+    BOOST_TEST(begin().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(drainingServersAndZonesThatAreOutGetNothing)
+{
+    list.servers.at(server_id { "s1" }).isDraining = true;
+    list.servers.at(server_id { "s2" }).zone = zone_id { "out" };
+    list.zonesOut.insert(zone_id { "out" });
+    const auto counts = spread(20);
+    BOOST_TEST(!counts.contains("s1"));
+    BOOST_TEST(!counts.contains("s2"));
+}
+
+BOOST_AUTO_TEST_CASE(coldServersGetTheirShareOnly)
+{
+    for (auto& [id, server] : list.servers)
+        server.coldUntil = clock.now() + 5s;
+    int started = 0;
+    while (begin(0, 10).has_value())
+        ++started;
+    BOOST_TEST(started == 4);
+    clock.advance(1s);
+    BOOST_TEST(begin(0, 10).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(serverThatStartsAgainIsNotJudgedByItsPast)
+{
+    ledger.retain(list);
+    for (int failure = 0; failure < 4; ++failure)
+        ledger.finish(server_id { "s2" }, server_outcome::Failed);
+    list.servers.at(server_id { "s2" }).bornAt = 5;
+    ledger.retain(list);
+    BOOST_TEST(spread(20).contains("s2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/Routing/server_registry_test.cpp
@@ -0,0 +1,76 @@
+// Tests which servers are routed to while the platform's store is away and after its return.
+#include "radishflow/Routing/server_registry.h"
+#include "radishflow/Support/manual_clock.h"
+
+#include "test_servers.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct registry_fixture {
+    manual_clock clock;
+    server_registry<manual_clock> registry { clock };
+
+    registry_fixture()
+    {
+        for (int number = 0; number < 3; ++number)
+            registry.put(testServer(number));
+    }
+
+    std::size_t count() { return registry.list()->servers.size(); }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServerRegistry, registry_fixture)
+
+BOOST_AUTO_TEST_CASE(removedServersAreGoneAtOnce)
+{
+    registry.remove(server_id { "s1" });
+    BOOST_TEST(count() == 2U);
+    BOOST_TEST(!registry.hasMissing());
+}
+
+BOOST_AUTO_TEST_CASE(entriesThatLapsedInAnOutageStayUntilTheGraceIsOver)
+{
+    registry.platformLost();
+    clock.advance(20s);
+    BOOST_TEST(count() == 3U);
+    registry.platformAnswered();
+    registry.replaceAll({ testServer(0) });
+    BOOST_TEST(count() == 3U);
+    registry.put(testServer(1));
+    clock.advance(1900ms);
+    BOOST_TEST(count() == 3U);
+    clock.advance(200ms);
+    BOOST_TEST(count() == 2U);
+    BOOST_TEST(!registry.list()->servers.contains(server_id { "s2" }));
+}
+
+BOOST_AUTO_TEST_CASE(drainingIsBelievedInAnOutage)
+{
+    registry.platformLost();
+    registry.platformAnswered();
+    listed_server draining = testServer(1);
+    draining.isDraining = true;
+    registry.put(draining);
+    BOOST_TEST(registry.list()->eligible(service_id { "model" }).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(knownServersKeepTheirAge)
+{
+    const time_point listed = registry.list()->servers.at(server_id { "s0" }).listedAt;
+    clock.advance(30s);
+    registry.put(testServer(0));
+    BOOST_TEST((registry.list()->servers.at(server_id { "s0" }).listedAt == listed));
+    listed_server restarted = testServer(0);
+    restarted.bornAt = 9;
+    registry.put(restarted);
+    BOOST_TEST((registry.list()->servers.at(server_id { "s0" }).listedAt == clock.now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/unittests/UsersPlatform/row_decoders_test.cpp
@@ -0,0 +1,96 @@
+// Tests the decoding of the store's rows, also of those that other writers left.
+#include "row_decoders.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <ostream>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point now { 1h };
+
+template <typename T>
+std::optional<T> decoded(result<T> outcome)
+{
+    return outcome ? std::optional<T> { outcome.value() } : std::nullopt;
+}
+
+struct entry_case {
+    const char* name;
+    std::string value;
+    bool isUsable;
+};
+
+std::ostream& operator<<(std::ostream& out, const entry_case& each) { return out << each.name; }
+
+const entry_case entries[] {
+    { "ready", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","cold_left_ms":0,"seq":1})", true },
+    { "draining", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":64,"state":"draining","cold_left_ms":0})", true },
+    { "further fields", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","cold_left_ms":0,"x":[1]})", true },
+    { "unknown state", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":64,"state":"odd","cold_left_ms":0})", false },
+    { "no address", R"({"service":"s","zone":"z","slots":64,"state":"ready","cold_left_ms":0})", false },
+    { "slots are text", R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":"64","state":"ready","cold_left_ms":0})", false },
+    { "address is a number", R"({"service":"s","addr":5,"zone":"z","slots":64,"state":"ready","cold_left_ms":0})", false },
+    { "service is null", R"({"service":null,"addr":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","cold_left_ms":0})", false },
+    { "a list", "[1]", false },
+    { "not JSON", "\xff\xfe", false },
+    { "empty", "", false },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(entriesOfOtherWritersNameNoServer, boost::unit_test::data::make(entries), each)
+{
+    boost::leaf::try_handle_all(
+        [&]() -> result<void> {
+            const auto server = decoded(decodeServer({ .key = "i-1", .value = each.value }, now));
+            BOOST_TEST(server.has_value() == each.isUsable);
+            return {};
+        },
+        [] {});
+}
+
+BOOST_AUTO_TEST_CASE(serversAreDecoded)
+{
+    const listed_server server = decodeServer({ .key = "i-1", .value = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":6,"state":"draining","cold_left_ms":1500,"born":1767225600123})" }, now).value();
+    BOOST_TEST(server.id.value() == "i-1");
+    BOOST_TEST(server.address == "10.0.0.1:80");
+    BOOST_TEST(server.isDraining);
+    BOOST_TEST(server.slots == 6);
+    BOOST_TEST((server.coldUntil == now + 1500ms));
+    BOOST_TEST(server.bornAt == 1767225600123);
+}
+
+BOOST_AUTO_TEST_CASE(configurationsAreDecoded)
+{
+    const std::string text = R"({"version":7,"routes":[
+        {"name":"r1","host":"a","prefix":"/p/","kind":"stream","timeout_ms":10000,"goal_ms":600,"priority":1,"service":"s","attempts":2,"public":false,"sticky":true,"resumable":true,"gap_goal_ms":600},
+        {"name":"r2","host":"a","prefix":"/q/","kind":"safe","timeout_ms":800,"goal_ms":300,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],"attempts":1,"public":true},
+        {"name":"r3","host":"a","prefix":"/u/","kind":"unheard-of","service":"s"}],
+        "services":[{"name":"s","max_conns":360,"cold_per_s":10.0}],
+        "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400},
+        "tenants":[{"name":"w","api_keys":["k1","k2"],"priority":1},{"name":"v","api_keys":[]}]})";
+    const routing_config config = decodeConfig({ .key = "config", .value = text }).value();
+    BOOST_TEST(config.version.value() == 7U);
+    BOOST_REQUIRE(config.routes.size() == 3U);
+    BOOST_TEST((config.routes[0].kind == work_kind::Stream));
+    BOOST_TEST(config.routes[0].isResumable);
+    BOOST_TEST(config.routes[0].attempts == 2);
+    BOOST_TEST((config.routes[0].timeout == 10s));
+    BOOST_TEST((config.routes[1].kind == work_kind::Idempotent));
+    BOOST_TEST(config.routes[1].targets[1].weight == 10);
+    BOOST_TEST(config.routes[1].isPublic);
+    BOOST_TEST((config.routes[2].kind == work_kind::NonIdempotent));
+    BOOST_TEST(config.services[0].coldRequestsPerSecond == 10.0);
+    BOOST_TEST(config.limits.headBytes == 100U);
+    BOOST_TEST((config.limits.idleTimeout == 400ms));
+    BOOST_TEST(config.workspaces[0].keys.size() == 2U);
+    BOOST_TEST(*config.workspaces[0].priority == 1);
+    BOOST_TEST(!config.workspaces[1].priority.has_value());
+}
--- /dev/null
+++ b/unittests/UsersPlatform/wire_protocol_test.cpp
@@ -0,0 +1,113 @@
+// Tests the translation of heads between callers, the relay and backend servers.
+#include "wire_protocol.h"
+
+#include "radishflow/Relay/parse_head.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+static request_head parsed(const std::string& text)
+{
+    request_head head;
+    std::size_t length = 0;
+    BOOST_REQUIRE((parseRequestHead(text, 16384, head, length) == parse_state::Whole));
+    return head;
+}
+
+static const std::string modelRequest = "POST /a/b?c=d HTTP/1.1\r\nHost: X.Example:80\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 900.5\r\nApi-Key: secret\r\n"
+                                        "X-Tenant: forged\r\nX-Hold: forged\r\nX-Pin-Ms: 1\r\nX-Kv-Backup: forged\r\nKv-From: forged\r\nKv-Fetch: forged\r\n"
+                                        "X-Expect-Instance: forged\r\nX-Request-Priority: 0\r\nX-Model: m\r\nX-Token-Counts: 100,20\r\n"
+                                        "X-Prompt-Prefix: 5c1e07a2:60,91bd3f06:40\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nX-Other: 2\r\nLast-Event-Id: 3\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n";
+
+BOOST_AUTO_TEST_CASE(requestsAreReadInTheProjectsTerms)
+{
+    const relayed_request request = wire_protocol {}.readRequest(parsed(modelRequest));
+    BOOST_TEST(request.id.value() == "r1");
+    BOOST_TEST(request.host == "x.example");
+    BOOST_TEST(request.path == "/a/b");
+    BOOST_TEST(request.key == "secret");
+    BOOST_TEST((request.timeLeft == 900ms));
+    BOOST_REQUIRE(request.prompt.size() == 2U);
+    BOOST_TEST(request.prompt[0].id == 0x5c1e07a2U);
+    BOOST_TEST(request.prompt[1].tokens == 40);
+    BOOST_TEST(request.promptTokens == 100);
+    BOOST_TEST(request.mostOutputTokens == 20);
+    BOOST_TEST(*request.resumeAfter == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(serversGetTheCallersRequestAndTheSystemsFields)
+{
+    const dispatch_facts facts {
+        .server = server_id { "i-1" },
+        .workspace = workspace_id { "w" },
+        .timeLeft = 800ms,
+        .priority = 2,
+        .resumeAfter = 9,
+        .cacheSource = "10.0.0.1:80",
+        .isModelRequest = true,
+    };
+    const request_head sent = parsed(wire_protocol {}.writeRequest(parsed(modelRequest), facts, 7));
+    BOOST_TEST(sent.method == "POST");
+    BOOST_TEST(sent.target == "/a/b?c=d");
+    const auto only = [&](const char* name) { return sent.fields.count(name) == 1 ? *sent.fields.find(name) : "not once"; };
+    BOOST_TEST(only("X-Request-Id") == "r1");
+    BOOST_TEST(only("X-Deadline-Ms") == "800");
+    BOOST_TEST(only("X-Tenant") == "w");
+    BOOST_TEST(only("X-Expect-Instance") == "i-1");
+    BOOST_TEST(only("X-Request-Priority") == "2");
+    BOOST_TEST(only("Kv-Fetch") == "10.0.0.1:80");
+    BOOST_TEST(only("Last-Event-Id") == "9");
+    BOOST_TEST(only("Content-Length") == "7");
+    BOOST_TEST(only("X-Prompt-Prefix") == "5c1e07a2:60,91bd3f06:40");
+    BOOST_TEST(only("X-Other") == "2");
+    for (const char* dropped : { "Api-Key", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Mine", "Connection", "Transfer-Encoding" })
+        BOOST_TEST(sent.fields.count(dropped) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(plainRequestsGetNoFieldsOfModelRequests)
+{
+    const request_head sent = parsed(wire_protocol {}.writeRequest(parsed("GET /a HTTP/1.1\r\nHost: x\r\n\r\n"), { .server = server_id { "i-1" }, .timeLeft = 5ms }, 0));
+    for (const char* absent : { "X-Tenant", "X-Request-Priority", "Kv-Fetch", "Last-Event-Id", "Content-Length" })
+        BOOST_TEST(sent.fields.count(absent) == 0U);
+}
+
+namespace {
+
+struct answer_case {
+    const char* name;
+    response_head head;
+    bool isSigned;
+    bool isNotRun;
+    bool isOtherServer;
+    bool isEventStream;
+    int running; ///< -1 where no load is told.
+};
+
+std::ostream& operator<<(std::ostream& out, const answer_case& each) { return out << each.name; }
+
+const answer_case answers[] {
+    { "success", { .status = 200, .fields = { { { "X-Response-Seal", "a" }, { "X-Load-Report", "3,1,64" } } } }, true, false, false, false, 3 },
+    { "stream", { .status = 200, .fields = { { { "X-Response-Seal", "a" }, { "Content-Type", "text/event-stream; charset=utf-8" } } } }, true, false, false, true, -1 },
+    { "shed", { .status = 503, .fields = { { { "X-Not-Run", "1" } } } }, false, true, false, false, -1 },
+    { "other server", { .status = 421 }, false, false, true, false, -1 },
+    { "bad load", { .status = 200, .fields = { { { "X-Load-Report", "3,x,64" } } } }, false, false, false, false, -1 },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(answersAreReadInTheProjectsTerms, boost::unit_test::data::make(answers), each)
+{
+    const answer_facts facts = wire_protocol {}.readAnswer(each.head);
+    BOOST_TEST(facts.isSigned == each.isSigned);
+    BOOST_TEST(facts.isNotRun == each.isNotRun);
+    BOOST_TEST(facts.isOtherServer == each.isOtherServer);
+    BOOST_TEST(facts.isEventStream == each.isEventStream);
+    BOOST_TEST((facts.load ? facts.load->running : -1) == each.running);
+}
