Judge a server against its service; try another one when it stays silent

Cause: servers that failed 45% of their requests were never ejected (the bound was half, and a daemon sees a request or two a second at a server), and a request to a host that had gone dark waited for its whole timeout. Change: a server is ejected where its share of failures lies a quarter above its service's; never more than leave a minority; unreachable ones are tried less and less; repeatable requests move on after 1.5 (streams 2.5) objectives of silence; connections break after 1.5 s without acknowledgement, with probes after a second of silence. Tests: failing, evenly failing and unreachable servers in RoutingTests.

--- a/include/radishflow/Daemon/request_runner.h
+++ b/include/radishflow/Daemon/request_runner.h
@@ -5,10 +5,10 @@
 #include "radishflow/Daemon/prefix_watch.h"
 #include "radishflow/Daemon/server_gates.h"
 #include "radishflow/Daemon/stream_table.h"
-#include "radishflow/Threads/worker_pool.h"
 #include "radishflow/Requests/answer_part.h"
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Requests/submit_outcome.h"
+#include "radishflow/Threads/worker_pool.h"
 
 #include <chrono>
 #include <cstddef>
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -43,6 +43,9 @@
     server_query queryFor(const fleet_view&) const;
     std::uint64_t affinity() const;
     attempt_end attempt(const chosen_server&);
+    duration patience() const;
+    bool tryResend();
+    attempt_end judgeState(const listed_server&, server_exchange&, exchange_state);
     attempt_end judgeAnswer(const listed_server&, server_exchange&);
     attempt_end passWhole(const listed_server&, server_exchange&);
     attempt_end passEvents(const listed_server&, server_exchange&);
@@ -69,6 +72,7 @@
     attempt_history m_history;
     event_splitter m_events;
     std::optional<server_failure> m_failure; ///< The last failure that a server answered with.
+    bool m_hasResendGrant = false; ///< A resend was taken from the budget and not used yet.
     bool m_hasBegun = false; ///< Part of the answer went to the caller.
     bool m_isAnswered = false;
     request_record m_record;
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -28,6 +28,10 @@
 // Requests that begin later than this before the end of a stopping process go to another daemon.
 inline constexpr std::chrono::milliseconds streamTimeBeforeStop { 5200 };
 inline constexpr std::chrono::milliseconds callTimeBeforeStop { 1200 };
+// Latency objectives for which a server may be silent before another one is tried. Streams wait longer, since a resend
+// has the whole prompt read once more.
+inline constexpr double callPatience = 1.5;
+inline constexpr double streamPatience = 2.5;
 inline constexpr std::chrono::milliseconds stoppingRetryAfter { 20 };
 inline constexpr std::size_t mostWholeBytes = 16U << 20U; // Larger answers that are no streams aren't held in memory.
 
@@ -72,7 +76,7 @@
     m_parts.retries.countRequest(m_admitted.service);
     while (true) {
         const bool isResend = m_record.sends > 0;
-        if (isResend && (!maySendAgain(*m_admitted.target, m_history) || now() >= m_deadline || !m_parts.retries.tryTake(m_admitted.service, m_fleet->size)))
+        if (isResend && !std::exchange(m_hasResendGrant, false) && !tryResend())
             return giveUp();
         const auto server = chooseServer();
         if (m_caller.hasPeerLeft()) {
@@ -95,6 +99,20 @@
     }
 }
 
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::tryResend()
+{
+    return maySendAgain(*m_admitted.target, m_history) && now() < m_deadline && m_parts.retries.tryTake(m_admitted.service, m_fleet->size);
+}
+
+// How long a server may be silent before a request that can be repeated goes to another one.
+template <relay_protocol Protocol>
+duration relay_call<Protocol>::patience() const
+{
+    const double objectives = m_admitted.target->kind == work_kind::Stream ? streamPatience : callPatience;
+    return std::chrono::duration_cast<duration>(m_admitted.target->objective * objectives);
+}
+
 // New work would be cut when the process ends; nothing of it was sent, so another daemon may serve it at once.
 template <relay_protocol Protocol>
 std::optional<refusal> relay_call<Protocol>::refusalWhileStopping() const
@@ -173,6 +191,7 @@
         { .server = server,
             .caller = m_caller,
             .deadline = m_deadline,
+            .headDeadline = std::min(m_deadline, now() + patience()),
             .connectTimeout = connectTimeout,
             .mostIdle = isRepeatable(*m_admitted.target) ? duration { mostIdle } : duration { mostIdleForOneRun },
             .isHeadOnly = m_message.head.method == "HEAD" } };
@@ -181,7 +200,21 @@
         const answer_facts answered = m_protocol.readAnswer(answer);
         return !answered.answered || *answered.answered == m_request.id;
     };
-    switch (exchange.start(head, m_message.body, isForRequest)) {
+    exchange_state state = exchange.start(head, m_message.body, isForRequest);
+    if (state == exchange_state::TimedOut && now() < m_deadline) {
+        attempt_history withThis = m_history;
+        ++withThis.mayHaveRun;
+        m_hasResendGrant = maySendAgain(*m_admitted.target, withThis) && m_parts.retries.tryTake(m_admitted.service, m_fleet->size);
+        if (!m_hasResendGrant)
+            state = exchange.awaitHead(m_deadline);
+    }
+    return judgeState(server, exchange, state);
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::judgeState(const listed_server& server, server_exchange& exchange, exchange_state state)
+{
+    switch (state) {
     case exchange_state::Answered:
         return judgeAnswer(server, exchange);
     case exchange_state::NotSent:
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -18,6 +18,7 @@
     const listed_server& server;
     const relay_socket& caller; ///< Its leaving ends each wait.
     time_point deadline {};
+    time_point headDeadline {}; ///< Up to which start() waits for the head of the answer.
     duration connectTimeout {};
     duration mostIdle {}; ///< Longest idle time of a connection that is used again.
     bool isHeadOnly = false; ///< A HEAD request, whose answer has no body.
@@ -32,7 +33,9 @@
     server_exchange& operator=(const server_exchange&) = delete;
 
     /// Sends a request and reads the head of its answer; answers of which `isForRequest` is false are read over.
-    exchange_state start(std::string_view head, std::string_view body, const std::function<bool(const response_head&)>& isForRequest);
+    exchange_state start(std::string_view head, std::string_view body, std::function<bool(const response_head&)> isForRequest);
+    /// Waits on for the head after start() timed out.
+    exchange_state awaitHead(time_point deadline);
     /// Reads on; decoded bytes are added to the output.
     body_step read(std::string& output);
     /// Gives the connection back for the next request where it is clean.
@@ -44,12 +47,14 @@
 private:
     exchange_state open();
     exchange_state readHead();
+    exchange_state readOwnHead();
     exchange_state skipAnswer();
     static exchange_state stateOf(io_outcome);
 
     server_connections& m_connections;
     exchange_options m_options;
     relay_socket m_socket;
+    std::function<bool(const response_head&)> m_isForRequest;
     response_head m_head;
     std::optional<body_decoder> m_decoder;
     bool m_isReused = false;
--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -23,11 +23,13 @@
 
 struct server_ledger_options {
     duration reportLifetime = std::chrono::seconds { 3 }; ///< Age at which a load report no longer counts.
-    duration healthHalfLife = std::chrono::seconds { 2 }; ///< Of the weight of outcomes.
-    double ejectFailures = 2.5; ///< Weighted failures from which on a server may be ejected.
-    double ejectShare = 0.5; ///< Share of failures from which on it is.
+    duration healthHalfLife = std::chrono::seconds { 4 }; ///< Of the weight of outcomes.
+    double healthPrior = 2; ///< Outcomes like those of the whole service that each server is credited with.
+    double ejectMargin = 0.25; ///< Share of failures above the service's from which on a server is ejected.
+    double ejectFailures = 0.9; ///< Weighted failures that it takes at least.
     duration ejectTime = std::chrono::seconds { 2 };
-    duration unreachableTime = std::chrono::milliseconds { 800 }; ///< How long a server that can't be reached is passed over.
+    duration unreachableTime = std::chrono::milliseconds { 800 }; ///< How long a server that can't be reached is passed over; doubles each time.
+    int mostUnreachableDoublings = 2;
     choose_server_options choice;
 };
 
@@ -47,14 +49,13 @@
     {
         const std::lock_guard lock { m_mutex };
         const time_point now = m_clock.now();
-        std::vector<server_candidate> candidates = candidatesFor(list, query, now, false);
-        if (candidates.empty())
-            candidates = candidatesFor(list, query, now, true);
+        const std::vector<server_candidate> candidates = candidatesFor(list, query, now);
         const std::optional<std::size_t> chosen = chooseServer(candidates, query.affinity, query.tieBreak, m_options.choice);
         if (!chosen)
             return std::nullopt;
         const listed_server& server = *candidates[*chosen].server;
         server_record& record = m_records[server.id];
+        record.service = server.service;
         if (isColdFor(server, query, now))
             record.cold.take(now, coldRate(query));
         ++record.inFlight;
@@ -67,13 +68,20 @@
         server_record& record = m_records[server];
         const time_point now = m_clock.now();
         record.inFlight = std::max(record.inFlight - 1, 0);
-        if (outcome == server_outcome::Served)
-            record.served.add(now, 1, m_options.healthHalfLife);
-        if (outcome == server_outcome::Failed)
-            record.failed.add(now, 1, m_options.healthHalfLife);
-        if (outcome == server_outcome::Unreachable)
-            record.ejectedUntil = std::max(record.ejectedUntil, now + m_options.unreachableTime);
-        ejectWhereFailing(record, now);
+        if (outcome == server_outcome::Abandoned)
+            return;
+        if (outcome == server_outcome::Unreachable) {
+            const int doublings = std::min(record.unreachableInRow++, m_options.mostUnreachableDoublings);
+            record.unreachableUntil = now + m_options.unreachableTime * (1 << doublings);
+            return;
+        }
+        record.unreachableInRow = 0;
+        service_health& health = m_health[record.service];
+        const bool hasFailed = outcome == server_outcome::Failed;
+        (hasFailed ? record.failed : record.served).add(now, 1, m_options.healthHalfLife);
+        (hasFailed ? health.failed : health.served).add(now, 1, m_options.healthHalfLife);
+        if (hasFailed)
+            ejectWhereFailing(record, health, now);
     }
 
     void noteReport(const server_id& server, const load_sample& report)
@@ -109,20 +117,35 @@
 
     static bool isColdFor(const listed_server& server, const server_query& query, time_point now) { return query.coldRequestsPerSecond > 0 && server.coldUntil > now; }
 
-    std::vector<server_candidate> candidatesFor(const server_list& list, const server_query& query, time_point now, bool withEjected)
+    struct service_health {
+        decaying_count served;
+        decaying_count failed;
+    };
+
+    bool isColdRefused(const listed_server& server, const server_record& record, const server_query& query, time_point now) const
     {
-        std::vector<server_candidate> candidates;
+        return isColdFor(server, query, now) && (!isColdSender(*query.fleet, server.id) || !record.cold.hasToken(now, coldRate(query)));
+    }
+
+    // Prefers servers that are well; where there are too few of them, ejection would only overload the rest, so those
+    // that fail are taken as well, and at last those that couldn't be reached.
+    std::vector<server_candidate> candidatesFor(const server_list& list, const server_query& query, time_point now)
+    {
+        std::vector<server_candidate> well;
+        std::vector<server_candidate> failing;
+        std::vector<server_candidate> unreachable;
         for (const listed_server* server : list.eligible(query.service)) {
             const server_record& record = m_records[server->id];
-            if (std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end())
-                continue;
-            if (!withEjected && record.ejectedUntil > now)
-                continue;
-            if (isColdFor(*server, query, now) && (!isColdSender(*query.fleet, server->id) || !record.cold.hasToken(now, coldRate(query))))
+            const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
+            if (isExcluded || isColdRefused(*server, record, query, now))
                 continue;
-            candidates.push_back({ .server = server, .load = estimatedLoad(record, query.fleet->size, now), .isOwnZone = server->zone == query.zone });
+            std::vector<server_candidate>& kind = record.unreachableUntil > now ? unreachable : record.ejectedUntil > now ? failing
+                                                                                                                          : well;
+            kind.push_back({ .server = server, .load = estimatedLoad(record, query.fleet->size, now), .isOwnZone = server->zone == query.zone });
         }
-        return candidates;
+        if (well.size() < failing.size())
+            well.insert(well.end(), failing.begin(), failing.end());
+        return well.empty() ? unreachable : well;
     }
 
     std::string cacheSourceAddress(const server_list& list, const server_query& query, const listed_server& chosen, time_point now) const
@@ -130,7 +153,7 @@
         std::vector<const listed_server*> servers = list.serversOf(query.service);
         std::erase_if(servers, [&](const listed_server* server) {
             const auto record = m_records.find(server->id);
-            return record != m_records.end() && record->second.ejectedUntil > now;
+            return record != m_records.end() && record->second.unreachableUntil > now;
         });
         const listed_server* source = cacheSourceFor(servers, chosen, query.affinity, now);
         return source ? source->address : std::string {};
@@ -146,18 +169,24 @@
         return static_cast<double>(record.inFlight) * static_cast<double>(fleetSize);
     }
 
-    void ejectWhereFailing(server_record& record, time_point now) const
+    // Compares a server with the rest of its service, some of which fail a part of their requests when they are well.
+    void ejectWhereFailing(server_record& record, const service_health& health, time_point now) const
     {
         const double failed = record.failed.at(now, m_options.healthHalfLife);
         const double served = record.served.at(now, m_options.healthHalfLife);
-        if (failed >= m_options.ejectFailures && failed >= m_options.ejectShare * (failed + served))
-            record.ejectedUntil = std::max(record.ejectedUntil, now + m_options.ejectTime);
+        const double otherFailed = std::max(health.failed.at(now, m_options.healthHalfLife) - failed, 0.0);
+        const double otherServed = std::max(health.served.at(now, m_options.healthHalfLife) - served, 0.0);
+        const double usual = otherFailed + otherServed > 0 ? otherFailed / (otherFailed + otherServed) : 0;
+        const double share = (failed + m_options.healthPrior * usual) / (failed + served + m_options.healthPrior);
+        if (failed >= m_options.ejectFailures && share > usual + m_options.ejectMargin)
+            record.ejectedUntil = now + m_options.ejectTime;
     }
 
     const Clock& m_clock;
     server_ledger_options m_options;
     mutable ranked_mutex m_mutex { lock_rank::Servers };
     std::unordered_map<server_id, server_record> m_records;
+    std::unordered_map<service_id, service_health> m_health;
 };
 
 } // namespace radishflow
--- a/include/radishflow/Routing/server_record.h
+++ b/include/radishflow/Routing/server_record.h
@@ -4,6 +4,7 @@
 #include "radishflow/Routing/cold_share.h"
 #include "radishflow/Routing/decaying_count.h"
 #include "radishflow/Routing/load_sample.h"
+#include "radishflow/Support/ids.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,9 +18,12 @@
     time_point reportedAt {};
     int inFlightAtReport = 0;
     cold_share cold;
+    service_id service;
     decaying_count served;
     decaying_count failed;
-    time_point ejectedUntil {};
+    int unreachableInRow = 0;
+    time_point ejectedUntil {}; ///< It fails more than the other servers of its service.
+    time_point unreachableUntil {};
 };
 
 } // namespace radishflow
--- a/lib/Daemon/radishflow_daemon.cpp
+++ b/lib/Daemon/radishflow_daemon.cpp
@@ -9,7 +9,6 @@
 #include "radishflow/Daemon/own_pages.h"
 #include "radishflow/Daemon/owner_link.h"
 #include "radishflow/Daemon/ownership_keeper.h"
-#include "radishflow/Threads/periodic_task.h"
 #include "radishflow/Daemon/prefix_watch.h"
 #include "radishflow/Daemon/request_router.h"
 #include "radishflow/Daemon/request_runner.h"
@@ -20,6 +19,7 @@
 #include "radishflow/Peer/peer_client.h"
 #include "radishflow/Peer/peer_server.h"
 #include "radishflow/Platform/platform_client.h"
+#include "radishflow/Threads/periodic_task.h"
 
 #include <Poco/Exception.h>
 #include <spdlog/spdlog.h>
--- a/lib/Relay/relay_log.cpp
+++ b/lib/Relay/relay_log.cpp
@@ -4,11 +4,12 @@
 #include "radishflow/Routing/second_counts.h"
 #include "radishflow/Support/boottime_clock.h"
 
-#include <chrono>
-#include <mutex>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <mutex>
 #include <string>
 #include <utility>
 
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -18,9 +18,11 @@
 
 namespace radishflow {
 
-// Time after which bytes that the peer's host hasn't acknowledged break the connection; a host that lost power
-// answers nothing, not even a reset.
-static constexpr int unacknowledgedLimitMs = 2500;
+// Time after which bytes or probes that the peer's host hasn't acknowledged break the connection: a host that lost
+// power answers nothing, not even a reset. Leaves room for the kernel's first two retransmissions.
+static constexpr int unacknowledgedLimitMs = 1500;
+static constexpr int probeAfterSeconds = 1; // Of silence; the least that the kernel takes.
+static constexpr int probeIntervalSeconds = 1;
 static constexpr std::chrono::milliseconds gentleCloseTime { 500 };
 static constexpr std::size_t readBytes = 8192;
 
@@ -37,6 +39,9 @@
     m_socket.setBlocking(false);
     m_socket.setNoDelay(true);
     m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
+    m_socket.setKeepAlive(true);
+    m_socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
+    m_socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
 }
 
 io_outcome relay_socket::connect(const std::string& address, time_point deadline, const relay_socket* caller, relay_socket& made)
--- a/lib/Relay/response_text.cpp
+++ b/lib/Relay/response_text.cpp
@@ -4,10 +4,10 @@
 #include "radishflow/Edge/problem_details.h"
 
 #include <Poco/Net/HTTPResponse.h>
+#include <spdlog/fmt/fmt.h>
 
 #include <array>
 #include <charconv>
-#include <spdlog/fmt/fmt.h>
 
 namespace radishflow {
 
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -64,8 +64,9 @@
     return outcome == io_outcome::Done ? exchange_state::Answered : exchange_state::NotSent;
 }
 
-exchange_state server_exchange::start(std::string_view head, std::string_view body, const std::function<bool(const response_head&)>& isForRequest)
+exchange_state server_exchange::start(std::string_view head, std::string_view body, std::function<bool(const response_head&)> isForRequest)
 {
+    m_isForRequest = std::move(isForRequest);
     const exchange_state opened = open();
     if (opened != exchange_state::Answered)
         return opened;
@@ -78,9 +79,20 @@
     // A server may refuse before it has read everything; its answer may stand in the socket although the send broke.
     if (outcome != io_outcome::Done && outcome != io_outcome::Broken)
         return stateOf(outcome);
+    return readOwnHead();
+}
+
+exchange_state server_exchange::awaitHead(time_point deadline)
+{
+    m_options.headDeadline = deadline;
+    return readOwnHead();
+}
+
+exchange_state server_exchange::readOwnHead()
+{
     while (true) {
         const exchange_state state = readHead();
-        if (state != exchange_state::Answered || isForRequest(m_head))
+        if (state != exchange_state::Answered || m_isForRequest(m_head))
             return state;
         const exchange_state skipped = skipAnswer();
         if (skipped != exchange_state::Answered)
@@ -103,7 +115,7 @@
         }
         if (parsed != parse_state::Incomplete)
             return exchange_state::MayHaveRun;
-        const io_outcome outcome = m_socket.fill(m_options.deadline, &m_options.caller);
+        const io_outcome outcome = m_socket.fill(m_options.headDeadline, &m_options.caller);
         if (outcome != io_outcome::Done)
             return stateOf(outcome);
     }
--- a/tools/radishflow-relayd/main.cpp
+++ b/tools/radishflow-relayd/main.cpp
@@ -1,8 +1,8 @@
 // The relaying daemon: takes callers on the users' platform and sends their requests straight to backend servers.
-#include "relay_daemon.h"
-
 #include "radishflow/Relay/relay_log.h"
 
+#include "relay_daemon.h"
+
 #include <Poco/Exception.h>
 #include <gflags/gflags.h>
 #include <spdlog/spdlog.h>
@@ -32,13 +32,13 @@
 
 namespace {
 
-    constexpr int badSettings = 2;
+constexpr int badSettings = 2;
 
-    std::string settingsPath()
-    {
-        const char* path = std::getenv("RADISHFLOW_NODE_FILE");
-        return !FLAGS_settings.empty() || !path ? FLAGS_settings : path;
-    }
+std::string settingsPath()
+{
+    const char* path = std::getenv("RADISHFLOW_NODE_FILE");
+    return !FLAGS_settings.empty() || !path ? FLAGS_settings : path;
+}
 
 } // namespace
 
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -1,18 +1,18 @@
 // Wires the relay, the routing, the fleet and the users' platform into one daemon.
 #include "relay_daemon.h"
 
-#include "daemon_rows.h"
-#include "lookup_answer.h"
-#include "platform_feed.h"
-#include "wire_names.h"
-#include "wire_protocol.h"
-
 #include "radishflow/Fleet/fleet_membership.h"
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
 #include "radishflow/Relay/relay_session.h"
 #include "radishflow/Threads/periodic_task.h"
 
+#include "daemon_rows.h"
+#include "lookup_answer.h"
+#include "platform_feed.h"
+#include "wire_names.h"
+#include "wire_protocol.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
--- a/unittests/Relay/server_exchange_test.cpp
+++ b/unittests/Relay/server_exchange_test.cpp
@@ -4,7 +4,6 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
-
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -73,7 +72,8 @@
 
 exchange_options optionsFor(const listed_server& server, const relay_socket& caller)
 {
-    return { .server = server, .caller = caller, .deadline = boottime_clock {}.now() + exchangeTime, .connectTimeout = 200ms, .mostIdle = 10s };
+    const time_point deadline = boottime_clock {}.now() + exchangeTime;
+    return { .server = server, .caller = caller, .deadline = deadline, .headDeadline = deadline, .connectTimeout = 200ms, .mostIdle = 10s };
 }
 
 bool isFirst(const response_head& head)
--- a/unittests/Routing/server_ledger_test.cpp
+++ b/unittests/Routing/server_ledger_test.cpp
@@ -25,6 +25,25 @@
         return ledger.begin(list, { .service = service_id { "model" }, .affinity = affinity, .tieBreak = tie++, .zone = zone_id { "za" }, .coldRequestsPerSecond = coldRate, .fleet = &fleet });
     }
 
+    // A request that ends at once.
+    void run(const std::string& server, server_outcome outcome)
+    {
+        const std::vector<server_id> others = allBut(server);
+        const auto chosen = ledger.begin(list, { .service = service_id { "model" }, .zone = zone_id { "za" }, .excluded = others, .fleet = &fleet });
+        BOOST_REQUIRE(chosen->server.id.value() == server);
+        ledger.finish(chosen->server.id, outcome);
+    }
+
+    std::vector<server_id> allBut(const std::string& server) const
+    {
+        std::vector<server_id> others;
+        for (const auto& [id, each] : list.servers) {
+            if (id.value() != server)
+                others.push_back(id);
+        }
+        return others;
+    }
+
     std::map<std::string, int> spread(int requests)
     {
         std::map<std::string, int> counts;
@@ -56,8 +75,8 @@
 
 BOOST_AUTO_TEST_CASE(failingServersAreEjectedForATime)
 {
-    for (int failure = 0; failure < 4; ++failure)
-        ledger.finish(server_id { "s2" }, server_outcome::Failed);
+    for (int failure = 0; failure < 2; ++failure)
+        run("s2", server_outcome::Failed);
     BOOST_TEST(!spread(20).contains("s2"));
     clock.advance(3s);
     BOOST_TEST(spread(20).contains("s2"));
@@ -66,14 +85,44 @@
 BOOST_AUTO_TEST_CASE(fewFailuresAmongManySuccessesEjectNobody)
 {
     for (int request = 0; request < 20; ++request)
-        ledger.finish(server_id { "s2" }, request % 5 == 0 ? server_outcome::Failed : server_outcome::Served);
+        run("s2", request % 5 == 4 ? server_outcome::Failed : server_outcome::Served);
     BOOST_TEST(spread(8).contains("s2"));
 }
 
+// A server that fails as the whole service does is not worse than the others.
+BOOST_AUTO_TEST_CASE(failuresOfAWholeServiceEjectNobody)
+{
+    for (int request = 0; request < 40; ++request) {
+        run("s" + std::to_string(request % 4), request % 8 < 4 ? server_outcome::Failed : server_outcome::Served);
+        clock.advance(100ms);
+    }
+    BOOST_TEST(spread(40).size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(ejectionNeverLeavesAMinority)
+{
+    for (const std::string name : { "s0", "s1", "s2" }) {
+        for (int failure = 0; failure < 2; ++failure)
+            run(name, server_outcome::Failed);
+    }
+    BOOST_TEST(spread(40).size() > 1U);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableServersAreTriedLessAndLess)
+{
+    run("s1", server_outcome::Unreachable);
+    clock.advance(900ms);
+    run("s1", server_outcome::Unreachable);
+    clock.advance(900ms);
+    BOOST_TEST(!spread(20).contains("s1"));
+    clock.advance(800ms);
+    BOOST_TEST(spread(40).contains("s1"));
+}
+
 BOOST_AUTO_TEST_CASE(whereAllFailSomeoneIsStillTried)
 {
     for (const std::string name : { "s0", "s1", "s2", "s3" })
-        ledger.finish(server_id { name }, server_outcome::Unreachable);
+        run(name, server_outcome::Unreachable);
     BOOST_TEST(begin().has_value());
 }
 
@@ -103,7 +152,7 @@
 {
     ledger.retain(list);
     for (int failure = 0; failure < 4; ++failure)
-        ledger.finish(server_id { "s2" }, server_outcome::Failed);
+        run("s2", server_outcome::Failed);
     list.servers.at(server_id { "s2" }).bornAt = 5;
     ledger.retain(list);
     BOOST_TEST(spread(20).contains("s2"));
--- a/unittests/UsersPlatform/wire_protocol_test.cpp
+++ b/unittests/UsersPlatform/wire_protocol_test.cpp
@@ -1,8 +1,8 @@
 // Tests the translation of heads between callers, the relay and backend servers.
-#include "wire_protocol.h"
-
 #include "radishflow/Relay/parse_head.h"
 
+#include "wire_protocol.h"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
