--- a/lib/Emulator/fault_proxy.cpp
+++ b/lib/Emulator/fault_proxy.cpp
@@ -2,7 +2,7 @@
 #include "radishflow/Emulator/fault_proxy.h"
 
 #include "http_reply.h"
-#include "http_server.h"
+#include "radishflow/Emulator/http_server.h"
 #include "proxy_json.h"
 #include "tcp_relay.h"
 #include "udp_relay.h"
--- a/lib/Emulator/http_server.cpp
+++ b/lib/Emulator/http_server.cpp
@@ -1,5 +1,5 @@
 // Implements http_server over POCO's HTTPServer.
-#include "http_server.h"
+#include "radishflow/Emulator/http_server.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -7,6 +7,8 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 
+#include <fcntl.h>
+
 namespace radishflow {
 
 static constexpr int listenBacklog = 1024;
@@ -82,6 +84,8 @@
     Poco::Net::ServerSocket socket;
     socket.bind(m_address, true, false);
     socket.listen(listenBacklog);
+    // A program that a test starts would keep the port open after it was closed here.
+    ::fcntl(socket.impl()->sockfd(), F_SETFD, FD_CLOEXEC);
     m_address = socket.address();
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(m_threads);
--- a/lib/Emulator/stand_in.h
+++ b/lib/Emulator/stand_in.h
@@ -4,7 +4,7 @@
 #include "radishflow/Emulator/listen_options.h"
 
 #include "http_reply.h"
-#include "http_server.h"
+#include "radishflow/Emulator/http_server.h"
 
 #include <concepts>
 #include <memory>
--- /dev/null
+++ b/test/Relay/relay_fleet.h
@@ -0,0 +1,69 @@
+// Declares relay_fleet, real relaying daemons before stand-ins of the users' platform.
+#pragma once
+
+#include "Support/child_process.h"
+#include "Support/http_call.h"
+#include "server_standin.h"
+#include "store_standin.h"
+#include "wait_until.h"
+
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishflow {
+
+struct relay_fleet_options {
+    int daemons = 2;
+    int servers = 3;
+};
+
+/// One route of each kind, two workspaces; daemons on addresses of their own within loopback.
+class relay_fleet {
+public:
+    static constexpr const char* key = "key-of-w";
+    static constexpr std::chrono::milliseconds keyRevocation { 2500 };
+    static constexpr std::chrono::milliseconds stopGrace { 4000 };
+
+    explicit relay_fleet(const relay_fleet_options& = {});
+    ~relay_fleet();
+    relay_fleet(const relay_fleet&) = delete;
+    relay_fleet& operator=(const relay_fleet&) = delete;
+
+    store_standin& store() { return m_store; }
+    server_standin& server(int number) { return *m_servers.at(static_cast<std::size_t>(number)); }
+    child_process& daemon(int number) { return *m_daemons.at(static_cast<std::size_t>(number)); }
+
+    /// Starts a daemon again, whose process has ended.
+    void restart(int number);
+    /// Writes a configuration; routes in `without` are left out.
+    void configure(int version, const std::string& workspaceKey = key, const std::string& without = {});
+    void list(int server, const std::string& state = "ready", int coldForMs = 0);
+
+    std::string callerAddress(int daemon) const;
+    /// Sends a request with a new id.
+    http_call_reply call(int daemon, const std::string& path, const std::string& method = "GET", const std::string& withKey = key, const std::string& body = {});
+    /// Returns the lines of a stream and whether it ended whole.
+    std::pair<std::vector<std::string>, bool> stream(int daemon, const std::string& path);
+    /// Returns the addresses that a daemon names to callers.
+    std::vector<std::string> lookUp(int daemon) const;
+    /// Waits until a daemon says that it is ready, or isn't.
+    bool waitReady(int daemon, bool ready = true, std::chrono::milliseconds bound = std::chrono::seconds { 15 }) const;
+    /// Requests that ran at all servers together.
+    int runs() const;
+
+private:
+    std::string ipOf(int daemon) const;
+    void start(int number);
+
+    std::filesystem::path m_folder;
+    int m_port = 0; ///< Base of the ports that all daemons use.
+    store_standin m_store;
+    std::vector<std::unique_ptr<server_standin>> m_servers;
+    std::vector<std::unique_ptr<child_process>> m_daemons;
+    int m_requests = 0;
+};
+
+} // namespace radishflow
--- /dev/null
+++ b/test/Relay/relay_test.cpp
@@ -0,0 +1,281 @@
+// Tests the whole path of the relay: real daemons between callers and stand-ins of the users' platform.
+#include "relay_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <future>
+#include <ostream>
+#include <thread>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+static const std::string lines(int from, int to)
+{
+    std::string text;
+    for (int event = from; event <= to; ++event)
+        text += "id: " + std::to_string(event) + "|data: token " + std::to_string(event) + "||";
+    return text;
+}
+
+static std::string joined(const std::vector<std::string>& all)
+{
+    std::string text;
+    for (const std::string& line : all)
+        text += line + '|';
+    return text;
+}
+
+BOOST_AUTO_TEST_CASE(requestsAreAnsweredWholeAndKeysStayHere)
+{
+    relay_fleet fleet;
+    const http_call_reply reply = fleet.call(0, "/order/a?b=c", "POST", relay_fleet::key, "a valve");
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body.starts_with("answer of i-"));
+    BOOST_TEST(reply.headers.at("x-response-seal") == "seal-of-" + reply.body.substr(10));
+    BOOST_TEST(fleet.runs() == 1);
+    for (int server = 0; server < 3; ++server) {
+        for (const seen_request& seen : fleet.server(server).seen()) {
+            BOOST_TEST(seen.target == "/order/a?b=c");
+            BOOST_TEST(seen.body == "a valve");
+            BOOST_TEST(seen.workspace == "w");
+            BOOST_TEST(seen.key.empty());
+        }
+    }
+    BOOST_TEST(fleet.call(0, "/read/a", "GET", "other").status == 401);
+    BOOST_TEST(fleet.call(0, "/none/a").status == 404);
+    BOOST_TEST(fleet.call(0, "/public/a", "GET", "").status == 200);
+    BOOST_TEST(fleet.call(0, "/order/a", "POST", relay_fleet::key, std::string(100001, 'x')).status == 413);
+    const auto [events, isWhole] = fleet.stream(1, "/stream/a");
+    BOOST_TEST(isWhole);
+    BOOST_TEST(joined(events) == lines(1, 5));
+}
+
+namespace {
+
+/// What all but one server do, and what the caller of each kind of route gets.
+struct failure_case {
+    const char* name;
+    answer_kind kind;
+    const char* path;
+    int status; ///< 0 for a broken stream.
+    int mostRuns; ///< Of one request.
+};
+
+std::ostream& operator<<(std::ostream& out, const failure_case& each) { return out << each.name << ' ' << each.path; }
+
+const failure_case failures[] {
+    { "refused", answer_kind::NotRun, "/order/a", 503, 0 },
+    { "refused", answer_kind::NotRun, "/read/a", 503, 0 },
+    { "failed", answer_kind::Failure, "/order/a", 500, 1 },
+    { "failed", answer_kind::Failure, "/read/a", 500, 2 },
+    { "cut", answer_kind::Cut, "/order/a", 502, 1 },
+    { "cut", answer_kind::Cut, "/read/a", 502, 2 },
+    { "cut", answer_kind::Cut, "/stream/a", 0, 1 },
+    { "silent", answer_kind::Silent, "/order/a", 504, 1 },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(failuresAreToldAsTheyAre, boost::unit_test::data::make(failures), each)
+{
+    relay_fleet fleet { { .daemons = 1 } };
+    for (int server = 0; server < 3; ++server)
+        fleet.server(server).setBehaviour({ .kind = each.kind });
+    const auto began = std::chrono::steady_clock::now();
+    if (each.status == 0) {
+        const auto [events, isWhole] = fleet.stream(0, each.path);
+        BOOST_TEST(!isWhole);
+        BOOST_TEST(joined(events).starts_with(lines(1, 2)));
+    } else {
+        const http_call_reply reply = fleet.call(0, each.path, std::string { each.path }.starts_with("/order") ? "POST" : "GET");
+        BOOST_TEST(reply.status == each.status);
+        BOOST_TEST(reply.headers.contains("retry-after") == (each.status == 503));
+        BOOST_TEST(reply.headers.contains("x-response-seal") == (each.status == 500));
+    }
+    BOOST_TEST((std::chrono::steady_clock::now() - began < 1300ms));
+    BOOST_TEST(fleet.runs() <= each.mostRuns);
+}
+
+BOOST_AUTO_TEST_CASE(brokenStreamGoesOnAtAnotherServer)
+{
+    relay_fleet fleet { { .daemons = 1, .servers = 2 } };
+    for (int round = 0; round < 6; ++round) {
+        fleet.server(round % 2).setBehaviour({ .kind = answer_kind::Cut });
+        fleet.server(1 - round % 2).setBehaviour({});
+        const auto [events, isWhole] = fleet.stream(0, "/resumable-stream/a");
+        BOOST_TEST(isWhole);
+        BOOST_TEST(joined(events) == lines(1, 5));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesEndsTheWork)
+{
+    relay_fleet fleet { { .daemons = 1, .servers = 1 } };
+    fleet.server(0).setBehaviour({ .events = 1000, .pause = 20ms });
+    int count = 0;
+    httpStream({ .url = "http://" + fleet.callerAddress(0) + "/stream/a", .headers = { { "Host", "h" }, { "X-Request-Id", "leaver" }, { "Api-Key", relay_fleet::key } } },
+        [&](std::string_view) { return ++count < 6; });
+    BOOST_TEST(waitUntil([&] { return fleet.server(0).seen().front().hasEnded; }, 500ms));
+    BOOST_TEST(fleet.server(0).seen().front().wasCancelled);
+}
+
+BOOST_AUTO_TEST_CASE(configurationsAreInForceEverywhereAndNeverRevert)
+{
+    relay_fleet fleet { { .daemons = 3 } };
+    fleet.configure(5, relay_fleet::key, "read");
+    for (int daemon = 0; daemon < 3; ++daemon)
+        BOOST_TEST(waitUntil([&] { return fleet.call(daemon, "/read/a").status == 404; }, 2s));
+    fleet.store().dropHistory();
+    fleet.configure(4);
+    std::this_thread::sleep_for(500ms);
+    for (int daemon = 0; daemon < 3; ++daemon)
+        BOOST_TEST(fleet.call(daemon, "/read/a").status == 404);
+    fleet.configure(6, "new-key");
+    for (int daemon = 0; daemon < 3; ++daemon) {
+        BOOST_TEST(waitUntil([&] { return fleet.call(daemon, "/read/a", "GET", "new-key").status == 200; }, 2s));
+        BOOST_TEST(fleet.call(daemon, "/read/a").status == 401);
+    }
+}
+
+namespace {
+
+struct outage_case {
+    const char* name;
+    store_fault fault;
+    bool isUnreachable;
+};
+
+std::ostream& operator<<(std::ostream& out, const outage_case& each) { return out << each.name; }
+
+const outage_case outages[] {
+    { "busy", store_fault::Busy, false },
+    { "silent", store_fault::Silent, false },
+    { "replies lost", store_fault::ReplyLost, false },
+    { "unreachable", store_fault::None, true },
+};
+
+} // namespace
+
+// Keys are served until they may have been taken away unseen, then refused with when to come back; public routes go on.
+BOOST_DATA_TEST_CASE(keysStopWithoutTheStore, boost::unit_test::data::make(outages), each)
+{
+    relay_fleet fleet { { .daemons = 1 } };
+    fleet.store().setFault(each.fault);
+    if (each.isUnreachable)
+        fleet.store().setUnreachable(true);
+    const auto began = std::chrono::steady_clock::now();
+    BOOST_TEST(fleet.call(0, "/read/a").status == 200);
+    std::this_thread::sleep_until(began + relay_fleet::keyRevocation);
+    const http_call_reply refused = fleet.call(0, "/read/a");
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.headers.contains("retry-after"));
+    BOOST_TEST(fleet.call(0, "/read/a", "GET", "other").status == 503);
+    BOOST_TEST(fleet.call(0, "/none/a").status == 503);
+    BOOST_TEST(fleet.call(0, "/public/a").status == 200);
+    fleet.store().setFault(store_fault::None);
+    fleet.store().setUnreachable(false);
+    BOOST_TEST(waitUntil([&] { return fleet.call(0, "/read/a").status == 200; }, 4s));
+}
+
+BOOST_AUTO_TEST_CASE(leavingServersAndZonesGetNothingNew)
+{
+    relay_fleet fleet { { .daemons = 2 } };
+    fleet.list(1, "draining");
+    fleet.store().put("op", "evacuate/za", "{}");
+    std::this_thread::sleep_for(1s);
+    const int before = fleet.server(0).runs() + fleet.server(1).runs();
+    for (int request = 0; request < 20; ++request)
+        BOOST_TEST(fleet.call(request % 2, "/read/a").status == 200);
+    BOOST_TEST(fleet.server(0).runs() + fleet.server(1).runs() == before);
+    BOOST_TEST(fleet.server(2).runs() >= 20);
+    fleet.store().remove("op", "evacuate/za");
+    BOOST_TEST(waitUntil([&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > 0; }, 3s));
+}
+
+BOOST_AUTO_TEST_CASE(entriesThatLapseInAnOutageComeBack)
+{
+    relay_fleet fleet { { .daemons = 1 } };
+    fleet.store().setUnreachable(true);
+    for (int server = 0; server < 3; ++server)
+        fleet.store().remove("servers", fleet.server(server).id());
+    std::this_thread::sleep_for(1500ms);
+    fleet.store().setUnreachable(false);
+    BOOST_REQUIRE(fleet.waitReady(0));
+    std::thread servers { [&] {
+        std::this_thread::sleep_for(1200ms);
+        for (int server = 0; server < 2; ++server)
+            fleet.list(server);
+    } };
+    const auto end = std::chrono::steady_clock::now() + 4s;
+    while (std::chrono::steady_clock::now() < end) {
+        BOOST_TEST(fleet.call(0, "/read/a").status == 200);
+        std::this_thread::sleep_for(50ms);
+    }
+    servers.join();
+    const int before = fleet.server(2).runs();
+    for (int request = 0; request < 10; ++request)
+        BOOST_TEST(fleet.call(0, "/read/a").status == 200);
+    BOOST_TEST(fleet.server(2).runs() == before);
+}
+
+BOOST_AUTO_TEST_CASE(coldServersGetNoMoreThanTheyBear)
+{
+    constexpr int mostPerSecond = 20; // The rate of 10 with the platform's excess of 1.5 and slack of 5.
+    relay_fleet fleet { { .daemons = 3, .servers = 1 } };
+    fleet.list(0, "ready", 60000);
+    std::this_thread::sleep_for(1s);
+    const int before = fleet.runs();
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 9; ++caller) {
+        callers.emplace_back([&, caller] {
+            const auto end = std::chrono::steady_clock::now() + 3s;
+            while (std::chrono::steady_clock::now() < end)
+                httpCall({ .url = "http://" + fleet.callerAddress(caller % 3) + "/read/a", .headers = { { "Host", "h" }, { "X-Request-Id", "cold" }, { "Api-Key", relay_fleet::key } } });
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    const auto seen = fleet.server(0).seen();
+    std::size_t begin = static_cast<std::size_t>(before);
+    for (std::size_t end = begin; end < seen.size(); ++end) {
+        while (seen[end].at - seen[begin].at >= 1s)
+            ++begin;
+        BOOST_TEST(end - begin + 1 <= static_cast<std::size_t>(mostPerSecond));
+    }
+    BOOST_TEST(fleet.runs() - before >= 20);
+}
+
+BOOST_AUTO_TEST_CASE(plannedStopCutsNothing)
+{
+    relay_fleet fleet { { .daemons = 2 } };
+    for (int server = 0; server < 3; ++server)
+        fleet.server(server).setBehaviour({ .events = 100, .pause = 15ms });
+    auto running = std::async(std::launch::async, [&] { return fleet.stream(0, "/stream/a"); });
+    std::this_thread::sleep_for(200ms);
+    fleet.daemon(0).signal(SIGTERM);
+    BOOST_TEST(fleet.waitReady(0, false, 500ms));
+    BOOST_TEST(waitUntil([&] { return fleet.lookUp(1).size() == 1 && fleet.lookUp(1).front() == fleet.callerAddress(1); }, 2s));
+    const http_call_reply late = fleet.call(0, "/read/a");
+    BOOST_TEST(late.status == 200);
+    BOOST_TEST(late.headers.at("connection") == "close");
+    const auto [events, isWhole] = running.get();
+    BOOST_TEST(isWhole);
+    BOOST_TEST(joined(events) == lines(1, 100));
+    BOOST_TEST(fleet.daemon(0).wait(relay_fleet::stopGrace).has_value());
+    BOOST_TEST(fleet.store().value("daemons", "d0").empty());
+}
+
+BOOST_AUTO_TEST_CASE(killedDaemonIsNamedNoMoreAndComesBack)
+{
+    relay_fleet fleet { { .daemons = 3 } };
+    fleet.daemon(2).signal(SIGKILL);
+    BOOST_TEST(waitUntil([&] { return fleet.lookUp(0).size() == 2 && fleet.lookUp(1).size() == 2; }, 6s));
+    fleet.restart(2);
+    BOOST_TEST(fleet.waitReady(2));
+    BOOST_TEST(waitUntil([&] { return fleet.lookUp(0).size() == 3 && fleet.lookUp(1).size() == 3; }, 10s));
+}
