--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -75,6 +75,7 @@
     bool m_hasResendGrant = false; ///< A resend was taken from the budget and not used yet.
     bool m_hasBegun = false; ///< Part of the answer went to the caller.
     bool m_isAnswered = false;
+    int m_arrivals = 0; ///< Servers that the request reached.
     request_record m_record;
 };
 
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -102,7 +102,10 @@
 template <relay_protocol Protocol>
 bool relay_call<Protocol>::tryResend()
 {
-    return maySendAgain(*m_admitted.target, m_history) && now() < m_deadline && m_parts.retries.tryTake(m_admitted.service, m_fleet->size);
+    if (!maySendAgain(*m_admitted.target, m_history) || now() >= m_deadline)
+        return false;
+    // Only what reaches a server loads it, so a send that reached none is not paid for.
+    return m_arrivals == 0 || m_parts.retries.tryTake(m_admitted.service, m_fleet->size);
 }
 
 // How long a server may be silent before a request that can be repeated goes to another one.
@@ -200,6 +203,7 @@
         const answer_facts answered = m_protocol.readAnswer(answer);
         return !answered.answered || *answered.answered == m_request.id;
     };
+    ++m_arrivals;
     exchange_state state = exchange.start(head, m_message.body, isForRequest);
     if (state == exchange_state::TimedOut && now() < m_deadline) {
         attempt_history withThis = m_history;
@@ -218,6 +222,7 @@
     case exchange_state::Answered:
         return judgeAnswer(server, exchange);
     case exchange_state::NotSent:
+        --m_arrivals;
         return fail(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
         return fail(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
@@ -356,6 +361,7 @@
 bool relay_call<Protocol>::refuse(const refusal& reason)
 {
     const bool isSent = sendToCaller(writeRefusal(reason, m_request.id, m_keepsOpen));
+    m_record.reason = reason.title;
     record(reason.status, reason.execution == execution_state::NotRun ? "refused" : "failed");
     return isSent;
 }
--- a/include/radishflow/Requests/request_record.h
+++ b/include/radishflow/Requests/request_record.h
@@ -15,7 +15,8 @@
     workspace_id workspace;
     service_id service;
     std::string servers; ///< Those tried, in order, each with how the attempt ended.
-    std::string outcome; ///< Why the request ended as it did, in one word.
+    std::string outcome; ///< How the request ended, in one word.
+    std::string reason; ///< Why it was refused; empty where it wasn't.
     int status = 0; ///< As sent to the caller; 0 where it left first.
     int sends = 0;
     config_version config;
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -1,6 +1,7 @@
 // Implements the relay's connections on POCO's sockets, with poll() for waits on two of them at once.
 #include "radishflow/Relay/relay_socket.h"
 
+#include "radishflow/Relay/connection_probes.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <Poco/Exception.h>
@@ -10,19 +11,12 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <utility>
 
 namespace radishflow {
 
-// Time after which bytes or probes that the peer's host hasn't acknowledged break the connection: a host that lost
-// power answers nothing, not even a reset. Leaves room for the kernel's first two retransmissions.
-static constexpr int unacknowledgedLimitMs = 1500;
-static constexpr int probeAfterSeconds = 1; // Of silence; the least that the kernel takes.
-static constexpr int probeIntervalSeconds = 1;
 static constexpr std::chrono::milliseconds gentleCloseTime { 500 };
 static constexpr std::size_t readBytes = 8192;
 
@@ -38,10 +32,7 @@
 {
     m_socket.setBlocking(false);
     m_socket.setNoDelay(true);
-    m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
-    m_socket.setKeepAlive(true);
-    m_socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
-    m_socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setProbes(m_socket);
 }
 
 io_outcome relay_socket::connect(const std::string& address, time_point deadline, const relay_socket* caller, relay_socket& made)
