Spread the store's news by gossip and hold calls in proportion to the fleet

Ruled out: the pause after news (0.6 s). Change: daemons spread by gossip how far each table was followed, on the store's clock; one whose own call lags behind the fleet's news for 0.4 s asks on a second connection; confirmations of the configuration are taken over from others, so calls are held for 0.4 s times the fleet's size (2 to 15 s). Tests: FleetTests; 'relay' (21 cases) as before.

--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Fleet/fleet_options.h"
+#include "radishflow/Fleet/table_news.h"
 #include "radishflow/Gossip/gossip_transport.h"
 #include "radishflow/Routing/fleet_view.h"
 #include "radishflow/Support/boottime_clock.h"
@@ -26,6 +27,10 @@
     void leave();
     /// Returns the fleet as of now.
     std::shared_ptr<const fleet_view> view();
+    /// Spreads how far a table was followed; what is known to be newer stays.
+    void spreadNews(const std::string& table, const table_news&);
+    /// Returns the newest that any daemon told; empty before that.
+    table_news newsOf(const std::string& table) const;
     bool isIsolated() const { return m_gossip->isIsolated(); }
 
 private:
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <random>
 
@@ -13,6 +14,7 @@
 static constexpr std::chrono::milliseconds recordInterval { 100 };
 static const std::string readinessKey = "callers";
 static const std::string takesCallersValue = "yes";
+static const std::string newsPrefix = "news/";
 
 static gossip_transport_options transportOptions(const fleet_options& options)
 {
@@ -76,6 +78,19 @@
     return made;
 }
 
+void fleet_membership::spreadNews(const std::string& table, const table_news& news)
+{
+    m_gossip->setRegister(newsPrefix + table, { .version = static_cast<std::uint64_t>(news.storeTime.count()), .bytes = news.text() });
+}
+
+table_news fleet_membership::newsOf(const std::string& table) const
+{
+    const fleet_register known = m_gossip->registerOf(newsPrefix + table);
+    table_news news { .storeTime = std::chrono::milliseconds { known.version } };
+    std::from_chars(known.bytes.data(), known.bytes.data() + known.bytes.size(), news.newestChange);
+    return news;
+}
+
 std::size_t fleet_membership::sizeFor(std::size_t alive, time_point now)
 {
     if (alive >= m_largest || now - m_largestAt > m_options.sizeMemory) {
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -66,6 +66,7 @@
     std::unique_ptr<caller_listener> listener;
     std::unique_ptr<periodic_task> fleetTask;
     std::unique_ptr<periodic_task> announceTask;
+    std::unique_ptr<periodic_task> catchUpTask;
 
     explicit state(const relay_daemon_options& theOptions)
         : options(theOptions)
@@ -81,6 +82,7 @@
         listener = std::make_unique<caller_listener>(endpoints(), listenerOptions());
         fleetTask = std::make_unique<periodic_task>(fleetInterval, [this] { refresh(); });
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetry }, [this] { announce(); });
+        catchUpTask = std::make_unique<periodic_task>(fleetInterval, [this] { feed.catchUp(); });
     }
 
     std::string peerAddress() const { return withPort(options.platform.ip, options.platform.firstOwnPort); }
@@ -158,13 +160,13 @@
 
     void refresh()
     {
-        feed.settle();
         connections.prune(clock.now());
         const auto before = routing.fleet();
         const auto view = fleet.view();
         if (before->daemons.size() != view->daemons.size())
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
+        feed.refresh(fleet, view->size);
         const auto trust = std::chrono::duration_cast<duration>(keyTrust * staleShare);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < trust;
         if (isReady.exchange(ready) != ready) {
