--- a/include/radishflow/Routing/choose_server.h
+++ b/include/radishflow/Routing/choose_server.h
@@ -11,8 +11,8 @@
 namespace radishflow {
 
 struct choose_server_options {
-    double loadMultiple = 1.7; ///< Of the mean load, above which a server is passed over.
-    double loadSlack = 3; ///< Requests above the multiple that a server may hold.
+    double loadMultiple = 1.5; ///< Of the mean load, above which a server is passed over.
+    double loadSlack = 2; ///< Requests above the multiple that a server may hold.
     double zonePenalty = 0.5; ///< Requests by which another zone counts as more loaded.
 };
 
--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -23,6 +23,7 @@
 
 struct server_ledger_options {
     duration reportLifetime = std::chrono::seconds { 3 }; ///< Age at which a load report no longer counts.
+    double meanWeight = 4; ///< Own requests for which the mean counts where a server's load isn't reported.
     duration healthHalfLife = std::chrono::seconds { 4 }; ///< Of the weight of outcomes.
     double healthPrior = 2; ///< Outcomes like those of the whole service that each server is credited with.
     double ejectMargin = 0.25; ///< Share of failures above the service's from which on a server is ejected.
@@ -134,14 +135,16 @@
         std::vector<server_candidate> well;
         std::vector<server_candidate> failing;
         std::vector<server_candidate> unreachable;
-        for (const listed_server* server : list.eligible(query.service)) {
+        const std::vector<const listed_server*> eligible = list.eligible(query.service);
+        const double mean = meanLoad(eligible, query.fleet->size);
+        for (const listed_server* server : eligible) {
             const server_record& record = m_records[server->id];
             const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
             if (isExcluded || isColdRefused(*server, record, query, now))
                 continue;
             std::vector<server_candidate>& kind = record.unreachableUntil > now ? unreachable : record.ejectedUntil > now ? failing
                                                                                                                           : well;
-            kind.push_back({ .server = server, .load = estimatedLoad(record, query.fleet->size, now), .isOwnZone = server->zone == query.zone });
+            kind.push_back({ .server = server, .load = estimatedLoad(record, query.fleet->size, mean, now), .isOwnZone = server->zone == query.zone });
         }
         if (well.size() < failing.size())
             well.insert(well.end(), failing.begin(), failing.end());
@@ -159,14 +162,28 @@
         return source ? source->address : std::string {};
     }
 
-    // A report shows the other daemons' requests; without a fresh one they are taken to send as much as this one.
-    double estimatedLoad(const server_record& record, std::size_t fleetSize, time_point now) const
+    // The mean load of the servers, from this daemon's own requests and the size of the fleet.
+    double meanLoad(const std::vector<const listed_server*>& servers, std::size_t fleetSize)
+    {
+        double own = 0;
+        for (const listed_server* server : servers)
+            own += m_records[server->id].inFlight;
+        return servers.empty() ? 0 : own * static_cast<double>(fleetSize) / static_cast<double>(servers.size());
+    }
+
+    // A report shows the other daemons' requests. Without a fresh one, this daemon's few requests say little of a server
+    // in a large fleet, so they are weighed against the mean: the estimate of a Poisson rate from one daemon's sample
+    // with a gamma prior around the mean.
+    double estimatedLoad(const server_record& record, std::size_t fleetSize, double mean, time_point now) const
     {
         if (record.report && now - record.reportedAt < m_options.reportLifetime) {
             const int others = std::max(record.report->running + record.report->waiting - record.inFlightAtReport, 0);
             return others + record.inFlight;
         }
-        return static_cast<double>(record.inFlight) * static_cast<double>(fleetSize);
+        if (mean <= 0)
+            return 0;
+        const double prior = m_options.meanWeight;
+        return (prior + record.inFlight) / (prior / mean + 1 / static_cast<double>(fleetSize));
     }
 
     // Compares a server with the rest of its service, some of which fail a part of their requests when they are well.
--- a/unittests/Routing/server_ledger_test.cpp
+++ b/unittests/Routing/server_ledger_test.cpp
@@ -73,6 +73,20 @@
     BOOST_TEST(spread(30).contains("s0"));
 }
 
+// In a large fleet, one request of this daemon says little of a server's load: the prompt's home stays its home.
+BOOST_AUTO_TEST_CASE(homeIsKeptWhereNoReportSaysThatItIsLoaded)
+{
+    fleet = testFleet(68);
+    list = testServers(90);
+    for (int request = 0; request < 40; ++request)
+        begin(1000 + request);
+    const std::string home = begin(7)->server.id.value();
+    for (int request = 0; request < 3; ++request)
+        BOOST_TEST(begin(7)->server.id.value() == home);
+    ledger.noteReport(server_id { home }, { .running = 200, .waiting = 0, .slots = 64 });
+    BOOST_TEST(begin(7)->server.id.value() != home);
+}
+
 BOOST_AUTO_TEST_CASE(failingServersAreEjectedForATime)
 {
     for (int failure = 0; failure < 2; ++failure)
