Share load reports with a few random daemons four times a second

Change: each round, the reports that came since the last one go to six random daemons in one datagram.

--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -9,6 +9,7 @@
 #include "radishflow/Routing/server_outcome.h"
 #include "radishflow/Routing/server_query.h"
 #include "radishflow/Routing/server_record.h"
+#include "radishflow/Routing/shared_load.h"
 #include "radishflow/Support/ranked_mutex.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace radishflow {
@@ -24,6 +27,7 @@
 struct server_ledger_options {
     duration reportLifetime = std::chrono::seconds { 3 }; ///< Age at which a load report no longer counts.
     double meanWeight = 4; ///< Own requests for which the mean counts where a server's load isn't reported.
+    duration shareDelay = std::chrono::milliseconds { 300 }; ///< Mean age of a report that another daemon tells.
     duration healthHalfLife = std::chrono::seconds { 4 }; ///< Of the weight of outcomes.
     double healthPrior = 2; ///< Outcomes like those of the whole service that each server is credited with.
     double ejectMargin = 0.25; ///< Share of failures above the service's from which on a server is ejected.
@@ -92,6 +96,35 @@
         record.report = report;
         record.reportedAt = m_clock.now();
         record.inFlightAtReport = record.inFlight;
+        m_unshared.insert(server);
+    }
+
+    /// Returns the reports that came since the last call, to tell other daemons.
+    std::vector<shared_load> takeReports()
+    {
+        const std::lock_guard lock { m_mutex };
+        std::vector<shared_load> loads;
+        for (const server_id& server : std::exchange(m_unshared, {})) {
+            const auto record = m_records.find(server);
+            if (record != m_records.end() && record->second.report)
+                loads.push_back({ .server = loadHashOf(server), .requests = record->second.report->running + record->second.report->waiting });
+        }
+        return loads;
+    }
+
+    /// Takes reports that another daemon heard a moment ago.
+    void noteShared(const std::vector<shared_load>& loads)
+    {
+        const std::lock_guard lock { m_mutex };
+        for (const shared_load& load : loads) {
+            const auto server = m_byLoadHash.find(load.server);
+            if (server == m_byLoadHash.end())
+                continue;
+            server_record& record = m_records[server->second];
+            record.report = load_sample { .running = load.requests };
+            record.reportedAt = m_clock.now() - m_options.shareDelay;
+            record.inFlightAtReport = record.inFlight;
+        }
     }
 
     /// Forgets servers that are listed no longer and hold none of this daemon's requests.
@@ -99,7 +132,9 @@
     {
         const std::lock_guard lock { m_mutex };
         std::erase_if(m_records, [&](const auto& entry) { return entry.second.inFlight == 0 && !list.servers.contains(entry.first); });
+        m_byLoadHash.clear();
         for (const auto& [id, server] : list.servers) {
+            m_byLoadHash.emplace(loadHashOf(id), id);
             server_record& record = m_records[id];
             if (server.bornAt > record.bornAt)
                 record = { .bornAt = server.bornAt, .inFlight = record.inFlight };
@@ -204,6 +239,8 @@
     mutable ranked_mutex m_mutex { lock_rank::Servers };
     std::unordered_map<server_id, server_record> m_records;
     std::unordered_map<service_id, service_health> m_health;
+    std::unordered_map<std::uint32_t, server_id> m_byLoadHash;
+    std::unordered_set<server_id> m_unshared; ///< Servers whose last report wasn't told to others.
 };
 
 } // namespace radishflow
--- /dev/null
+++ b/lib/Fleet/load_exchange.cpp
@@ -0,0 +1,81 @@
+// Implements the sharing of load reports by UDP.
+#include "radishflow/Fleet/load_exchange.h"
+
+#include "radishflow/Fleet/load_codec.h"
+
+#include <Poco/Exception.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <random>
+#include <utility>
+
+namespace radishflow {
+
+// Bounds how long a stop waits for the thread.
+static constexpr long receiveTimeoutMicroseconds = 300000;
+static constexpr std::size_t mostDatagramBytes = 2048;
+
+load_exchange::load_exchange(load_exchange_options options)
+    : m_options(std::move(options))
+    , m_socket(Poco::Net::SocketAddress { m_options.address }, false)
+{
+    m_socket.setReceiveTimeout(Poco::Timespan { 0, receiveTimeoutMicroseconds });
+    m_thread = std::thread { [this] { receive(); } };
+}
+
+load_exchange::~load_exchange()
+{
+    m_isStopping = true;
+    m_thread.join();
+}
+
+void load_exchange::send(const std::vector<shared_load>& loads, const fleet_view& fleet)
+{
+    if (loads.empty())
+        return;
+    static thread_local std::minstd_rand random { std::random_device {}() };
+    std::vector<const fleet_daemon*> peers;
+    for (const fleet_daemon& daemon : fleet.daemons) {
+        if (daemon.id != fleet.self)
+            peers.push_back(&daemon);
+    }
+    std::vector<const fleet_daemon*> chosen;
+    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), m_options.peersPerRound, random);
+    const std::string datagram = encodeLoads(loads);
+    const std::string port = m_options.address.substr(m_options.address.find(':'));
+    for (const fleet_daemon* peer : chosen) {
+        const std::string host = peer->callerAddress.substr(0, peer->callerAddress.find(':'));
+        try {
+            m_socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), Poco::Net::SocketAddress { host + port });
+        } catch (const Poco::Exception& error) {
+            // A hint that is lost is replaced by the next round's.
+            spdlog::debug("event=load_not_sent peer={} error=\"{}\"", host, error.displayText());
+        }
+    }
+}
+
+void load_exchange::receive()
+{
+    std::array<char, mostDatagramBytes> datagram;
+    while (!m_isStopping) {
+        try {
+            Poco::Net::SocketAddress sender;
+            const int count = m_socket.receiveFrom(datagram.data(), datagram.size(), sender);
+            const auto loads = decodeLoads({ datagram.data(), static_cast<std::size_t>(std::max(count, 0)) });
+            if (loads)
+                m_options.heard(*loads);
+            else
+                spdlog::debug("event=load_not_read peer={} bytes={}", sender.toString(), count);
+        } catch (const Poco::TimeoutException&) {
+            continue;
+        } catch (const Poco::Exception& error) {
+            // An ICMP answer to a daemon that has ended; its host is no longer asked once the gossip notices.
+            spdlog::debug("event=load_not_received error=\"{}\"", error.displayText());
+        }
+    }
+}
+
+} // namespace radishflow
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -2,6 +2,7 @@
 #include "relay_daemon.h"
 
 #include "radishflow/Fleet/fleet_membership.h"
+#include "radishflow/Fleet/load_exchange.h"
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
 #include "radishflow/Relay/relay_session.h"
@@ -58,6 +59,7 @@
     relay_metrics metrics;
     relay_parts parts;
     fleet_membership fleet;
+    load_exchange loads;
     platform_feed feed;
     daemon_rows rows;
     time_point nextAnnounce {};
@@ -75,6 +77,7 @@
         , freshness(keyTrust)
         , parts { .zone = options.platform.zone, .routing = routing, .ledger = ledger, .retries = retries, .freshness = freshness, .connections = connections, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
+        , loads({ .address = withPort(options.platform.ip, options.platform.firstOwnPort + 1), .heard = [this](const std::vector<shared_load>& heard) { ledger.noteShared(heard); } })
         , feed(options.platform, routing, ledger, freshness)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
@@ -167,6 +170,7 @@
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
         feed.refresh(fleet, view->size);
+        loads.send(ledger.takeReports(), *view);
         const auto trust = std::chrono::duration_cast<duration>(keyTrust * staleShare);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < trust;
         if (isReady.exchange(ready) != ready) {
