--- a/include/radishflow/Fleet/news_watch.h
+++ b/include/radishflow/Fleet/news_watch.h
@@ -13,7 +13,7 @@
 struct news_watch_options {
     bool spreadsConfirmations = false; ///< Whether others need to know that nothing has changed.
     std::chrono::milliseconds confirmationStep { 700 }; ///< Least time between two confirmations.
-    duration lagBound = std::chrono::milliseconds { 1000 }; ///< How long this daemon's own call may lag behind the fleet; longer than the pause after news.
+    duration lagBound = std::chrono::milliseconds { 500 }; ///< How long this daemon's own call may lag behind the fleet; longer than the pause after news.
 };
 
 struct news_step {
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -162,7 +162,7 @@
         m_servers = m_parts.routing.servers();
         m_fleet = m_parts.routing.fleet();
         m_record.eligibleServers = m_servers->eligible(m_admitted.service).size();
-        const auto server = m_parts.ledger.begin(*m_servers, queryFor(*m_fleet));
+        auto server = m_parts.ledger.begin(*m_servers, queryFor(*m_fleet));
         if (server || m_record.eligibleServers == 0 || now() + waitStep > waitEnd || m_caller.hasPeerLeft())
             return server;
         std::this_thread::sleep_for(waitStep);
--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -55,7 +55,7 @@
         const std::lock_guard lock { m_mutex };
         const time_point now = m_clock.now();
         const std::vector<server_candidate> candidates = candidatesFor(list, query, now);
-        const std::optional<std::size_t> chosen = chooseServer(candidates, query.affinity, query.tieBreak, m_options.choice);
+        const std::optional<std::size_t> chosen = chooseServer(candidates, list.serversOf(query.service).size(), query.affinity, query.tieBreak, m_options.choice);
         if (!chosen)
             return std::nullopt;
         const listed_server& server = *candidates[*chosen].server;
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -44,6 +44,7 @@
 void fleet_membership::seed(const std::vector<std::string>& peers)
 {
     std::vector<seed_peer> seeds;
+    seeds.reserve(peers.size());
     for (const std::string& peer : peers)
         seeds.push_back({ .address = peer_address { peer } });
     m_gossip->seed(std::move(seeds));
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -21,11 +21,11 @@
 
 // Ports of one daemon, counted from the base: its callers, its readiness, its lookups, its metrics, its gossip.
 enum port_offset {
-    callerPort,
-    readinessPort,
-    lookupPort,
-    metricsPort,
-    gossipPort,
+    CallerPort,
+    ReadinessPort,
+    LookupPort,
+    MetricsPort,
+    GossipPort,
 };
 
 static int freePortBase()
@@ -73,14 +73,14 @@
     const std::string ip = ipOf(number);
     const std::string path = m_folder / ("daemon-" + std::to_string(number) + ".toml");
     std::ofstream { path } << "node = \"d" << number << "\"\nip = \"" << ip << "\"\nzone = \"za\"\nregion = \"ra\"\n"
-                           << "port_range = [" << m_port + gossipPort << ", " << m_port + gossipPort + 1 << "]\nseeds = []\n"
-                           << "[listen]\nfront = \"" << ip << ':' << m_port + callerPort << "\"\nready = \"" << ip << ':' << m_port + readinessPort << "\"\n"
-                           << "directory = \"" << ip << ':' << m_port + lookupPort << "\"\n"
+                           << "port_range = [" << m_port + GossipPort << ", " << m_port + GossipPort + 1 << "]\nseeds = []\n"
+                           << "[listen]\nfront = \"" << ip << ':' << m_port + CallerPort << "\"\nready = \"" << ip << ':' << m_port + ReadinessPort << "\"\n"
+                           << "directory = \"" << ip << ':' << m_port + LookupPort << "\"\n"
                            << "[bounds]\nrevoke_strict = true\nrevoke_ms = " << keyRevocation.count() << "\ngrace_s = " << stopGrace.count() / 1000 << "\nretry_budget = 0.2\nretry_slack = 54\n"
                            << "[platform]\naddr = \"" << m_store.address() << "\"\n";
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
         .program = std::string { RADISHFLOW_BINARIES } + "/radishflow-relayd",
-        .arguments = { "--settings=" + path, "--metrics_port=" + std::to_string(m_port + metricsPort) },
+        .arguments = { "--settings=" + path, "--metrics_port=" + std::to_string(m_port + MetricsPort) },
         .startBound = std::chrono::milliseconds { 1 },
     });
 }
@@ -113,7 +113,7 @@
 
 std::string relay_fleet::callerAddress(int daemon) const
 {
-    return ipOf(daemon) + ':' + std::to_string(m_port + callerPort);
+    return ipOf(daemon) + ':' + std::to_string(m_port + CallerPort);
 }
 
 http_call_reply relay_fleet::call(int daemon, const std::string& path, const std::string& method, const std::string& withKey, const std::string& body)
@@ -157,7 +157,7 @@
 
 std::vector<std::string> relay_fleet::lookUp(int daemon) const
 {
-    const http_call_reply reply = httpCall({ .url = "http://" + ipOf(daemon) + ':' + std::to_string(m_port + lookupPort) + "/lookup?name=h&region=ra&zone=za" });
+    const http_call_reply reply = httpCall({ .url = "http://" + ipOf(daemon) + ':' + std::to_string(m_port + LookupPort) + "/lookup?name=h&region=ra&zone=za" });
     std::vector<std::string> addresses;
     if (reply.status != 200)
         return addresses;
@@ -169,7 +169,7 @@
 
 bool relay_fleet::waitReady(int daemon, bool ready, std::chrono::milliseconds bound) const
 {
-    const std::string url = "http://" + ipOf(daemon) + ':' + std::to_string(m_port + readinessPort) + "/readyz";
+    const std::string url = "http://" + ipOf(daemon) + ':' + std::to_string(m_port + ReadinessPort) + "/readyz";
     return waitUntil([&] { return (httpCall({ .url = url }).status == 200) == ready; }, bound);
 }
 
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -231,6 +231,7 @@
     std::this_thread::sleep_for(1s);
     const int before = fleet.runs();
     std::vector<std::thread> callers;
+    callers.reserve(9);
     for (int caller = 0; caller < 9; ++caller) {
         callers.emplace_back([&, caller] {
             const auto end = std::chrono::steady_clock::now() + 3s;
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -28,6 +28,7 @@
 // Time between the end of a stop and the platform's kill.
 static constexpr std::chrono::milliseconds stopMargin { 350 };
 static constexpr std::chrono::milliseconds fleetInterval { 250 };
+static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 // Between looks at the list of daemons; the gossip finds the others from any one of them.
 static constexpr std::chrono::seconds announceInterval { 10 };
 static constexpr std::chrono::seconds announceRetry { 1 };
@@ -85,7 +86,7 @@
         listener = std::make_unique<caller_listener>(endpoints(), listenerOptions());
         fleetTask = std::make_unique<periodic_task>(fleetInterval, [this] { refresh(); });
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetry }, [this] { announce(); });
-        catchUpTask = std::make_unique<periodic_task>(fleetInterval, [this] { feed.catchUp(); });
+        catchUpTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.catchUp(); });
     }
 
     std::string peerAddress() const { return withPort(options.platform.ip, options.platform.firstOwnPort); }
@@ -94,6 +95,7 @@
     void seedFleet(const std::vector<std::string>& addresses)
     {
         std::vector<std::string> peers;
+        peers.reserve(addresses.size());
         for (const std::string& address : addresses)
             peers.push_back(withPort(address, options.platform.firstOwnPort));
         fleet.seed(peers);
--- a/unittests/Fleet/load_exchange_test.cpp
+++ b/unittests/Fleet/load_exchange_test.cpp
@@ -17,6 +17,7 @@
 BOOST_DATA_TEST_CASE(reportsTravelUnchanged, boost::unit_test::data::make({ 0, 1, 90, 100, 150 }), count)
 {
     std::vector<shared_load> loads;
+    loads.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         loads.push_back({ .server = 0xfffffff0U + static_cast<std::uint32_t>(number), .requests = number * 3 });
     const std::string datagram = encodeLoads(loads);
--- a/unittests/Fleet/news_watch_test.cpp
+++ b/unittests/Fleet/news_watch_test.cpp
@@ -57,11 +57,11 @@
     const table_progress own { { 5000ms, 3 }, 9 };
     const table_news fleet { 6000ms, 12 };
     BOOST_TEST(!watch.step(own, fleet, start).needsCatchUp);
-    BOOST_TEST(!watch.step(own, fleet, start + 900ms).needsCatchUp);
-    BOOST_TEST(watch.step(own, fleet, start + 1000ms).needsCatchUp);
+    BOOST_TEST(!watch.step(own, fleet, start + 400ms).needsCatchUp);
+    BOOST_TEST(watch.step(own, fleet, start + 500ms).needsCatchUp);
     const table_progress caughtUp { { 6500ms, 12 }, 13 };
-    BOOST_TEST(!watch.step(caughtUp, fleet, start + 1100ms).needsCatchUp);
-    BOOST_TEST(!watch.step(own, { 7000ms, 20 }, start + 1200ms).needsCatchUp);
+    BOOST_TEST(!watch.step(caughtUp, fleet, start + 600ms).needsCatchUp);
+    BOOST_TEST(!watch.step(own, { 7000ms, 20 }, start + 700ms).needsCatchUp);
 }
 
 BOOST_AUTO_TEST_CASE(tablesThatNeedNoConfirmationSpreadChangesOnly)
--- a/unittests/Relay/parse_head_test.cpp
+++ b/unittests/Relay/parse_head_test.cpp
@@ -30,7 +30,7 @@
     { "space before colon", "GET / HTTP/1.1\r\nHost : x\r\n\r\n", parse_state::Malformed },
     { "no colon", "GET / HTTP/1.1\r\nHost\r\n\r\n", parse_state::Malformed },
     { "bare carriage return", "GET / HTTP/1.1\r\nA: x\ry\r\n\r\n", parse_state::Malformed },
-    { "zero byte", std::string { "GET / HTTP/1.1\r\nA: x\0y\r\n\r\n", 27 }, parse_state::Malformed },
+    { "zero byte", std::string { "GET / HTTP/1.1\r\nA: x" } + '\0' + "y\r\n\r\n", parse_state::Malformed },
     { "two spaces", "GET  / HTTP/1.1\r\n\r\n", parse_state::Malformed },
     { "other version", "GET / HTTP/2.0\r\n\r\n", parse_state::Malformed },
     { "no target", "GET HTTP/1.1\r\n\r\n", parse_state::Malformed },
--- a/unittests/Routing/cache_source_test.cpp
+++ b/unittests/Routing/cache_source_test.cpp
@@ -44,6 +44,7 @@
 {
     constexpr std::uint64_t affinity = 77;
     std::vector<listed_server> servers;
+    servers.reserve(5);
     for (int number = 0; number < 5; ++number)
         servers.push_back(testServer(number));
     std::sort(servers.begin(), servers.end(), [&](const listed_server& left, const listed_server& right) { return rankOf(left, affinity) > rankOf(right, affinity); });
@@ -53,6 +54,7 @@
     servers[0].listedAt = now - each.homeAge;
     servers[each.chosenRank].listedAt = now - each.chosenAge;
     std::vector<const listed_server*> listed;
+    listed.reserve(servers.size());
     for (const listed_server& server : servers)
         listed.push_back(&server);
     const listed_server* source = cacheSourceFor(listed, servers[each.chosenRank], affinity, now);
--- a/unittests/Routing/choose_server_test.cpp
+++ b/unittests/Routing/choose_server_test.cpp
@@ -32,16 +32,16 @@
 
 BOOST_AUTO_TEST_CASE(nothingIsChosenFromNothing)
 {
-    BOOST_TEST(!chooseServer({}, 1, 1).has_value());
+    BOOST_TEST(!chooseServer({}, 0, 1, 1).has_value());
 }
 
 BOOST_DATA_TEST_CASE(requestsOfOnePromptMeetOnOneServer, boost::unit_test::data::make({ 2, 18, 90 }), count)
 {
     loaded_fleet fleet { count };
     for (std::uint64_t prompt = 1; prompt < 50; ++prompt) {
-        const auto first = chooseServer(fleet.candidates, prompt, 1);
+        const auto first = chooseServer(fleet.candidates, fleet.candidates.size(), prompt, 1);
         std::reverse(fleet.candidates.begin(), fleet.candidates.end());
-        const auto second = chooseServer(fleet.candidates, prompt, 7);
+        const auto second = chooseServer(fleet.candidates, fleet.candidates.size(), prompt, 7);
         BOOST_TEST(*first == fleet.candidates.size() - 1 - *second);
         std::reverse(fleet.candidates.begin(), fleet.candidates.end());
     }
@@ -55,13 +55,26 @@
     const int requests = 20 * count;
     for (int request = 0; request < requests; ++request) {
         const std::uint64_t prompt = request % 2 == 0 ? 1 : static_cast<std::uint64_t>(request);
-        ++fleet.candidates[*chooseServer(fleet.candidates, prompt, static_cast<std::uint64_t>(request), options)].load;
+        ++fleet.candidates[*chooseServer(fleet.candidates, fleet.candidates.size(), prompt, static_cast<std::uint64_t>(request), options)].load;
     }
     const double mean = static_cast<double>(requests) / count;
     for (const server_candidate& candidate : fleet.candidates)
         BOOST_TEST(candidate.load <= options.loadMultiple * mean + options.loadSlack + 1);
 }
 
+// With a zone out, the others' servers stand further above the mean of the whole service.
+BOOST_AUTO_TEST_CASE(boundCountsServersThatTakeNothing)
+{
+    constexpr std::size_t serversOfService = 12;
+    loaded_fleet fleet { 8 };
+    for (server_candidate& candidate : fleet.candidates)
+        candidate.load = 6;
+    const std::size_t home = *chooseServer(fleet.candidates, serversOfService, 5, 0);
+    fleet.candidates[home].load = 10;
+    BOOST_TEST(*chooseServer(fleet.candidates, fleet.candidates.size(), 5, 0) == home);
+    BOOST_TEST(*chooseServer(fleet.candidates, serversOfService, 5, 0) != home);
+}
+
 BOOST_AUTO_TEST_CASE(plainRequestsGoToTheLeastLoadedAndNearest)
 {
     loaded_fleet fleet { 3 };
@@ -70,7 +83,7 @@
     fleet.candidates[2].load = 1;
     fleet.candidates[2].isOwnZone = true;
     for (std::uint64_t tie = 0; tie < 5; ++tie)
-        BOOST_TEST(*chooseServer(fleet.candidates, 0, tie) == 2U);
+        BOOST_TEST(*chooseServer(fleet.candidates, fleet.candidates.size(), 0, tie) == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(serverThatComesMovesOnlyItsOwnPrompts)
@@ -80,8 +93,8 @@
     int moved = 0;
     constexpr int prompts = 2000;
     for (std::uint64_t prompt = 1; prompt <= prompts; ++prompt) {
-        const std::size_t chosen = *chooseServer(after.candidates, prompt, 0);
-        const bool stays = chosen == *chooseServer(before.candidates, prompt, 0);
+        const std::size_t chosen = *chooseServer(after.candidates, after.candidates.size(), prompt, 0);
+        const bool stays = chosen == *chooseServer(before.candidates, before.candidates.size(), prompt, 0);
         BOOST_TEST((stays || chosen == 18U));
         moved += stays ? 0 : 1;
     }
