--- /dev/null
+++ b/include/radishflow/Fleet/server_hints.h
@@ -0,0 +1,16 @@
+// Declares server_hints, what daemons tell each other of backend servers.
+#pragma once
+
+#include "radishflow/Admission/crash_record.h"
+#include "radishflow/Routing/shared_load.h"
+
+#include <vector>
+
+namespace radishflow {
+
+struct server_hints {
+    std::vector<shared_load> loads;
+    std::vector<crash_record> crashes;
+};
+
+} // namespace radishflow
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -39,6 +39,7 @@
 
     bool refuse(const refusal&);
     std::optional<refusal> refusalWhileStopping() const;
+    std::optional<refusal> refusalOfCrashing() const;
     std::optional<chosen_server> chooseServer();
     server_query queryFor(const fleet_view&) const;
     std::uint64_t affinity() const;
@@ -69,6 +70,7 @@
     std::shared_ptr<const server_list> m_servers;
     std::shared_ptr<const fleet_view> m_fleet;
     time_point m_deadline {};
+    std::optional<request_fingerprint> m_fingerprint;
     attempt_history m_history;
     event_splitter m_events;
     std::optional<server_failure> m_failure; ///< The last failure that a server answered with.
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -71,6 +71,9 @@
         return refuse(*m_admitted.problem);
     if (const auto problem = refusalWhileStopping())
         return refuse(*problem);
+    m_fingerprint = crash_guard::fingerprint(m_record.workspace, m_admitted.service, m_message.head.target, m_message.body);
+    if (const auto problem = refusalOfCrashing())
+        return refuse(*problem);
     if (!m_servers)
         return refuse(refusalAfter(m_history, false));
     m_parts.retries.countRequest(m_admitted.service);
@@ -99,6 +102,15 @@
     }
 }
 
+template <relay_protocol Protocol>
+std::optional<refusal> relay_call<Protocol>::refusalOfCrashing() const
+{
+    const auto remaining = m_fingerprint ? m_parts.crashes.quarantinedFor(*m_fingerprint) : std::nullopt;
+    if (!remaining)
+        return std::nullopt;
+    return refusal { .status = 503, .title = "Request crashes servers", .detail = "two servers broke off when they ran it", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(*remaining) };
+}
+
 template <relay_protocol Protocol>
 bool relay_call<Protocol>::tryResend()
 {
@@ -225,6 +237,8 @@
         --m_arrivals;
         return fail(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
+        if (m_fingerprint)
+            m_parts.crashes.noteBroken(*m_fingerprint, server.id);
         return fail(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
     case exchange_state::TimedOut:
         return fail(server, server_outcome::Failed, true, "silent");
--- a/include/radishflow/Relay/relay_parts.h
+++ b/include/radishflow/Relay/relay_parts.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Metrics/relay_metrics.h"
+#include "radishflow/Relay/crash_guard.h"
 #include "radishflow/Relay/retry_shares.h"
 #include "radishflow/Relay/server_connections.h"
 #include "radishflow/Relay/stop_state.h"
@@ -19,6 +20,7 @@
     server_ledger<boottime_clock>& ledger;
     retry_shares<boottime_clock>& retries;
     const key_freshness& freshness;
+    crash_guard& crashes;
     server_connections& connections;
     const stop_state& stop;
     relay_metrics& metrics;
--- /dev/null
+++ b/lib/Fleet/hint_codec.cpp
@@ -0,0 +1,76 @@
+// Implements the datagrams of hints on Thrift's compact protocol.
+#include "radishflow/Fleet/hint_codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <chrono>
+#include <hints_types.h>
+#include <memory>
+
+namespace radishflow {
+
+using apache::thrift::transport::TMemoryBuffer;
+using compact_protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
+
+// A load beyond this is not one that a server could bear.
+static constexpr int mostRequests = 100000;
+static constexpr std::size_t longestServerId = 64;
+
+std::string encodeHints(const server_hints& hints)
+{
+    hints_wire::Hints wire;
+    for (std::size_t index = 0; index < std::min(hints.loads.size(), mostSharedLoads); ++index) {
+        wire.servers.push_back(static_cast<std::int32_t>(hints.loads[index].server));
+        wire.loads.push_back(hints.loads[index].requests);
+    }
+    for (std::size_t index = 0; index < std::min(hints.crashes.size(), mostSharedCrashes); ++index) {
+        const crash_record& crash = hints.crashes[index];
+        hints_wire::CrashHint hint;
+        hint.fingerprint_high = static_cast<std::int64_t>(crash.fingerprint.high);
+        hint.fingerprint_low = static_cast<std::int64_t>(crash.fingerprint.low);
+        hint.server = crash.server.value();
+        hint.remaining_ms = static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(crash.remaining).count());
+        wire.crashes.push_back(hint);
+    }
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    compact_protocol protocol { buffer };
+    wire.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+static bool isUsable(const hints_wire::Hints& wire)
+{
+    const bool hasUsableLoads = std::all_of(wire.loads.begin(), wire.loads.end(), [](int requests) { return requests >= 0 && requests <= mostRequests; });
+    const bool hasUsableCrashes = std::all_of(wire.crashes.begin(), wire.crashes.end(), [](const hints_wire::CrashHint& crash) { return crash.remaining_ms > 0 && crash.server.size() <= longestServerId; });
+    return hasUsableLoads && hasUsableCrashes && wire.servers.size() == wire.loads.size() && wire.servers.size() <= mostSharedLoads && wire.crashes.size() <= mostSharedCrashes;
+}
+
+std::optional<server_hints> decodeHints(std::string_view bytes)
+{
+    hints_wire::Hints wire;
+    try {
+        std::string copy { bytes };
+        const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()), static_cast<std::uint32_t>(copy.size()));
+        compact_protocol protocol { buffer, static_cast<int>(copy.size()), static_cast<int>(copy.size()) };
+        wire.read(&protocol);
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+    if (!isUsable(wire))
+        return std::nullopt;
+    server_hints hints;
+    for (std::size_t index = 0; index < wire.servers.size(); ++index)
+        hints.loads.push_back({ .server = static_cast<std::uint32_t>(wire.servers[index]), .requests = wire.loads[index] });
+    for (const hints_wire::CrashHint& crash : wire.crashes) {
+        hints.crashes.push_back({
+            .fingerprint = { .high = static_cast<std::uint64_t>(crash.fingerprint_high), .low = static_cast<std::uint64_t>(crash.fingerprint_low) },
+            .server = server_id { crash.server },
+            .remaining = std::chrono::milliseconds { crash.remaining_ms },
+        });
+    }
+    return hints;
+}
+
+} // namespace radishflow
--- a/lib/Fleet/load_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -1,7 +1,7 @@
-// Implements the sharing of load reports by UDP.
-#include "radishflow/Fleet/load_exchange.h"
+// Implements the sharing of hints by UDP.
+#include "radishflow/Fleet/hint_exchange.h"
 
-#include "radishflow/Fleet/load_codec.h"
+#include "radishflow/Fleet/hint_codec.h"
 
 #include <Poco/Exception.h>
 #include <spdlog/spdlog.h>
@@ -18,7 +18,7 @@
 static constexpr long receiveTimeoutMicroseconds = 300000;
 static constexpr std::size_t mostDatagramBytes = 2048;
 
-load_exchange::load_exchange(load_exchange_options options)
+hint_exchange::hint_exchange(hint_exchange_options options)
     : m_options(std::move(options))
     , m_socket(Poco::Net::SocketAddress { m_options.address }, false)
 {
@@ -26,25 +26,26 @@
     m_thread = std::thread { [this] { receive(); } };
 }
 
-load_exchange::~load_exchange()
+hint_exchange::~hint_exchange()
 {
     m_isStopping = true;
     m_thread.join();
 }
 
-void load_exchange::send(const std::vector<shared_load>& loads, const fleet_view& fleet)
+void hint_exchange::send(const server_hints& hints, const fleet_view& fleet)
 {
-    if (loads.empty())
+    if (hints.loads.empty() && hints.crashes.empty())
         return;
     static thread_local std::minstd_rand random { std::random_device {}() };
     std::vector<const fleet_daemon*> peers;
+    peers.reserve(fleet.daemons.size());
     for (const fleet_daemon& daemon : fleet.daemons) {
         if (daemon.id != fleet.self)
             peers.push_back(&daemon);
     }
     std::vector<const fleet_daemon*> chosen;
-    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), m_options.peersPerRound, random);
-    const std::string datagram = encodeLoads(loads);
+    std::sample(peers.begin(), peers.end(), std::back_inserter(chosen), hints.crashes.empty() ? m_options.peersPerRound : peers.size(), random);
+    const std::string datagram = encodeHints(hints);
     const std::string port = m_options.address.substr(m_options.address.find(':'));
     for (const fleet_daemon* peer : chosen) {
         const std::string host = peer->callerAddress.substr(0, peer->callerAddress.find(':'));
@@ -52,28 +53,28 @@
             m_socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), Poco::Net::SocketAddress { host + port });
         } catch (const Poco::Exception& error) {
             // A hint that is lost is replaced by the next round's.
-            spdlog::debug("event=load_not_sent peer={} error=\"{}\"", host, error.displayText());
+            spdlog::debug("event=hint_not_sent peer={} error=\"{}\"", host, error.displayText());
         }
     }
 }
 
-void load_exchange::receive()
+void hint_exchange::receive()
 {
     std::array<char, mostDatagramBytes> datagram;
     while (!m_isStopping) {
         try {
             Poco::Net::SocketAddress sender;
             const int count = m_socket.receiveFrom(datagram.data(), datagram.size(), sender);
-            const auto loads = decodeLoads({ datagram.data(), static_cast<std::size_t>(std::max(count, 0)) });
-            if (loads)
-                m_options.heard(*loads);
+            const auto hints = decodeHints({ datagram.data(), static_cast<std::size_t>(std::max(count, 0)) });
+            if (hints)
+                m_options.heard(*hints);
             else
-                spdlog::debug("event=load_not_read peer={} bytes={}", sender.toString(), count);
+                spdlog::debug("event=hint_not_read peer={} bytes={}", sender.toString(), count);
         } catch (const Poco::TimeoutException&) {
             continue;
         } catch (const Poco::Exception& error) {
             // An ICMP answer to a daemon that has ended; its host is no longer asked once the gossip notices.
-            spdlog::debug("event=load_not_received error=\"{}\"", error.displayText());
+            spdlog::debug("event=hint_not_received error=\"{}\"", error.displayText());
         }
     }
 }
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -113,6 +113,30 @@
     }
 }
 
+// The second daemon has seen none of the crashes itself.
+BOOST_AUTO_TEST_CASE(requestThatCrashesServersIsRefusedEverywhere)
+{
+    relay_fleet fleet { { .daemons = 2 } };
+    for (int server = 0; server < 3; ++server)
+        fleet.server(server).setBehaviour({ .kind = answer_kind::Cut });
+    BOOST_TEST(waitUntil([&] {
+        fleet.call(0, "/order/a", "POST", relay_fleet::key, "a crashing body");
+        return fleet.runs() >= 2 && fleet.call(0, "/order/a", "POST", relay_fleet::key, "a crashing body").status == 503;
+    },
+        3s));
+    std::this_thread::sleep_for(1s);
+    const int runs = fleet.runs();
+    for (int daemon = 0; daemon < 2; ++daemon) {
+        const http_call_reply refused = fleet.call(daemon, "/order/a", "POST", relay_fleet::key, "a crashing body");
+        BOOST_TEST(refused.status == 503);
+        BOOST_TEST(refused.headers.contains("retry-after"));
+    }
+    BOOST_TEST(fleet.runs() == runs);
+    for (int server = 0; server < 3; ++server)
+        fleet.server(server).setBehaviour({});
+    BOOST_TEST(fleet.call(1, "/order/a", "POST", relay_fleet::key, "another body").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(callerThatLeavesEndsTheWork)
 {
     relay_fleet fleet { { .daemons = 1, .servers = 1 } };
--- /dev/null
+++ b/thrift/hints.thrift
@@ -0,0 +1,17 @@
+// Datagrams in which relaying daemons tell each other what they saw of backend servers; at most 1,200 bytes each.
+namespace cpp radishflow.hints_wire
+
+// A request was in flight when a server broke off.
+struct CrashHint {
+  1: i64 fingerprint_high
+  2: i64 fingerprint_low
+  3: string server
+  4: i32 remaining_ms
+}
+
+struct Hints {
+  // Parallel lists: the hash of a server's id, and the requests that it had running and waiting.
+  1: list<i32> servers
+  2: list<i32> loads
+  3: list<CrashHint> crashes
+}
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -2,7 +2,7 @@
 #include "relay_daemon.h"
 
 #include "radishflow/Fleet/fleet_membership.h"
-#include "radishflow/Fleet/load_exchange.h"
+#include "radishflow/Fleet/hint_exchange.h"
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
 #include "radishflow/Relay/relay_session.h"
@@ -55,12 +55,13 @@
     retry_shares<boottime_clock> retries;
     duration keyTrust;
     key_freshness freshness;
+    crash_guard crashes;
     server_connections connections;
     stop_state stop;
     relay_metrics metrics;
     relay_parts parts;
     fleet_membership fleet;
-    load_exchange loads;
+    hint_exchange hints;
     platform_feed feed;
     daemon_rows rows;
     time_point nextAnnounce {};
@@ -76,9 +77,11 @@
         , retries(clock, { .ratio = options.platform.retryRatio, .slack = options.platform.retrySlack })
         , keyTrust(options.platform.areKeysRevokedStrictly ? duration { options.platform.keyRevocation } : duration { unboundedTrust })
         , freshness(keyTrust)
-        , parts { .zone = options.platform.zone, .routing = routing, .ledger = ledger, .retries = retries, .freshness = freshness, .connections = connections, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .ledger = ledger, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
-        , loads({ .address = withPort(options.platform.ip, options.platform.firstOwnPort + 1), .heard = [this](const std::vector<shared_load>& heard) { ledger.noteShared(heard); } })
+        , hints({ .address = withPort(options.platform.ip, options.platform.firstOwnPort + 1), .heard = [this](const server_hints& heard) {
+                      ledger.noteShared(heard.loads);
+                      crashes.merge(heard.crashes); } })
         , feed(options.platform, routing, ledger, freshness)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
@@ -172,7 +175,7 @@
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
         feed.refresh(fleet, view->size);
-        loads.send(ledger.takeReports(), *view);
+        hints.send({ .loads = ledger.takeReports(), .crashes = crashes.takeNews() }, *view);
         const auto trust = std::chrono::duration_cast<duration>(keyTrust * staleShare);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < trust;
         if (isReady.exchange(ready) != ready) {
