--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -26,7 +26,7 @@
 // How long callers keep an address; three times as long at most, which has to end within the grace of a stop.
 static constexpr std::chrono::milliseconds lookupLifetime { 2000 };
 // Time between the end of a stop and the platform's kill.
-static constexpr std::chrono::milliseconds stopMargin { 350 };
+static constexpr std::chrono::milliseconds stopMargin { 500 };
 static constexpr std::chrono::milliseconds fleetInterval { 250 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 // Between looks at the list of daemons; the gossip finds the others from any one of them.
