--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -84,4 +84,5 @@
 
 } // namespace radishflow
 
+#include "radishflow/Relay/relay_call_answers.h"
 #include "radishflow/Relay/relay_call_steps.h"
--- a/lib/Emulator/etcd_table.cpp
+++ b/lib/Emulator/etcd_table.cpp
@@ -1,10 +1,9 @@
 // Implements the table in memory. A transaction's writes share one revision, as etcd's do.
 #include "etcd_table.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
+#include "radishflow/Support/base64.h"
+
 #include <Poco/Exception.h>
-#include <Poco/StreamCopier.h>
 
 #include <compare>
 #include <set>
@@ -17,23 +16,9 @@
 
 static constexpr std::size_t mostOperations = 128; // etcd's --max-txn-ops.
 
-static std::string toBase64(const std::string& bytes)
-{
-    std::ostringstream text;
-    Poco::Base64Encoder encoder { text };
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return text.str();
-}
-
 static std::string bytesOf(const Object& object, const char* name)
 {
-    std::istringstream input { object.optValue<std::string>(name, "") };
-    Poco::Base64Decoder decoder { input };
-    std::string bytes;
-    Poco::StreamCopier::copyToString(decoder, bytes);
-    return bytes;
+    return decodeBase64(object.optValue<std::string>(name, ""));
 }
 
 static std::int64_t numberOf(const Object& object, const char* name)
@@ -87,8 +72,8 @@
         if (limit > 0 && static_cast<std::int64_t>(rows->size()) >= limit)
             continue;
         Object::Ptr shown = new Object;
-        shown->set("key", toBase64(key));
-        shown->set("value", toBase64(found.value));
+        shown->set("key", encodeBase64(key));
+        shown->set("value", encodeBase64(found.value));
         shown->set("create_revision", std::to_string(found.createRevision));
         shown->set("mod_revision", std::to_string(found.modRevision));
         shown->set("version", std::to_string(found.version));
--- a/lib/Platform/table_codec.cpp
+++ b/lib/Platform/table_codec.cpp
@@ -2,12 +2,11 @@
 // leaves out fields that are zero, false or empty, so each field has a default here.
 #include "table_codec.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
+#include "radishflow/Support/base64.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/StreamCopier.h>
 
 #include <sstream>
 
@@ -16,25 +15,6 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-static std::string toBase64(const std::string& bytes)
-{
-    std::ostringstream text;
-    Poco::Base64Encoder encoder { text };
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return text.str();
-}
-
-static std::string fromBase64(const std::string& text)
-{
-    std::istringstream input { text };
-    Poco::Base64Decoder decoder { input };
-    std::string bytes;
-    Poco::StreamCopier::copyToString(decoder, bytes);
-    return bytes;
-}
-
 static std::string toText(const Object& object)
 {
     std::ostringstream text;
@@ -56,8 +36,8 @@
 std::string encodePrefixRange(const std::string& prefix, std::int64_t minModRevision)
 {
     Object range;
-    range.set("key", toBase64(prefix.empty() ? std::string(1, '\0') : prefix));
-    range.set("range_end", toBase64(endOfPrefix(prefix)));
+    range.set("key", encodeBase64(prefix.empty() ? std::string(1, '\0') : prefix));
+    range.set("range_end", encodeBase64(endOfPrefix(prefix)));
     if (minModRevision > 0)
         range.set("min_mod_revision", std::to_string(minModRevision));
     return toText(range);
@@ -66,7 +46,7 @@
 static Object::Ptr keyRange(const std::string& key)
 {
     Object::Ptr range = new Object;
-    range->set("key", toBase64(key));
+    range->set("key", encodeBase64(key));
     return range;
 }
 
@@ -81,7 +61,7 @@
     Array::Ptr onFailure = new Array;
     for (const row_condition& condition : conditions) {
         Object::Ptr entry = new Object;
-        entry->set("key", toBase64(condition.key));
+        entry->set("key", encodeBase64(condition.key));
         entry->set("target", "MOD");
         entry->set("result", "EQUAL");
         entry->set("mod_revision", std::to_string(condition.modRevision));
@@ -93,8 +73,8 @@
     Array::Ptr onSuccess = new Array;
     for (const row_write& write : writes) {
         Object::Ptr put = new Object;
-        put->set("key", toBase64(write.key));
-        put->set("value", toBase64(write.value));
+        put->set("key", encodeBase64(write.key));
+        put->set("value", encodeBase64(write.value));
         Object::Ptr operation = new Object;
         operation->set("request_put", put);
         onSuccess->add(operation);
@@ -130,8 +110,8 @@
         if (!entry)
             throw Poco::DataFormatException("a row is not an object");
         rows.push_back({
-            .key = fromBase64(entry->optValue<std::string>("key", "")),
-            .value = fromBase64(entry->optValue<std::string>("value", "")),
+            .key = decodeBase64(entry->optValue<std::string>("key", "")),
+            .value = decodeBase64(entry->optValue<std::string>("value", "")),
             .createRevision = entry->optValue<Poco::Int64>("create_revision", 0),
             .modRevision = entry->optValue<Poco::Int64>("mod_revision", 0),
         });
