--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -21,6 +21,7 @@
     for (int number = 0; number < count; ++number)
         loads.push_back({ .server = 0xfffffff0U + static_cast<std::uint32_t>(number), .requests = number * 3 });
     std::vector<crash_record> crashes;
+    crashes.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count / 10; ++number)
         crashes.push_back({ .fingerprint = { .high = ~std::uint64_t { 0 } - static_cast<std::uint64_t>(number), .low = 5 }, .server = server_id { "i-" + std::string(16, 'a') + std::to_string(number) }, .remaining = 9s });
     const std::string datagram = encodeHints({ .loads = loads, .crashes = crashes });
