--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -11,6 +11,7 @@
 #include "radishflow/Relay/response_text.h"
 #include "radishflow/Relay/server_exchange.h"
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,6 +47,7 @@
     std::uint64_t affinity() const;
     attempt_end attempt(const chosen_server&);
     duration patience() const;
+    std::size_t mostKeptConnections() const;
     bool tryResend();
     attempt_end judgeState(const listed_server&, server_exchange&, exchange_state);
     attempt_end judgeAnswer(const listed_server&, server_exchange&);
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -16,6 +16,7 @@
 // be repeated, so those only take connections that were in use a moment ago.
 inline constexpr std::chrono::seconds mostIdle { 30 };
 inline constexpr std::chrono::milliseconds mostIdleForOneRun { 800 };
+inline constexpr std::size_t mostKeptPerServer = 16; // Idle connections; a daemon rarely has more requests at one server.
 // The part of the latency objective for which a request may wait for a server; the rest is left for the retry.
 inline constexpr int waitPartOfObjective = 8;
 inline constexpr std::chrono::milliseconds waitStep { 15 };
@@ -121,6 +122,17 @@
     return refusal { .status = 503, .title = "Request crashes servers", .detail = "two servers broke off when they ran it", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(*remaining) };
 }
 
+// A server's connections are shared by all daemons; idle ones take up half of them at most.
+template <relay_protocol Protocol>
+std::size_t relay_call<Protocol>::mostKeptConnections() const
+{
+    const service_policy* policy = m_admitted.routes->policyOf(m_admitted.service);
+    if (!policy || policy->connectionLimit == 0)
+        return mostKeptPerServer;
+    const std::size_t share = static_cast<std::size_t>(policy->connectionLimit) / (2 * m_fleet->size);
+    return std::clamp<std::size_t>(share, 1, mostKeptPerServer);
+}
+
 template <relay_protocol Protocol>
 bool relay_call<Protocol>::tryResend()
 {
@@ -219,6 +231,7 @@
             .headDeadline = std::min(m_deadline, now() + patience()),
             .connectTimeout = connectTimeout,
             .mostIdle = isRepeatable(*m_admitted.target) ? duration { mostIdle } : duration { mostIdleForOneRun },
+            .mostKept = mostKeptConnections(),
             .isHeadOnly = m_message.head.method == "HEAD" } };
     const std::string head = m_protocol.writeRequest(m_message.head, facts, m_message.body.size());
     const auto isForRequest = [&](const response_head& answer) {
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -7,6 +7,7 @@
 #include "radishflow/Relay/server_connections.h"
 #include "radishflow/Routing/listed_server.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
     time_point headDeadline {}; ///< Up to which start() waits for the head of the answer.
     duration connectTimeout {};
     duration mostIdle {}; ///< Longest idle time of a connection that is used again.
+    std::size_t mostKept = 16; ///< Idle connections to the server that this daemon keeps.
     bool isHeadOnly = false; ///< A HEAD request, whose answer has no body.
 };
 
--- a/lib/Relay/server_connections.cpp
+++ b/lib/Relay/server_connections.cpp
@@ -16,6 +16,7 @@
     while (!idle.empty()) {
         idle_connection last = std::move(idle.back());
         idle.pop_back();
+        --m_count;
         if (last.until > now && now - last.since < mostIdle && last.socket.isQuiet())
             return std::move(last.socket);
         last.socket.close();
@@ -23,15 +24,16 @@
     return std::nullopt;
 }
 
-void server_connections::put(const server_id& server, relay_socket socket, time_point now, duration lifetime)
+void server_connections::put(const server_id& server, relay_socket socket, time_point now, duration lifetime, std::size_t mostToServer)
 {
     socket.shrink();
     const std::lock_guard lock { m_mutex };
     std::vector<idle_connection>& idle = m_idle[server];
-    if (idle.size() >= mostIdlePerServer) {
+    if (idle.size() >= mostToServer || m_count >= mostKept) {
         socket.close();
         return;
     }
+    ++m_count;
     idle.push_back({ .socket = std::move(socket), .since = now, .until = now + lifetime });
 }
 
@@ -43,6 +45,7 @@
             if (each.until > now)
                 return false;
             each.socket.close();
+            --m_count;
             return true;
         });
     }
@@ -57,6 +60,7 @@
         return;
     for (idle_connection& each : found->second)
         each.socket.close();
+    m_count -= found->second.size();
     m_idle.erase(found);
 }
 
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -174,7 +174,7 @@
     if (!isClean || !keepsConnection(m_head.minorVersion, m_head.fields))
         return;
     const time_point now = boottime_clock {}.now();
-    m_connections.put(m_options.server.id, std::exchange(m_socket, relay_socket {}), now, idleTimeOf(m_head));
+    m_connections.put(m_options.server.id, std::exchange(m_socket, relay_socket {}), now, idleTimeOf(m_head), m_options.mostKept);
 }
 
 } // namespace radishflow
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -33,7 +33,7 @@
 static constexpr std::chrono::seconds announceInterval { 10 };
 static constexpr std::chrono::seconds announceRetry { 1 };
 // Descriptors that are left for servers, the store and files.
-static constexpr std::size_t reservedDescriptors = 700;
+static constexpr std::size_t reservedDescriptors = 1000;
 // The part of the time for which keys are trusted after which callers are better sent to another daemon.
 static constexpr double staleShare = 0.6;
 // Keys without a bound of the operator's are trusted for as long as the process runs.
