Ask once which daemons send to a cold server in the test of their shares

Change: the senders are found once; all fleet sizes are now played for the whole ten seconds, larger ones were cut before.

--- a/unittests/Routing/cold_share_test.cpp
+++ b/unittests/Routing/cold_share_test.cpp
@@ -9,7 +9,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <vector>
 
@@ -22,20 +21,21 @@
     constexpr double rate = 10;
     constexpr double boundPerSecond = rate * 1.5 + 5;
     const server_id server { "cold" };
-    std::map<int, cold_share> shares;
+    std::vector<cold_share> shares;
+    for (int daemon = 0; daemon < daemons; ++daemon) {
+        if (isColdSender(testFleet(daemons, daemon), server))
+            shares.emplace_back();
+    }
+    const double own = rate / static_cast<double>(coldSenderCount(testFleet(daemons)));
     std::vector<time_point> sends;
     const time_point start { 1h };
     for (auto passed = 0ms; passed < 10s; passed += 5ms) {
-        for (int daemon = 0; daemon < daemons; ++daemon) {
-            const fleet_view fleet = testFleet(daemons, daemon);
-            const double own = rate / static_cast<double>(coldSenderCount(fleet));
-            if (!isColdSender(fleet, server) || !shares[daemon].hasToken(start + passed, own))
+        for (cold_share& share : shares) {
+            if (!share.hasToken(start + passed, own))
                 continue;
-            shares[daemon].take(start + passed, own);
+            share.take(start + passed, own);
             sends.push_back(start + passed);
         }
-        if (daemons > 100 && passed > 1500ms)
-            break; // All patterns of the larger fleets repeat within a second.
     }
     std::size_t begin = 0;
     std::size_t most = 0;
