Record a served answer where it is served

Cause: a function that always returned true stood between; the same code twice is now the same two lines. Measured: ten cases of 'relay' (requests, failures, broken streams) pass before and after; other checks were not run again.

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -56,7 +56,6 @@
     attempt_end endOfFailure(const listed_server&, body_step);
     attempt_end fail(const listed_server&, server_outcome, bool mayHaveRun, const char* how);
     bool sendToCaller(std::string_view);
-    bool finishAnswer(int status);
     bool giveUp();
     void note(const listed_server&, const char* how);
     void record(int status, const char* outcome);
--- a/include/radishflow/Relay/relay_call_answers.h
+++ b/include/radishflow/Relay/relay_call_answers.h
@@ -58,7 +58,8 @@
         text += body;
     if (!sendToCaller(text))
         return attempt_end::CallerGone;
-    m_isAnswered = finishAnswer(exchange.head().status);
+    record(exchange.head().status, "served");
+    m_isAnswered = true;
     return attempt_end::Finished;
 }
 
@@ -88,7 +89,8 @@
             exchange.keep();
             m_parts.ledger.finish(server.id, server_outcome::Served);
             note(server, "served");
-            m_isAnswered = finishAnswer(exchange.head().status);
+            record(exchange.head().status, "served");
+            m_isAnswered = true;
             return attempt_end::Finished;
         }
         if (step != body_step::Data || !isInOrder)
@@ -148,13 +150,6 @@
     return m_caller.send(text, now() + callerSendTimeout) == io_outcome::Done;
 }
 
-template <relay_protocol Protocol>
-bool relay_call<Protocol>::finishAnswer(int status)
-{
-    record(status, "served");
-    return true;
-}
-
 template <relay_protocol Protocol>
 void relay_call<Protocol>::note(const listed_server& server, const char* how)
 {
