Copy a chat's prefix from its full home

Cause: with 8 callers on 4 engines the load bound refuses at both homes now and then. The chat went to a server of the tail, where its prefix was missing, although the walk had learnt who holds it: the holder was never sent to the owner. Change: the submission carries the holder, and the owner copies the prefix to its engine before it sends the request. A copy that fails is logged and costs a prefill, as before.

--- a/include/radishflow/Backend/backend_client.h
+++ b/include/radishflow/Backend/backend_client.h
@@ -31,6 +31,9 @@
     /// Reads a page of the server by GET.
     result<std::string> readPage(const server_id&, const std::string& path) const;
 
+    /// Copies what an engine caches of a prefix to another engine. Blocks for up to two copy timeouts.
+    result<void> copyPrefix(const server_id& holder, const server_id& receiver, const std::string& prefix) const;
+
 private:
     backend_client_options m_options;
 };
--- a/include/radishflow/Daemon/request_runner.h
+++ b/include/radishflow/Daemon/request_runner.h
@@ -35,6 +35,7 @@
     std::size_t undelivered() const { return m_streams.undelivered(); }
 
 private:
+    void copyPrefix(const request_submission&) const;
     void runAdmitted(const request_submission&, answer_buffer&);
 
     server_gates& m_gates;
--- a/include/radishflow/Requests/request_submission.h
+++ b/include/radishflow/Requests/request_submission.h
@@ -28,6 +28,7 @@
     bool isModelCall = false;
     std::uint64_t resumeAfter = 0; ///< Events that the caller already has; 0 starts anew.
     bool onlyIfHeld = false; ///< The owner takes it only when it believes the prefix to be held.
+    server_id holder; ///< Full server that holds the prefix, to copy it from; empty when none is known.
     int witnessedRunning = 0; ///< Requests at the other servers that refused this request for their share.
     std::uint32_t rank = 0; ///< Place of the server in the chat's rank.
     std::uint64_t fingerprint = 0; ///< Hash of workspace, service, method, path and body.
--- a/lib/Backend/backend_client.cpp
+++ b/lib/Backend/backend_client.cpp
@@ -20,24 +20,44 @@
     return readPage(server, "/metrics");
 }
 
-result<std::string> backend_client::readPage(const server_id& server, const std::string& path) const
+static result<std::string> exchange(const server_id& server, Poco::Net::HTTPRequest request, const std::string& sent, const Poco::Timespan& timeout)
 {
-    const char* step = "read page";
+    const char* step = "exchange page";
     try {
         Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress { server.value() } };
-        session.setTimeout(Poco::Timespan { m_options.connectTimeout.count() * Poco::Timespan::MILLISECONDS });
-        Poco::Net::HTTPRequest request { "GET", path, Poco::Net::HTTPMessage::HTTP_1_1 };
-        session.sendRequest(request);
+        session.setTimeout(timeout);
+        request.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+        if (!sent.empty())
+            request.setContentLength64(static_cast<Poco::Int64>(sent.size()));
+        session.sendRequest(request) << sent;
         Poco::Net::HTTPResponse response;
         std::istream& in = session.receiveResponse(response);
         std::string body;
         Poco::StreamCopier::copyToString(in, body);
         if (response.getStatus() != 200)
-            return fail({ .code = failure_code::Refused, .step = step, .peer = server.value(), .detail = path + " answered " + std::to_string(response.getStatus()) });
+            return fail({ .code = failure_code::Refused, .step = step, .peer = server.value(), .detail = request.getURI() + " answered " + std::to_string(response.getStatus()) });
         return body;
     } catch (const Poco::Exception& error) {
         return fail({ .code = failure_code::Unreachable, .step = step, .peer = server.value(), .detail = error.displayText() });
     }
 }
 
+static Poco::Timespan toTimespan(std::chrono::milliseconds time)
+{
+    return Poco::Timespan { time.count() * Poco::Timespan::MILLISECONDS };
+}
+
+result<std::string> backend_client::readPage(const server_id& server, const std::string& path) const
+{
+    return exchange(server, Poco::Net::HTTPRequest { "GET", path }, "", toTimespan(m_options.connectTimeout));
+}
+
+result<void> backend_client::copyPrefix(const server_id& holder, const server_id& receiver, const std::string& prefix) const
+{
+    const Poco::Timespan timeout = toTimespan(m_options.copyTimeout);
+    BOOST_LEAF_AUTO(cached, exchange(holder, Poco::Net::HTTPRequest { "POST", "/kv/export" }, R"({"prefix":")" + prefix + "\"}", timeout));
+    BOOST_LEAF_CHECK(exchange(receiver, Poco::Net::HTTPRequest { "POST", "/kv/import?prefix=" + prefix }, cached, timeout));
+    return {};
+}
+
 } // namespace radishflow
--- a/lib/Daemon/answer_route.cpp
+++ b/lib/Daemon/answer_route.cpp
@@ -46,6 +46,9 @@
     m_step = step;
     m_submission.rank = step.server;
     m_submission.onlyIfHeld = step.onlyIfHeld;
+    // The second round has no walk of its own and still knows the holder.
+    if (step.holder)
+        m_submission.holder = m_rank[*step.holder].id;
     m_submission.witnessedRunning = witnessedBeside(m_rank[step.server].id);
     std::optional<refusal> reason = offer(m_rank[step.server]);
     if (reason && m_walk && !m_isSecondRound)
--- a/lib/Daemon/request_runner.cpp
+++ b/lib/Daemon/request_runner.cpp
@@ -4,6 +4,8 @@
 #include "radishflow/Placement/placement_request.h"
 #include "radishflow/Support/boottime_clock.h"
 
+#include <spdlog/spdlog.h>
+
 #include <memory>
 
 namespace radishflow {
@@ -40,8 +42,26 @@
     return { .streamId = streamId };
 }
 
+// A copy takes the place of a prefill. Without it the engine computes the prefix anew, so a failure costs time only.
+void request_runner::copyPrefix(const request_submission& submission) const
+{
+    std::uint64_t prefix = 0;
+    const bool isCopyOfUse = !submission.holder.empty() && submission.holder != submission.server
+        && parsePrefixName(submission.prefix, prefix) && !isProbablyHeld(m_prefixes.stateOf(submission.server, prefix, boottime_clock {}.now()));
+    if (!isCopyOfUse)
+        return;
+    const std::string error = valueOr(
+        [&]() -> result<std::string> {
+            BOOST_LEAF_CHECK(m_client.copyPrefix(submission.holder, submission.server, submission.prefix));
+            return std::string {};
+        },
+        [](const failure& problem) { return describe(problem); });
+    spdlog::debug("step=\"copy prefix\" request={} from={} peer={} error=\"{}\"", submission.request.value(), submission.holder.value(), submission.server.value(), error);
+}
+
 void request_runner::runAdmitted(const request_submission& submission, answer_buffer& answer)
 {
+    copyPrefix(submission);
     const exchange_outcome outcome = m_client.run(submission, m_gates.gateFor(submission), answer);
     std::uint64_t prefix = 0;
     if (outcome.isWhole && parsePrefixName(submission.prefix, prefix))
--- a/lib/Peer/wire_conversion.cpp
+++ b/lib/Peer/wire_conversion.cpp
@@ -78,6 +78,7 @@
     message.__set_idempotencyKey(submission.key.value());
     message.__set_isModelCall(submission.isModelCall);
     message.__set_onlyIfHeld(submission.onlyIfHeld);
+    message.__set_holderId(submission.holder.value());
     message.__set_witnessedRunning(submission.witnessedRunning);
     message.__set_rank(static_cast<std::int32_t>(submission.rank));
     message.__set_fingerprintHigh(static_cast<std::int64_t>(submission.fingerprint));
@@ -106,6 +107,7 @@
         .isModelCall = message.isModelCall,
         .resumeAfter = static_cast<std::uint64_t>(std::max<std::int64_t>(0, message.resumeAfter)),
         .onlyIfHeld = message.onlyIfHeld,
+        .holder = server_id { message.holderId },
         .witnessedRunning = std::max(0, message.witnessedRunning),
         .rank = static_cast<std::uint32_t>(std::max(0, message.rank)),
         .fingerprint = static_cast<std::uint64_t>(message.fingerprintHigh),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -45,6 +45,7 @@
   18: i64 resumeAfter      // events that the caller already has; 0 starts anew
   21: string prefix        // name of the chat's prefix towards an engine; empty without a chat
   22: bool onlyIfHeld      // take it only when the prefix is believed to be held
+  23: string holderId      // server that holds the prefix and has no room; empty when none is known
 }
 
 struct SubmitReply {
