Add a fault soak; ask the store before a daemon's own trust in its keys is stale

A daemon asked for itself when its last confirmation was 2.3 s old, a figure that fits keys trusted for 5 s; with 2.5 s it counts as stale at 1.5 s, and after a change all held calls end together, so nobody's news came earlier. Ruled out: the length of held calls alone (a fleet of one has no other daemon to hear from at any length). Change: the age at which a daemon asks follows from the bound of the settings; key_freshness knows when it is stale. The soak plays real daemons before the stand-ins under disturbances drawn from a seed (signals in series, links cut, silenced, one way, delayed and reset, a store and servers that misbehave, changes of keys, configurations and the list) and judges the promises by what callers and servers saw. Measured: relay/daemonStaysReadyWhileNothingChanges fails before (not ready within 5 s), passes after.

--- a/include/radishflow/Routing/key_freshness.h
+++ b/include/radishflow/Routing/key_freshness.h
@@ -26,8 +26,12 @@
 
     bool isFresh(time_point now) const { return now - m_confirmedAt.load() < m_bound; }
     duration age(time_point now) const { return now - m_confirmedAt.load(); }
+    /// Age at which callers are better sent to another daemon, before their keys are refused here.
+    duration staleAge() const { return std::chrono::duration_cast<duration>(m_bound * staleShare); }
 
 private:
+    static constexpr double staleShare = 0.6; ///< Leaves callers the time for which they keep an address.
+
     duration m_bound;
     std::atomic<time_point> m_confirmedAt { time_point { std::chrono::hours { -24 * 365 } } }; ///< Long before any boot.
 };
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -39,7 +39,8 @@
 }
 
 relay_fleet::relay_fleet(const relay_fleet_options& options)
-    : m_folder(std::filesystem::temp_directory_path() / ("relay-fleet-" + std::to_string(getpid())))
+    : m_options(options)
+    , m_folder(std::filesystem::temp_directory_path() / ("relay-fleet-" + std::to_string(getpid())))
     , m_port(freePortBase())
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -47,11 +48,21 @@
     configure(1);
     for (int number = 0; number < options.servers; ++number) {
         m_servers.push_back(std::make_unique<server_standin>("i-" + std::to_string(number), "svc", number == 0 ? "za" : "zb"));
+        m_servers.back()->setBehaviour(options.behaviour);
+        if (options.isProxied) {
+            m_serverLinks.push_back(std::make_unique<faulty_link>("127.0.0.1:" + std::to_string(m_servers.back()->port())));
+            m_servers.back()->setListedPort(m_serverLinks.back()->port());
+        }
         list(number);
     }
     m_daemons.resize(static_cast<std::size_t>(options.daemons));
-    for (int number = 0; number < options.daemons; ++number)
+    for (int number = 0; number < options.daemons; ++number) {
+        if (options.isProxied) {
+            m_storeLinks.push_back(std::make_unique<faulty_link>(m_store.address()));
+            m_callerLinks.push_back(std::make_unique<faulty_link>(callerAddress(number)));
+        }
         start(number);
+    }
     for (int number = 0; number < options.daemons; ++number)
         BOOST_REQUIRE_MESSAGE(waitReady(number), "daemon " << number << " is not ready");
     BOOST_REQUIRE(waitUntil([&] { return lookUp(0).size() == m_daemons.size(); }, std::chrono::seconds { 10 }));
@@ -68,6 +79,11 @@
     return "127.0.0." + std::to_string(10 + daemon);
 }
 
+std::string relay_fleet::storeAddress(int daemon) const
+{
+    return m_storeLinks.empty() ? m_store.address() : "127.0.0.1:" + std::to_string(m_storeLinks.at(static_cast<std::size_t>(daemon))->port());
+}
+
 void relay_fleet::start(int number)
 {
     const std::string ip = ipOf(number);
@@ -77,10 +93,11 @@
                            << "[listen]\nfront = \"" << ip << ':' << m_port + CallerPort << "\"\nready = \"" << ip << ':' << m_port + ReadinessPort << "\"\n"
                            << "directory = \"" << ip << ':' << m_port + LookupPort << "\"\n"
                            << "[bounds]\nrevoke_strict = true\nrevoke_ms = " << keyRevocation.count() << "\ngrace_s = " << stopGrace.count() / 1000 << "\nretry_budget = 0.2\nretry_slack = 54\n"
-                           << "[platform]\naddr = \"" << m_store.address() << "\"\n";
+                           << "[platform]\naddr = \"" << storeAddress(number) << "\"\n";
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
         .program = std::string { RADISHFLOW_BINARIES } + "/radishflow-relayd",
         .arguments = { "--settings=" + path, "--metrics_port=" + std::to_string(m_port + MetricsPort) },
+        .outputFile = m_options.logFolder.empty() ? std::string {} : m_options.logFolder + "/daemon-" + std::to_string(number) + ".log",
         .startBound = std::chrono::milliseconds { 1 },
     });
 }
@@ -102,6 +119,7 @@
     add("order", R"("kind":"unsafe","timeout_ms":800,"goal_ms":300,"attempts":1)");
     add("stream", R"("kind":"stream","timeout_ms":10000,"goal_ms":600,"attempts":1)");
     add("resumable-stream", R"("kind":"stream","timeout_ms":10000,"goal_ms":600,"attempts":2,"resumable":true)");
+    add("v" + std::to_string(version), R"("kind":"safe","timeout_ms":800,"goal_ms":300,"attempts":2,"public":true)");
     add("public", R"("kind":"safe","timeout_ms":800,"goal_ms":300,"attempts":2,"public":true)");
     m_store.put("op", "config", R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[{"name":"svc","cold_per_s":10.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"w","api_keys":[")" + workspaceKey + R"("]}]})");
 }
@@ -155,9 +173,9 @@
     return { lines, isWhole };
 }
 
-std::vector<std::string> relay_fleet::lookUp(int daemon) const
+std::vector<std::string> relay_fleet::lookUp(int daemon, std::chrono::milliseconds bound) const
 {
-    const http_call_reply reply = httpCall({ .url = "http://" + ipOf(daemon) + ':' + std::to_string(m_port + LookupPort) + "/lookup?name=h&region=ra&zone=za" });
+    const http_call_reply reply = httpCall({ .url = "http://" + ipOf(daemon) + ':' + std::to_string(m_port + LookupPort) + "/lookup?name=h&region=ra&zone=za", .timeout = bound });
     std::vector<std::string> addresses;
     if (reply.status != 200)
         return addresses;
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -3,6 +3,7 @@
 
 #include "Support/child_process.h"
 #include "Support/http_call.h"
+#include "faulty_link.h"
 #include "server_standin.h"
 #include "store_standin.h"
 #include "wait_until.h"
@@ -18,6 +19,9 @@
 struct relay_fleet_options {
     int daemons = 2;
     int servers = 3;
+    bool isProxied = false; ///< Every link but the daemons' own gossip goes through a faulty_link.
+    std::string logFolder; ///< Where the daemons' output is kept; empty to drop it.
+    server_behaviour behaviour; ///< Of all servers at first.
 };
 
 /// One route of each kind, two workspaces; daemons on addresses of their own within loopback.
@@ -34,11 +38,17 @@
 
     store_standin& store() { return m_store; }
     server_standin& server(int number) { return *m_servers.at(static_cast<std::size_t>(number)); }
+    int daemons() const { return static_cast<int>(m_daemons.size()); }
+    int servers() const { return static_cast<int>(m_servers.size()); }
+    /// The links of a proxied fleet: a daemon's to the store, the callers' to a daemon, all daemons' to a server.
+    faulty_link& storeLink(int daemon) { return *m_storeLinks.at(static_cast<std::size_t>(daemon)); }
+    faulty_link& callerLink(int daemon) { return *m_callerLinks.at(static_cast<std::size_t>(daemon)); }
+    faulty_link& serverLink(int number) { return *m_serverLinks.at(static_cast<std::size_t>(number)); }
     child_process& daemon(int number) { return *m_daemons.at(static_cast<std::size_t>(number)); }
 
     /// Starts a daemon again, whose process has ended.
     void restart(int number);
-    /// Writes a configuration; routes in `without` are left out.
+    /// Writes a configuration with a public route "v<version>"; the route in `without` is left out.
     void configure(int version, const std::string& workspaceKey = key, const std::string& without = {});
     void list(int server, const std::string& state = "ready", int coldForMs = 0);
 
@@ -48,7 +58,7 @@
     /// Returns the lines of a stream and whether it ended whole.
     std::pair<std::vector<std::string>, bool> stream(int daemon, const std::string& path);
     /// Returns the addresses that a daemon names to callers.
-    std::vector<std::string> lookUp(int daemon) const;
+    std::vector<std::string> lookUp(int daemon, std::chrono::milliseconds bound = std::chrono::seconds { 5 }) const;
     /// Waits until a daemon says that it is ready, or isn't.
     bool waitReady(int daemon, bool ready = true, std::chrono::milliseconds bound = std::chrono::seconds { 15 }) const;
     /// Requests that ran at all servers together.
@@ -56,12 +66,17 @@
 
 private:
     std::string ipOf(int daemon) const;
+    std::string storeAddress(int daemon) const;
     void start(int number);
 
+    relay_fleet_options m_options;
     std::filesystem::path m_folder;
     int m_port = 0; ///< Base of the ports that all daemons use.
     store_standin m_store;
     std::vector<std::unique_ptr<server_standin>> m_servers;
+    std::vector<std::unique_ptr<faulty_link>> m_storeLinks;
+    std::vector<std::unique_ptr<faulty_link>> m_callerLinks;
+    std::vector<std::unique_ptr<faulty_link>> m_serverLinks;
     std::vector<std::unique_ptr<child_process>> m_daemons;
     int m_requests = 0;
 };
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -214,6 +214,13 @@
     BOOST_TEST(waitUntil([&] { return fleet.call(0, "/read/a").status == 200; }, 4s));
 }
 
+// The store holds a call of a quiet table for longer than this fleet's keys may go without a confirmation.
+BOOST_AUTO_TEST_CASE(daemonStaysReadyWhileNothingChanges)
+{
+    relay_fleet fleet { { .daemons = 1 } };
+    BOOST_TEST(!fleet.waitReady(0, false, 5s));
+}
+
 BOOST_AUTO_TEST_CASE(leavingServersAndZonesGetNothingNew)
 {
     relay_fleet fleet { { .daemons = 2 } };
--- /dev/null
+++ b/test/Soak/soak_run.cpp
@@ -0,0 +1,244 @@
+// Implements the playing of a soak.
+#include "soak_run.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace radishflow {
+
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+static constexpr milliseconds tick { 10 };
+static constexpr milliseconds stopSlack { 1000 }; ///< For the process to end after its grace.
+static constexpr long mostMemoryKilobytes = 32 * 1024; // Letter 1.
+
+static server_behaviour wellBehaviour()
+{
+    return { .events = 20, .pause = milliseconds { 15 }, .namesRequest = true };
+}
+
+soak_run::soak_run(const soak_run_options& options)
+    : m_options(options)
+    , m_fleet({ .daemons = options.plan.daemons, .servers = options.plan.servers, .isProxied = true, .logFolder = options.logFolder, .behaviour = wellBehaviour() })
+    , m_mayBeOut(static_cast<std::size_t>(options.plan.daemons), false)
+    , m_evidence { .plan = drawPlan(options.plan), .began = steady::now(), .keyRevocation = relay_fleet::keyRevocation, .settled = options.plan.trouble + options.settling }
+    , m_callers(m_fleet, { .seed = options.plan.seed, .began = m_evidence.began })
+    , m_versions(m_fleet)
+{
+}
+
+milliseconds soak_run::now() const
+{
+    return std::chrono::duration_cast<milliseconds>(steady::now() - m_evidence.began);
+}
+
+void soak_run::schedule(const soak_step& step)
+{
+    m_due.push_back({ step.at, [this, step] { begin(step); } });
+    m_due.push_back({ step.end(), [this, step] { end(step); } });
+}
+
+soak_evidence soak_run::play()
+{
+    for (const soak_step& step : m_evidence.plan)
+        schedule(step);
+    const milliseconds length = m_evidence.settled + m_options.calm;
+    while (now() < length) {
+        std::vector<due_action> ready;
+        const auto later = std::partition(m_due.begin(), m_due.end(), [this](const due_action& action) { return action.at > now(); });
+        std::move(later, m_due.end(), std::back_inserter(ready));
+        m_due.erase(later, m_due.end());
+        std::stable_sort(ready.begin(), ready.end(), [](const due_action& left, const due_action& right) { return left.at < right.at; });
+        for (const due_action& action : ready)
+            action.run();
+        checkProcesses();
+        std::this_thread::sleep_for(tick);
+    }
+    m_callers.stop();
+    m_versions.stop();
+    checkEnd();
+    m_evidence.calls = m_callers.calls();
+    for (int server = 0; server < m_fleet.servers(); ++server)
+        m_evidence.seen.push_back(m_fleet.server(server).seen());
+    return m_evidence;
+}
+
+void soak_run::begin(const soak_step& step)
+{
+    const auto isOut = [&] { return m_mayBeOut.at(static_cast<std::size_t>(step.target)); };
+    switch (step.fault) {
+    case soak_fault::PauseDaemon:
+        if (!isOut())
+            m_fleet.daemon(step.target).signal(SIGSTOP);
+        return;
+    case soak_fault::KillDaemon:
+    case soak_fault::StopDaemon:
+        if (!isOut())
+            m_fleet.daemon(step.target).signal(step.fault == soak_fault::KillDaemon ? SIGKILL : SIGTERM);
+        m_mayBeOut.at(static_cast<std::size_t>(step.target)) = true;
+        return;
+    case soak_fault::CutStore:
+        return m_fleet.storeLink(step.target).set(R"({"cut":true})");
+    case soak_fault::SilenceStore:
+        return m_fleet.storeLink(step.target).set(R"({"half_open":true})");
+    case soak_fault::DeafenStore:
+        return m_fleet.storeLink(step.target).set(R"({"one_way":"up"})");
+    case soak_fault::MuteStore:
+        return m_fleet.storeLink(step.target).set(R"({"one_way":"down"})");
+    case soak_fault::DelayStore:
+        return m_fleet.storeLink(step.target).set(R"({"delay_ms":150})");
+    case soak_fault::StoreBusy:
+        return m_fleet.store().setFault(store_fault::Busy);
+    case soak_fault::StoreSilent:
+        return m_fleet.store().setFault(store_fault::Silent);
+    case soak_fault::StoreLosesReplies:
+        return m_fleet.store().setFault(store_fault::ReplyLost);
+    case soak_fault::StoreGone:
+        return m_fleet.store().setUnreachable(true);
+    case soak_fault::StoreForgets:
+        return m_fleet.store().dropHistory();
+    case soak_fault::ServerFails:
+    case soak_fault::ServerCuts:
+    case soak_fault::ServerCrashes:
+    case soak_fault::ServerHangs:
+    case soak_fault::ServerRefuses:
+        return beginAtServer(step);
+    case soak_fault::SilenceServer:
+        return m_fleet.serverLink(step.target).set(R"({"half_open":true})");
+    case soak_fault::ResetServer:
+        return m_fleet.serverLink(step.target).set(R"({"cut_probability":0.5,"seed":)" + std::to_string(m_options.plan.seed) + '}');
+    case soak_fault::DelayServer:
+        return m_fleet.serverLink(step.target).set(R"({"delay_ms":100})");
+    case soak_fault::ResetCallers:
+        return m_fleet.callerLink(step.target).set(R"({"cut_probability":0.5,"seed":)" + std::to_string(m_options.plan.seed) + '}');
+    case soak_fault::DelayCallers:
+        return m_fleet.callerLink(step.target).set(R"({"delay_ms":100})");
+    case soak_fault::DrainServer:
+        return m_fleet.list(step.target, "draining");
+    case soak_fault::LapseServer:
+        return m_fleet.store().remove("servers", m_fleet.server(step.target).id());
+    case soak_fault::CoolServer:
+        return m_fleet.list(step.target, "ready", static_cast<int>(step.length.count()));
+    case soak_fault::ChangeKey:
+        ++m_keyNumber;
+        changeConfiguration();
+        m_evidence.keyRemovals.push_back(now());
+        m_callers.setKey(m_keyNumber);
+        return;
+    case soak_fault::ChangeConfiguration:
+        return changeConfiguration();
+    }
+}
+
+void soak_run::beginAtServer(const soak_step& step)
+{
+    server_behaviour behaviour = wellBehaviour();
+    if (step.fault == soak_fault::ServerFails)
+        behaviour.kind = answer_kind::Failure;
+    else if (step.fault == soak_fault::ServerCuts)
+        behaviour.kind = answer_kind::Cut;
+    else if (step.fault == soak_fault::ServerCrashes)
+        behaviour.kind = answer_kind::Crash;
+    else if (step.fault == soak_fault::ServerHangs)
+        behaviour.kind = answer_kind::Silent;
+    else
+        behaviour.kind = answer_kind::NotRun;
+    m_fleet.server(step.target).setBehaviour(behaviour);
+}
+
+void soak_run::changeConfiguration()
+{
+    m_fleet.configure(++m_version, soak_callers::keyOf(m_keyNumber));
+    m_versions.setNewest(m_version);
+}
+
+void soak_run::end(const soak_step& step)
+{
+    switch (partOf(step.fault)) {
+    case soak_part::Daemon:
+        if (step.fault == soak_fault::PauseDaemon)
+            m_fleet.daemon(step.target).signal(SIGCONT);
+        else
+            restartStopped(step.target, step.at);
+        return;
+    case soak_part::StoreLink:
+        return m_fleet.storeLink(step.target).clear();
+    case soak_part::Store:
+        m_fleet.store().setFault(store_fault::None);
+        return m_fleet.store().setUnreachable(false);
+    case soak_part::Server:
+        return m_fleet.server(step.target).setBehaviour(wellBehaviour());
+    case soak_part::ServerLink:
+        return m_fleet.serverLink(step.target).clear();
+    case soak_part::CallerLink:
+        return m_fleet.callerLink(step.target).clear();
+    case soak_part::List:
+        return m_fleet.list(step.target);
+    case soak_part::Configuration:
+        return;
+    }
+}
+
+// A daemon that still drains is looked at again a little later.
+void soak_run::restartStopped(int daemon, milliseconds stoppedAt)
+{
+    const bool isLate = now() > stoppedAt + relay_fleet::stopGrace + stopSlack;
+    if (!m_fleet.daemon(daemon).wait(milliseconds { 0 })) {
+        if (!isLate) {
+            m_due.push_back({ now() + tick, [this, daemon, stoppedAt] { restartStopped(daemon, stoppedAt); } });
+            return;
+        }
+        m_evidence.broken.push_back(fmt::format("daemon {}, stopped at {} ms, still runs at {} ms", daemon, stoppedAt.count(), now().count()));
+        m_fleet.daemon(daemon).signal(SIGKILL);
+    }
+    m_fleet.restart(daemon);
+    m_mayBeOut.at(static_cast<std::size_t>(daemon)) = false;
+}
+
+void soak_run::checkProcesses()
+{
+    for (int daemon = 0; daemon < m_fleet.daemons(); ++daemon) {
+        if (m_mayBeOut[static_cast<std::size_t>(daemon)])
+            continue;
+        const std::optional<int> status = m_fleet.daemon(daemon).wait(milliseconds { 0 });
+        if (!status)
+            continue;
+        m_evidence.broken.push_back(fmt::format("daemon {} ended by itself before {} ms with wait status {}", daemon, now().count(), *status));
+        m_fleet.restart(daemon);
+    }
+}
+
+static long peakMemoryKilobytes(pid_t process)
+{
+    std::ifstream status { "/proc/" + std::to_string(process) + "/status" };
+    std::string word;
+    long kilobytes = 0;
+    while (status >> word) {
+        if (word == "VmHWM:")
+            status >> kilobytes;
+    }
+    return kilobytes;
+}
+
+void soak_run::checkEnd()
+{
+    const std::vector<std::string> reverted = m_versions.broken();
+    m_evidence.broken.insert(m_evidence.broken.end(), reverted.begin(), reverted.end());
+    for (int daemon = 0; daemon < m_fleet.daemons(); ++daemon) {
+        if (m_versions.seen(daemon) != m_version)
+            m_evidence.broken.push_back(fmt::format("daemon {} serves version {} at the end, not {}", daemon, m_versions.seen(daemon), m_version));
+        if (!m_fleet.waitReady(daemon, true, milliseconds { 0 }))
+            m_evidence.broken.push_back(fmt::format("daemon {} is not ready at the end", daemon));
+        if (const long peak = peakMemoryKilobytes(m_fleet.daemon(daemon).pid()); peak > mostMemoryKilobytes)
+            m_evidence.broken.push_back(fmt::format("daemon {} held {} KB", daemon, peak));
+        if (m_fleet.lookUp(daemon).size() != static_cast<std::size_t>(m_fleet.daemons()))
+            m_evidence.broken.push_back(fmt::format("daemon {} doesn't name all daemons at the end", daemon));
+    }
+}
+
+} // namespace radishflow
--- a/test/Support/child_process.cpp
+++ b/test/Support/child_process.cpp
@@ -20,7 +20,8 @@
 child_process::child_process(const child_options& options)
 {
     start(options);
-    readLine(options.startBound);
+    if (options.outputFile.empty())
+        readLine(options.startBound);
 }
 
 child_process::~child_process()
@@ -62,10 +63,15 @@
     int error = -1;
     if (!options.errorFile.empty())
         error = ::open(options.errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    int output = pipe[1];
+    if (!options.outputFile.empty())
+        output = ::open(options.outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     const pid_t parent = ::getpid();
     m_pid = ::fork();
     if (m_pid == 0)
-        becomeProgram(arguments.data(), pipe[1], error, parent);
+        becomeProgram(arguments.data(), output, error, parent);
+    if (output != pipe[1])
+        ::close(output);
     ::close(pipe[1]);
     if (error >= 0)
         ::close(error);
--- a/test/Support/child_process.h
+++ b/test/Support/child_process.h
@@ -13,6 +13,7 @@
 struct child_options {
     std::string program;
     std::vector<std::string> arguments;
+    std::string outputFile; ///< Where stdout goes; empty for a pipe, which is read up to the listening line.
     std::string errorFile; ///< Where stderr goes; empty for the test's own.
     std::chrono::milliseconds startBound { 10000 }; ///< How long to wait for the listening line.
 };
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -34,8 +34,6 @@
 static constexpr std::chrono::seconds announceRetry { 1 };
 // Descriptors that are left for servers, the store and files.
 static constexpr std::size_t reservedDescriptors = 1000;
-// The part of the time for which keys are trusted after which callers are better sent to another daemon.
-static constexpr double staleShare = 0.6;
 // Keys without a bound of the operator's are trusted for as long as the process runs.
 static constexpr std::chrono::hours unboundedTrust { 24 * 365 };
 static constexpr std::chrono::milliseconds overloadRetryAfter { 500 };
@@ -176,8 +174,7 @@
         routing.setFleet(view);
         feed.refresh(fleet, view->size);
         hints.send({ .loads = ledger.takeReports(), .crashes = crashes.takeNews() }, *view);
-        const auto trust = std::chrono::duration_cast<duration>(keyTrust * staleShare);
-        const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < trust;
+        const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
         if (isReady.exchange(ready) != ready) {
             spdlog::info("event=readiness_changed ready={} config_age_ms={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count());
             fleet.setTakesCallers(ready);
