Keep a prompt at the server that holds it when others join

Change: daemons remember where each prompt went (prompt_homes, 20 s, bounded) and tell each other in the datagrams of hints; it stays there while that server takes requests, and goes next where it was sent besides. A server that holds the prompt may carry 1.75 times the mean, since it answers with less work.

--- a/include/radishflow/Fleet/hint_codec.h
+++ b/include/radishflow/Fleet/hint_codec.h
@@ -13,6 +13,7 @@
 /// Hints of each kind that fit into one datagram.
 inline constexpr std::size_t mostSharedLoads = 80;
 inline constexpr std::size_t mostSharedCrashes = 8;
+inline constexpr std::size_t mostSharedHomes = 24;
 
 /// Encodes as many hints as fit.
 std::string encodeHints(const server_hints&);
--- a/include/radishflow/Fleet/server_hints.h
+++ b/include/radishflow/Fleet/server_hints.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Admission/crash_record.h"
+#include "radishflow/Routing/prompt_home.h"
 #include "radishflow/Routing/shared_load.h"
 
 #include <vector>
@@ -11,6 +12,7 @@
 struct server_hints {
     std::vector<shared_load> loads;
     std::vector<crash_record> crashes;
+    std::vector<prompt_home> homes;
 };
 
 } // namespace radishflow
--- /dev/null
+++ b/include/radishflow/Routing/prompt_home.h
@@ -0,0 +1,18 @@
+// Declares prompt_home, where one daemon tells another that a prompt is cached.
+#pragma once
+
+#include <cstdint>
+
+namespace radishflow {
+
+struct prompt_home {
+    std::uint32_t prompt = 0; ///< promptHashOf() the request's affinity.
+    std::uint32_t server = 0; ///< loadHashOf() the server's id.
+};
+
+constexpr std::uint32_t promptHashOf(std::uint64_t affinity)
+{
+    return static_cast<std::uint32_t>(affinity ^ (affinity >> 32U));
+}
+
+} // namespace radishflow
--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -5,6 +5,7 @@
 #include "radishflow/Routing/choose_server.h"
 #include "radishflow/Routing/chosen_server.h"
 #include "radishflow/Routing/cold_senders.h"
+#include "radishflow/Routing/prompt_homes.h"
 #include "radishflow/Routing/server_list.h"
 #include "radishflow/Routing/server_outcome.h"
 #include "radishflow/Routing/server_query.h"
@@ -14,6 +15,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -55,16 +58,19 @@
         const std::lock_guard lock { m_mutex };
         const time_point now = m_clock.now();
         const std::vector<server_candidate> candidates = candidatesFor(list, query, now);
-        const std::optional<std::size_t> chosen = chooseServer(candidates, list.serversOf(query.service).size(), query.affinity, query.tieBreak, m_options.choice);
+        const std::vector<const listed_server*> holders = holdersOf(list, query, now);
+        const std::optional<std::size_t> chosen = chooseServer(candidates, list.serversOf(query.service).size(), query.affinity, query.tieBreak, m_options.choice, indicesOf(candidates, holders));
         if (!chosen)
             return std::nullopt;
         const listed_server& server = *candidates[*chosen].server;
+        const std::string cacheSource = cacheSourceAddress(list, query, holders, server, now);
+        noteHome(list, query, server, now);
         server_record& record = m_records[server.id];
         record.service = server.service;
         if (isColdFor(server, query, now))
             record.cold.take(now, coldRate(query));
         ++record.inFlight;
-        return chosen_server { .server = server, .cacheSource = cacheSourceAddress(list, query, server, now) };
+        return chosen_server { .server = server, .cacheSource = cacheSource };
     }
 
     void finish(const server_id& server, server_outcome outcome)
@@ -127,6 +133,24 @@
         }
     }
 
+    /// Returns prompts and their homes that other daemons are to know of, since the last call.
+    std::vector<prompt_home> takeHomes()
+    {
+        const std::lock_guard lock { m_mutex };
+        return m_homes.takeNews();
+    }
+
+    /// Takes what another daemon told of prompts. Where two know different homes, all settle on the older server.
+    void noteSharedHomes(const std::vector<prompt_home>& homes)
+    {
+        const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
+        for (const prompt_home& home : homes) {
+            if (m_byLoadHash.contains(home.server))
+                m_homes.merge(home, now, [this](std::uint32_t theirs, std::uint32_t ours) { return isOlder(theirs, ours); });
+        }
+    }
+
     /// Forgets servers that are listed no longer and hold none of this daemon's requests.
     void retain(const server_list& list)
     {
@@ -186,13 +210,78 @@
         return well.empty() ? unreachable : well;
     }
 
-    std::string cacheSourceAddress(const server_list& list, const server_query& query, const listed_server& chosen, time_point now) const
+    bool isOlder(std::uint32_t left, std::uint32_t right) const
+    {
+        const auto bornAt = [this](std::uint32_t server) {
+            const auto id = m_byLoadHash.find(server);
+            const auto record = id == m_byLoadHash.end() ? m_records.end() : m_records.find(id->second);
+            return record == m_records.end() ? std::numeric_limits<std::int64_t>::max() : record->second.bornAt;
+        };
+        return std::pair { bornAt(left), left } < std::pair { bornAt(right), right };
+    }
+
+    const listed_server* listedByHash(const server_list& list, std::uint32_t hash) const
+    {
+        const auto id = m_byLoadHash.find(hash);
+        const auto server = id == m_byLoadHash.end() ? list.servers.end() : list.servers.find(id->second);
+        return server == list.servers.end() ? nullptr : &server->second;
+    }
+
+    // Also those that take nothing new: their caches can still be copied from.
+    std::vector<const listed_server*> holdersOf(const server_list& list, const server_query& query, time_point now) const
+    {
+        std::vector<const listed_server*> holders;
+        if (query.affinity == 0)
+            return holders;
+        for (const std::uint32_t hash : m_homes.find(promptHashOf(query.affinity), now)) {
+            const listed_server* server = listedByHash(list, hash);
+            if (server && server->service == query.service)
+                holders.push_back(server);
+        }
+        return holders;
+    }
+
+    static std::vector<std::size_t> indicesOf(const std::vector<server_candidate>& candidates, const std::vector<const listed_server*>& servers)
+    {
+        std::vector<std::size_t> indices;
+        for (const listed_server* server : servers) {
+            const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const server_candidate& each) { return each.server == server; });
+            if (found != candidates.end())
+                indices.push_back(static_cast<std::size_t>(found - candidates.begin()));
+        }
+        return indices;
+    }
+
+    // A home that is full or fails for a moment keeps its prompts; one that takes nothing new gives them up.
+    void noteHome(const server_list& list, const server_query& query, const listed_server& chosen, time_point now)
+    {
+        if (query.affinity == 0)
+            return;
+        const std::uint32_t prompt = promptHashOf(query.affinity);
+        const auto known = m_homes.find(prompt, now);
+        const listed_server* home = known.empty() ? nullptr : listedByHash(list, known.front());
+        const bool keepsHome = home && home->service == query.service && list.takesNewWork(*home);
+        const prompt_home chosenHome { .prompt = prompt, .server = loadHashOf(chosen.id) };
+        m_homes.use(keepsHome ? prompt_home { .prompt = prompt, .server = known.front() } : chosenHome, now);
+        m_homes.useBesides(chosenHome);
+        m_homes.tell(prompt, now);
+    }
+
+    bool isUnreachable(const listed_server& server, time_point now) const
+    {
+        const auto record = m_records.find(server.id);
+        return record != m_records.end() && record->second.unreachableUntil > now;
+    }
+
+    std::string cacheSourceAddress(const server_list& list, const server_query& query, const std::vector<const listed_server*>& holders, const listed_server& chosen, time_point now) const
     {
+        if (std::find(holders.begin(), holders.end(), &chosen) != holders.end())
+            return {};
+        const auto holder = std::find_if(holders.begin(), holders.end(), [&](const listed_server* each) { return !isUnreachable(*each, now); });
+        if (holder != holders.end())
+            return (*holder)->address;
         std::vector<const listed_server*> servers = list.serversOf(query.service);
-        std::erase_if(servers, [&](const listed_server* server) {
-            const auto record = m_records.find(server->id);
-            return record != m_records.end() && record->second.unreachableUntil > now;
-        });
+        std::erase_if(servers, [&](const listed_server* server) { return isUnreachable(*server, now); });
         const listed_server* source = cacheSourceFor(servers, chosen, query.affinity, now);
         return source ? source->address : std::string {};
     }
@@ -240,6 +329,7 @@
     std::unordered_map<server_id, server_record> m_records;
     std::unordered_map<service_id, service_health> m_health;
     std::unordered_map<std::uint32_t, server_id> m_byLoadHash;
+    prompt_homes m_homes;
     std::unordered_set<server_id> m_unshared; ///< Servers whose last report wasn't told to others.
 };
 
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -34,6 +34,10 @@
         hint.remaining_ms = static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(crash.remaining).count());
         wire.crashes.push_back(hint);
     }
+    for (std::size_t index = 0; index < std::min(hints.homes.size(), mostSharedHomes); ++index) {
+        wire.prompts.push_back(static_cast<std::int32_t>(hints.homes[index].prompt));
+        wire.homes.push_back(static_cast<std::int32_t>(hints.homes[index].server));
+    }
     const auto buffer = std::make_shared<TMemoryBuffer>();
     compact_protocol protocol { buffer };
     wire.write(&protocol);
@@ -44,7 +48,8 @@
 {
     const bool hasUsableLoads = std::all_of(wire.loads.begin(), wire.loads.end(), [](int requests) { return requests >= 0 && requests <= mostRequests; });
     const bool hasUsableCrashes = std::all_of(wire.crashes.begin(), wire.crashes.end(), [](const hints_wire::CrashHint& crash) { return crash.remaining_ms > 0 && crash.server.size() <= longestServerId; });
-    return hasUsableLoads && hasUsableCrashes && wire.servers.size() == wire.loads.size() && wire.servers.size() <= mostSharedLoads && wire.crashes.size() <= mostSharedCrashes;
+    const bool hasUsableHomes = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= mostSharedHomes;
+    return hasUsableLoads && hasUsableCrashes && hasUsableHomes && wire.servers.size() == wire.loads.size() && wire.servers.size() <= mostSharedLoads && wire.crashes.size() <= mostSharedCrashes;
 }
 
 std::optional<server_hints> decodeHints(std::string_view bytes)
@@ -63,6 +68,8 @@
     server_hints hints;
     for (std::size_t index = 0; index < wire.servers.size(); ++index)
         hints.loads.push_back({ .server = static_cast<std::uint32_t>(wire.servers[index]), .requests = wire.loads[index] });
+    for (std::size_t index = 0; index < wire.prompts.size(); ++index)
+        hints.homes.push_back({ .prompt = static_cast<std::uint32_t>(wire.prompts[index]), .server = static_cast<std::uint32_t>(wire.homes[index]) });
     for (const hints_wire::CrashHint& crash : wire.crashes) {
         hints.crashes.push_back({
             .fingerprint = { .high = static_cast<std::uint64_t>(crash.fingerprint_high), .low = static_cast<std::uint64_t>(crash.fingerprint_low) },
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -34,7 +34,7 @@
 
 void hint_exchange::send(const server_hints& hints, const fleet_view& fleet)
 {
-    if (hints.loads.empty() && hints.crashes.empty())
+    if (hints.loads.empty() && hints.crashes.empty() && hints.homes.empty())
         return;
     static thread_local std::minstd_rand random { std::random_device {}() };
     std::vector<const fleet_daemon*> peers;
--- a/lib/Routing/choose_server.cpp
+++ b/lib/Routing/choose_server.cpp
@@ -24,14 +24,19 @@
     return best;
 }
 
-std::optional<std::size_t> chooseServer(std::span<const server_candidate> candidates, std::size_t serversOfService, std::uint64_t affinity, std::uint64_t tieBreak, const choose_server_options& options)
+std::optional<std::size_t> chooseServer(std::span<const server_candidate> candidates, std::size_t serversOfService, std::uint64_t affinity, std::uint64_t tieBreak, const choose_server_options& options, std::span<const std::size_t> holders)
 {
     if (candidates.empty())
         return std::nullopt;
     if (affinity == 0)
         return leastLoaded(candidates, tieBreak, options);
     const double total = std::accumulate(candidates.begin(), candidates.end(), 0.0, [](double sum, const server_candidate& each) { return sum + each.load; });
-    const double bound = options.loadMultiple * total / static_cast<double>(std::max(serversOfService, candidates.size())) + options.loadSlack;
+    const double mean = total / static_cast<double>(std::max(serversOfService, candidates.size()));
+    for (const std::size_t holder : holders) {
+        if (candidates[holder].load <= options.holderMultiple * mean + options.loadSlack)
+            return holder;
+    }
+    const double bound = options.loadMultiple * mean + options.loadSlack;
     std::optional<std::size_t> best;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         if (candidates[index].load > bound)
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -14,4 +14,7 @@
   1: list<i32> servers
   2: list<i32> loads
   3: list<CrashHint> crashes
+  // Parallel lists: the hash of a prompt, and the hash of the id of the server that holds it.
+  4: list<i32> prompts
+  5: list<i32> homes
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -79,6 +79,7 @@
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
         , hints({ .address = withPort(options.platform.ip, options.platform.firstOwnPort + 1), .heard = [this](const server_hints& heard) {
                       ledger.noteShared(heard.loads);
+                      ledger.noteSharedHomes(heard.homes);
                       crashes.merge(heard.crashes); } })
         , feed(options.platform, routing, ledger, freshness)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
@@ -173,7 +174,7 @@
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
         feed.refresh(fleet, view->size);
-        hints.send({ .loads = ledger.takeReports(), .crashes = crashes.takeNews() }, *view);
+        hints.send({ .loads = ledger.takeReports(), .crashes = crashes.takeNews(), .homes = ledger.takeHomes() }, *view);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
         if (isReady.exchange(ready) != ready) {
             spdlog::info("event=readiness_changed ready={} config_age_ms={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count());
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -24,12 +24,21 @@
     crashes.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count / 10; ++number)
         crashes.push_back({ .fingerprint = { .high = ~std::uint64_t { 0 } - static_cast<std::uint64_t>(number), .low = 5 }, .server = server_id { "i-" + std::string(16, 'a') + std::to_string(number) }, .remaining = 9s });
-    const std::string datagram = encodeHints({ .loads = loads, .crashes = crashes });
+    std::vector<prompt_home> homes;
+    homes.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number)
+        homes.push_back({ .prompt = 0xffffff00U - static_cast<std::uint32_t>(number), .server = 0xfffffff0U });
+    const std::string datagram = encodeHints({ .loads = loads, .crashes = crashes, .homes = homes });
     BOOST_TEST(datagram.size() <= 1200U);
     const auto decoded = decodeHints(datagram);
     BOOST_REQUIRE(decoded.has_value());
     BOOST_REQUIRE(decoded->loads.size() == std::min(loads.size(), mostSharedLoads));
     BOOST_REQUIRE(decoded->crashes.size() == std::min(crashes.size(), mostSharedCrashes));
+    BOOST_REQUIRE(decoded->homes.size() == std::min(homes.size(), mostSharedHomes));
+    for (std::size_t index = 0; index < decoded->homes.size(); ++index) {
+        BOOST_TEST(decoded->homes[index].prompt == homes[index].prompt);
+        BOOST_TEST(decoded->homes[index].server == homes[index].server);
+    }
     for (std::size_t index = 0; index < decoded->crashes.size(); ++index) {
         BOOST_TEST((decoded->crashes[index].fingerprint == crashes[index].fingerprint));
         BOOST_TEST(decoded->crashes[index].server.value() == crashes[index].server.value());
@@ -46,12 +55,12 @@
     std::mt19937 random { 11 };
     std::uniform_int_distribution<int> byte { 0, 255 };
     for (int round = 0; round < 20000; ++round) {
-        std::string bytes = round % 2 == 0 ? encodeHints({ .loads = { { 1, 2 }, { 3, 4 } }, .crashes = { { .fingerprint = { 1, 2 }, .server = server_id { "i" }, .remaining = 1s } } }) : std::string(static_cast<std::size_t>(round % 40), '\0');
+        std::string bytes = round % 2 == 0 ? encodeHints({ .loads = { { 1, 2 }, { 3, 4 } }, .crashes = { { .fingerprint = { 1, 2 }, .server = server_id { "i" }, .remaining = 1s } }, .homes = { { 5, 6 }, { 7, 8 } } }) : std::string(static_cast<std::size_t>(round % 40), '\0');
         for (std::size_t change = 0; change < 3 && !bytes.empty(); ++change)
             bytes[static_cast<std::size_t>(random()) % bytes.size()] = static_cast<char>(byte(random));
         const auto decoded = decodeHints(bytes);
         if (decoded)
-            BOOST_REQUIRE(decoded->loads.size() <= mostSharedLoads);
+            BOOST_REQUIRE((decoded->loads.size() <= mostSharedLoads && decoded->homes.size() <= mostSharedHomes));
     }
 }
 
--- a/unittests/Routing/choose_server_test.cpp
+++ b/unittests/Routing/choose_server_test.cpp
@@ -100,3 +100,24 @@
     }
     BOOST_TEST(moved < 2 * prompts / 19);
 }
+
+// A server that holds the prompt goes before the first by rank, up to its own bound, then the next one that holds it.
+BOOST_AUTO_TEST_CASE(holdersGoFirstUpToTheirBound)
+{
+    const choose_server_options options;
+    loaded_fleet fleet { 18 };
+    constexpr double mean = 4;
+    for (server_candidate& candidate : fleet.candidates)
+        candidate.load = mean;
+    const auto choose = [&](const std::vector<std::size_t>& holders) { return *chooseServer(fleet.candidates, fleet.candidates.size(), 5, 0, options, holders); };
+    const std::size_t first = choose({});
+    const std::size_t home = (first + 1) % 18;
+    const std::size_t besides = (first + 2) % 18;
+    BOOST_TEST(choose({ home, besides }) == home);
+    fleet.candidates[home].load = options.holderMultiple * mean + options.loadSlack;
+    BOOST_TEST(choose({ home, besides }) == home);
+    fleet.candidates[home].load += 2;
+    BOOST_TEST(choose({ home, besides }) == besides);
+    fleet.candidates[home].load = fleet.candidates[besides].load = 30;
+    BOOST_TEST(choose({ home, besides }) == first);
+}
