Measure what a relaying daemon adds to the first event

The reading of a process's use and percentiles move to the tests' support, where the soak uses them too; the fleet for tests throws what fails instead of requiring it, since a benchmark has no test case.

--- a/benchmarks/latency/latency_benchmark.cpp
+++ b/benchmarks/latency/latency_benchmark.cpp
@@ -1,5 +1,6 @@
 // Measures what a daemon adds to the times of streamed tokens, and what it costs, against real processes on loopback.
-#include "process_usage.h"
+#include "Support/percentile.h"
+#include "Support/process_usage.h"
 #include "stream_round.h"
 #include "test_fleet.h"
 
--- a/benchmarks/latency/stream_round.cpp
+++ b/benchmarks/latency/stream_round.cpp
@@ -3,7 +3,6 @@
 
 #include "test_fleet.h"
 
-#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -71,13 +70,4 @@
     return all;
 }
 
-double percentileOf(std::vector<double> values, double share)
-{
-    if (values.empty())
-        return 0;
-    const auto place = values.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), place, values.end());
-    return *place;
-}
-
 } // namespace radishflow
--- a/benchmarks/latency/stream_round.h
+++ b/benchmarks/latency/stream_round.h
@@ -26,7 +26,4 @@
 /// Runs one thread per stream.
 round_times runRound(const round_options&);
 
-/// Returns the value at a share, such as 0.95, of the sorted values; 0 when there are none.
-double percentileOf(std::vector<double> values, double share);
-
 } // namespace radishflow
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <random>
 #include <sstream>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace radishflow {
@@ -38,6 +39,13 @@
     return first + step * static_cast<int>(random() % choices);
 }
 
+// Benchmarks use the fleet without a test case, so what fails is thrown.
+static void requireThat(bool isTrue, const std::string& otherwise)
+{
+    if (!isTrue)
+        throw std::runtime_error(otherwise);
+}
+
 relay_fleet::relay_fleet(const relay_fleet_options& options)
     : m_options(options)
     , m_folder(std::filesystem::temp_directory_path() / ("relay-fleet-" + std::to_string(getpid())))
@@ -64,8 +72,8 @@
         start(number);
     }
     for (int number = 0; number < options.daemons; ++number)
-        BOOST_REQUIRE_MESSAGE(waitReady(number), "daemon " << number << " is not ready");
-    BOOST_REQUIRE(waitUntil([&] { return lookUp(0).size() == m_daemons.size(); }, std::chrono::seconds { 10 }));
+        requireThat(waitReady(number), "daemon " + std::to_string(number) + " is not ready");
+    requireThat(waitUntil([&] { return lookUp(0).size() == m_daemons.size(); }, std::chrono::seconds { 10 }), "the first daemon doesn't name all daemons");
 }
 
 relay_fleet::~relay_fleet()
--- a/test/Soak/soak_run.cpp
+++ b/test/Soak/soak_run.cpp
@@ -1,11 +1,12 @@
 // Implements the playing of a soak.
 #include "soak_run.h"
 
+#include "Support/process_usage.h"
+
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
 #include <thread>
 
 namespace radishflow {
@@ -15,7 +16,7 @@
 
 static constexpr milliseconds tick { 10 };
 static constexpr milliseconds stopSlack { 1000 }; ///< For the process to end after its grace.
-static constexpr long mostMemoryKilobytes = 32 * 1024; // Letter 1.
+static constexpr double mostMegabytes = 32; // Letter 1.
 
 static server_behaviour wellBehaviour()
 {
@@ -213,18 +214,6 @@
     }
 }
 
-static long peakMemoryKilobytes(pid_t process)
-{
-    std::ifstream status { "/proc/" + std::to_string(process) + "/status" };
-    std::string word;
-    long kilobytes = 0;
-    while (status >> word) {
-        if (word == "VmHWM:")
-            status >> kilobytes;
-    }
-    return kilobytes;
-}
-
 void soak_run::checkEnd()
 {
     const std::vector<std::string> reverted = m_versions.broken();
@@ -234,8 +223,8 @@
             m_evidence.broken.push_back(fmt::format("daemon {} serves version {} at the end, not {}", daemon, m_versions.seen(daemon), m_version));
         if (!m_fleet.waitReady(daemon, true, milliseconds { 0 }))
             m_evidence.broken.push_back(fmt::format("daemon {} is not ready at the end", daemon));
-        if (const long peak = peakMemoryKilobytes(m_fleet.daemon(daemon).pid()); peak > mostMemoryKilobytes)
-            m_evidence.broken.push_back(fmt::format("daemon {} held {} KB", daemon, peak));
+        if (const double peak = usageOf(m_fleet.daemon(daemon).pid()).peakMegabytes; peak > mostMegabytes)
+            m_evidence.broken.push_back(fmt::format("daemon {} held {:.1f} MB", daemon, peak));
         if (m_fleet.lookUp(daemon).size() != static_cast<std::size_t>(m_fleet.daemons()))
             m_evidence.broken.push_back(fmt::format("daemon {} doesn't name all daemons at the end", daemon));
     }
