--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -71,6 +71,8 @@
         return refuse(*m_admitted.problem);
     if (const auto problem = refusalWhileStopping())
         return refuse(*problem);
+    if (m_admitted.target->kind == work_kind::Stream && m_message.head.minorVersion == 0)
+        return refuse({ .status = 505, .title = "Streams need HTTP/1.1", .detail = "without chunks a stream that breaks looks like one that ends" });
     m_fingerprint = crash_guard::fingerprint(m_record.workspace, m_admitted.service, m_message.head.target, m_message.body);
     if (const auto problem = refusalOfCrashing())
         return refuse(*problem);
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -1,6 +1,7 @@
 // Tests the whole path of the relay: real daemons between callers and stand-ins of the users' platform.
 #include "relay_fleet.h"
 
+#include <Poco/Net/StreamSocket.h>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -145,6 +146,23 @@
     BOOST_TEST(fleet.runs() == 4);
 }
 
+// HTTP/1.0 has no chunks, so its callers could not tell a broken stream from a whole one.
+BOOST_AUTO_TEST_CASE(streamsAreRefusedToCallersWithoutChunks)
+{
+    relay_fleet fleet { { .daemons = 1, .servers = 1 } };
+    const auto statusLineOf = [&](const std::string& path) {
+        Poco::Net::StreamSocket socket { Poco::Net::SocketAddress { fleet.callerAddress(0) } };
+        const std::string request = "GET " + path + " HTTP/1.0\r\nHost: h\r\nX-Request-Id: old\r\nApi-Key: " + relay_fleet::key + "\r\n\r\n";
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::string received(12, ' ');
+        socket.receiveBytes(received.data(), static_cast<int>(received.size()));
+        return received;
+    };
+    BOOST_TEST(statusLineOf("/stream/a") == "HTTP/1.1 505");
+    BOOST_TEST(fleet.runs() == 0);
+    BOOST_TEST(statusLineOf("/read/a") == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(callerThatLeavesEndsTheWork)
 {
     relay_fleet fleet { { .daemons = 1, .servers = 1 } };
--- a/test/Soak/soak_run.cpp
+++ b/test/Soak/soak_run.cpp
@@ -79,8 +79,7 @@
         return;
     case soak_fault::KillDaemon:
     case soak_fault::StopDaemon:
-        if (!isOut())
-            m_fleet.daemon(step.target).signal(step.fault == soak_fault::KillDaemon ? SIGKILL : SIGTERM);
+        m_fleet.daemon(step.target).signal(step.fault == soak_fault::KillDaemon ? SIGKILL : SIGTERM);
         m_mayBeOut.at(static_cast<std::size_t>(step.target)) = true;
         return;
     case soak_fault::CutStore:
@@ -185,9 +184,11 @@
     }
 }
 
-// A daemon that still drains is looked at again a little later.
+// A daemon that still drains is looked at again a little later, unless a kill meanwhile has brought it back.
 void soak_run::restartStopped(int daemon, milliseconds stoppedAt)
 {
+    if (!m_mayBeOut.at(static_cast<std::size_t>(daemon)))
+        return;
     const bool isLate = now() > stoppedAt + relay_fleet::stopGrace + stopSlack;
     if (!m_fleet.daemon(daemon).wait(milliseconds { 0 })) {
         if (!isLate) {
--- a/test/Support/child_process.cpp
+++ b/test/Support/child_process.cpp
@@ -43,6 +43,8 @@
     ::dup2(output, STDOUT_FILENO);
     if (error >= 0)
         ::dup2(error, STDERR_FILENO);
+    // A connection of the test's that a program inherits stays open after the test has closed it.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(arguments[0], arguments);
     ::_exit(127);
 }
