Tell where a request's prompt came from; see stalls of the machine in the soak

The soak watches each core; bounds in time aren't judged for calls that met a stall of 250 ms or more, and the stalls are counted. Measured: RoutingTests originOfThePromptIsTold, SoakTests judgeHeedsDisturbances (without a stall the late call is told).

--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -210,6 +210,7 @@
 {
     const listed_server& server = chosen.server;
     ++m_record.sends;
+    m_record.prompt = nameOf(chosen.prompt);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     if (left.count() <= 0) {
         m_parts.ledger.finish(server.id, server_outcome::Abandoned);
--- a/include/radishflow/Requests/request_record.h
+++ b/include/radishflow/Requests/request_record.h
@@ -15,6 +15,7 @@
     workspace_id workspace;
     service_id service;
     std::string servers; ///< Those tried, in order, each with how the attempt ended.
+    std::string prompt = "none"; ///< Where the last server had the shared prompt from, in one word.
     std::string outcome; ///< How the request ended, in one word.
     std::string reason; ///< Why it was refused; empty where it wasn't.
     int status = 0; ///< As sent to the caller; 0 where it left first.
--- a/include/radishflow/Routing/server_ledger.h
+++ b/include/radishflow/Routing/server_ledger.h
@@ -63,14 +63,15 @@
         if (!chosen)
             return std::nullopt;
         const listed_server& server = *candidates[*chosen].server;
-        const std::string cacheSource = cacheSourceAddress(list, query, holders, server, now);
+        const bool isHeld = std::find(holders.begin(), holders.end(), &server) != holders.end();
+        const std::string cacheSource = isHeld ? std::string {} : cacheSourceAddress(list, query, holders, server, now);
         noteHome(list, query, server, now);
         server_record& record = m_records[server.id];
         record.service = server.service;
         if (isColdFor(server, query, now))
             record.cold.take(now, coldRate(query));
         ++record.inFlight;
-        return chosen_server { .server = server, .cacheSource = cacheSource };
+        return chosen_server { .server = server, .prompt = originOf(query, isHeld, cacheSource), .cacheSource = cacheSource };
     }
 
     void finish(const server_id& server, server_outcome outcome)
@@ -267,6 +268,15 @@
         m_homes.tell(prompt, now);
     }
 
+    static prompt_origin originOf(const server_query& query, bool isHeld, const std::string& cacheSource)
+    {
+        if (query.affinity == 0)
+            return prompt_origin::None;
+        if (isHeld)
+            return prompt_origin::Held;
+        return cacheSource.empty() ? prompt_origin::Read : prompt_origin::Copied;
+    }
+
     bool isUnreachable(const listed_server& server, time_point now) const
     {
         const auto record = m_records.find(server.id);
@@ -275,8 +285,6 @@
 
     std::string cacheSourceAddress(const server_list& list, const server_query& query, const std::vector<const listed_server*>& holders, const listed_server& chosen, time_point now) const
     {
-        if (std::find(holders.begin(), holders.end(), &chosen) != holders.end())
-            return {};
         const auto holder = std::find_if(holders.begin(), holders.end(), [&](const listed_server* each) { return !isUnreachable(*each, now); });
         if (holder != holders.end())
             return (*holder)->address;
--- a/test/Soak/soak_evidence.h
+++ b/test/Soak/soak_evidence.h
@@ -4,6 +4,7 @@
 #include "seen_request.h"
 #include "soak_call.h"
 #include "soak_step.h"
+#include "stall_watch.h"
 
 #include <chrono>
 #include <string>
@@ -20,6 +21,7 @@
     std::vector<std::chrono::milliseconds> keyRemovals; ///< When key 1, 2, ... was taken away.
     std::chrono::milliseconds keyRevocation { 0 }; ///< Bound within which a removed key stops working.
     std::chrono::milliseconds settled { 0 }; ///< From here on every call has to be served.
+    std::vector<machine_stall> stalls; ///< Bounds in time aren't judged while the machine stood still.
     std::vector<std::string> broken; ///< Promises that were seen to be broken on the way.
 };
 
--- a/test/Soak/soak_judge.cpp
+++ b/test/Soak/soak_judge.cpp
@@ -71,6 +71,11 @@
             });
         }
 
+        bool hasStalled(milliseconds begin, milliseconds end) const
+        {
+            return std::any_of(m_evidence.stalls.begin(), m_evidence.stalls.end(), [&](const machine_stall& stall) { return stall.begin <= end && stall.end >= begin; });
+        }
+
         static bool isExpectedPlain(const soak_call& call) { return call.body.starts_with("answer of i-") && call.body.ends_with(" to " + call.id); }
 
         // Whole events in order, and at a break at most a part of the next.
@@ -123,7 +128,7 @@
         void checkTime(const soak_call& call)
         {
             const bool isDisturbedHere = isDisturbed(soak_part::Daemon, call.daemon, call.begin, call.end) || isDisturbed(soak_part::CallerLink, call.daemon, call.begin - contact, call.end);
-            if (!isStream(call) && !isDisturbedHere && call.end - call.begin > answerBound)
+            if (!isStream(call) && !isDisturbedHere && !hasStalled(call.begin, call.end) && call.end - call.begin > answerBound)
                 tell(call, "was answered too late");
         }
 
--- a/test/Soak/soak_judge_test.cpp
+++ b/test/Soak/soak_judge_test.cpp
@@ -97,6 +97,10 @@
     evidence.calls[0].end = 13s;
     evidence.plan = { { .at = 10050ms, .length = 2s, .fault = soak_fault::PauseDaemon } };
     BOOST_TEST(judge(evidence).empty());
+    evidence.plan.clear();
+    BOOST_TEST(!judge(evidence).empty());
+    evidence.stalls = { { .begin = 12s, .end = 12300ms } };
+    BOOST_TEST(judge(evidence).empty());
     evidence.calls[2].isWhole = false;
     evidence.plan.push_back({ .at = 9s, .length = 2s, .fault = soak_fault::ServerCuts });
     BOOST_TEST(judge(evidence).empty());
--- a/test/Soak/soak_run.cpp
+++ b/test/Soak/soak_run.cpp
@@ -30,6 +30,7 @@
     , m_evidence { .plan = drawPlan(options.plan), .began = steady::now(), .keyRevocation = relay_fleet::keyRevocation, .settled = options.plan.trouble + options.settling }
     , m_callers(m_fleet, { .seed = options.plan.seed, .began = m_evidence.began })
     , m_versions(m_fleet)
+    , m_stalls(m_evidence.began)
 {
 }
 
@@ -64,6 +65,7 @@
     m_versions.stop();
     checkEnd();
     m_evidence.calls = m_callers.calls();
+    m_evidence.stalls = m_stalls.stalls();
     for (int server = 0; server < m_fleet.servers(); ++server)
         m_evidence.seen.push_back(m_fleet.server(server).seen());
     return m_evidence;
--- a/test/Soak/soak_run.h
+++ b/test/Soak/soak_run.h
@@ -5,6 +5,7 @@
 #include "soak_callers.h"
 #include "soak_evidence.h"
 #include "soak_plan.h"
+#include "stall_watch.h"
 #include "version_watch.h"
 
 #include <chrono>
@@ -53,6 +54,7 @@
     int m_keyNumber = 1;
     soak_callers m_callers;
     version_watch m_versions;
+    stall_watch m_stalls;
 };
 
 } // namespace radishflow
--- a/unittests/Routing/server_ledger_test.cpp
+++ b/unittests/Routing/server_ledger_test.cpp
@@ -189,4 +189,22 @@
     BOOST_TEST(spread(20).contains("s2"));
 }
 
+BOOST_AUTO_TEST_CASE(originOfThePromptIsTold)
+{
+    BOOST_TEST((begin()->prompt == prompt_origin::None));
+    const auto first = begin(7);
+    BOOST_TEST((first->prompt == prompt_origin::Read));
+    ledger.retain(list);
+    std::size_t held = 0;
+    std::optional<chosen_server> next = begin(7);
+    for (; next->server.id == first->server.id; next = begin(7)) {
+        BOOST_TEST((next->prompt == prompt_origin::Held));
+        BOOST_TEST(next->cacheSource.empty());
+        BOOST_REQUIRE(++held < 100U);
+    }
+    BOOST_TEST(held > 0U);
+    BOOST_TEST((next->prompt == prompt_origin::Copied));
+    BOOST_TEST(next->cacheSource == first->server.address);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
