--- a/test/Soak/soak_test.cpp
+++ b/test/Soak/soak_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -33,6 +34,7 @@
     if (FLAGS_first_seed == 0)
         return seedsOfFile();
     std::vector<std::uint64_t> seeds;
+    seeds.reserve(static_cast<std::size_t>(std::max(FLAGS_seeds, 0)));
     for (int number = 0; number < FLAGS_seeds; ++number)
         seeds.push_back(FLAGS_first_seed + static_cast<std::uint64_t>(number));
     return seeds;
@@ -42,7 +44,7 @@
 {
     if (FLAGS_logs.empty())
         return {};
-    const std::string folder = FLAGS_logs + "/seed-" + std::to_string(seed);
+    std::string folder = FLAGS_logs + "/seed-" + std::to_string(seed);
     std::filesystem::create_directories(folder);
     return folder;
 }
