Decode the head of an answer once

Cause: the head was decoded to see whether it belongs to the request, and again to judge it. Change: what the first decoding found is judged. Measured: no behaviour changes. RelayTests and relay pass unchanged.

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -49,8 +49,8 @@
     duration patience() const;
     std::size_t mostKeptConnections() const;
     bool tryResend();
-    attempt_end judgeState(const listed_server&, server_exchange&, exchange_state);
-    attempt_end judgeAnswer(const listed_server&, server_exchange&);
+    attempt_end judgeState(const listed_server&, server_exchange&, exchange_state, const answer_facts&);
+    attempt_end judgeAnswer(const listed_server&, server_exchange&, const answer_facts&);
     attempt_end passWhole(const listed_server&, server_exchange&);
     attempt_end passEvents(const listed_server&, server_exchange&);
     attempt_end endOfFailure(const listed_server&, body_step);
--- a/include/radishflow/Relay/relay_call_answers.h
+++ b/include/radishflow/Relay/relay_call_answers.h
@@ -12,10 +12,9 @@
 inline constexpr std::chrono::seconds callerSendTimeout { 10 };
 
 template <relay_protocol Protocol>
-typename relay_call<Protocol>::attempt_end relay_call<Protocol>::judgeAnswer(const listed_server& server, server_exchange& exchange)
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::judgeAnswer(const listed_server& server, server_exchange& exchange, const answer_facts& facts)
 {
     constexpr int firstServerError = 500;
-    const answer_facts facts = m_protocol.readAnswer(exchange.head());
     if (facts.load)
         m_parts.ledger.noteReport(server.id, *facts.load);
     if (facts.isOtherServer) {
--- a/include/radishflow/Relay/relay_call_steps.h
+++ b/include/radishflow/Relay/relay_call_steps.h
@@ -237,9 +237,10 @@
             .mostKept = mostKeptConnections(),
             .isHeadOnly = m_message.head.method == "HEAD" } };
     const std::string head = m_protocol.writeRequest(m_message.head, facts, m_message.body.size());
-    const auto isForRequest = [&](const response_head& answer) {
-        const answer_facts answered = m_protocol.readAnswer(answer);
-        return !answered.answered || *answered.answered == m_request.id;
+    answer_facts answer; // Of the last head that came.
+    const auto isForRequest = [&](const response_head& answerHead) {
+        answer = m_protocol.readAnswer(answerHead);
+        return !answer.answered || *answer.answered == m_request.id;
     };
     ++m_arrivals;
     exchange_state state = exchange.start(head, m_message.body, isForRequest);
@@ -250,15 +251,15 @@
         if (!m_hasResendGrant)
             state = exchange.awaitHead(m_deadline);
     }
-    return judgeState(server, exchange, state);
+    return judgeState(server, exchange, state, answer);
 }
 
 template <relay_protocol Protocol>
-typename relay_call<Protocol>::attempt_end relay_call<Protocol>::judgeState(const listed_server& server, server_exchange& exchange, exchange_state state)
+typename relay_call<Protocol>::attempt_end relay_call<Protocol>::judgeState(const listed_server& server, server_exchange& exchange, exchange_state state, const answer_facts& answer)
 {
     switch (state) {
     case exchange_state::Answered:
-        return judgeAnswer(server, exchange);
+        return judgeAnswer(server, exchange, answer);
     case exchange_state::NotSent:
         --m_arrivals;
         return fail(server, server_outcome::Unreachable, false, "unreachable");
