Serve callers and the daemon's pages by one loop

Cause: serveCaller and serveDocuments repeated the steps of a connection: read, refuse what can't be read, answer, keep or close. Change: serveMessages holds the loop; the two say what bounds hold, what is noted and how one is answered. RelayTests and relay pass unchanged.

--- a/include/radishflow/Relay/relay_session.h
+++ b/include/radishflow/Relay/relay_session.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "radishflow/Relay/relay_call.h"
-#include "radishflow/Relay/session_end.h"
+#include "radishflow/Relay/serve_messages.h"
 
 namespace radishflow {
 
@@ -10,32 +10,21 @@
 template <relay_protocol Protocol>
 session_end serveCaller(const Protocol& protocol, const relay_parts& parts, relay_socket& caller)
 {
-    while (true) {
+    const auto limits = [&] {
         const auto routes = parts.routing.routes();
-        caller_message message;
-        const read_result read = readRequest(caller, routes ? routes->limits() : caller_limits {}, message);
-        if (read.isClosed)
-            return session_end::Closed;
-        if (read.problem) {
-            request_record record { .route = "unread", .outcome = "unreadable", .status = read.problem->status };
-            parts.metrics.count(record);
-            logRequest(record);
-            if (caller.send(writeRefusal(*read.problem, {}, false), boottime_clock {}.now() + callerSendTimeout) == io_outcome::Done)
-                caller.closeGently();
-            return session_end::Closed;
-        }
+        return routes ? routes->limits() : caller_limits {};
+    };
+    const auto noteUnreadable = [&](const refusal& problem) {
+        request_record record { .route = "unread", .outcome = "unreadable", .status = problem.status };
+        parts.metrics.count(record);
+        logRequest(record);
+    };
+    return serveMessages(caller, callerSendTimeout, limits, noteUnreadable, [&](const caller_message& message) {
         const bool keepsOpen = keepsConnection(message.head.minorVersion, message.head.fields) && !parts.stop.isStopping();
-        if (!relay_call<Protocol> { protocol, parts, caller, message, keepsOpen }.run()) {
-            caller.close();
-            return session_end::Closed;
-        }
-        if (!keepsOpen) {
-            caller.closeGently();
-            return session_end::Closed;
-        }
-        if (caller.input().empty())
-            return session_end::Idle;
-    }
+        if (!relay_call<Protocol> { protocol, parts, caller, message, keepsOpen }.run())
+            return response_end::Broken;
+        return keepsOpen ? response_end::Next : response_end::Last;
+    });
 }
 
 } // namespace radishflow
