Code gossip and hints by one pair of functions

Cause: hint_codec repeated what gossip_codec does with Thrift's buffers, and copied the bytes to do so.

--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -1,22 +1,18 @@
 // Implements the datagrams of hints on Thrift's compact protocol.
 #include "radishflow/Fleet/hint_codec.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
+#include "radishflow/Gossip/compact_message.h"
 
 #include <algorithm>
 #include <chrono>
 #include <hints_types.h>
-#include <memory>
 
 namespace radishflow {
 
-using apache::thrift::transport::TMemoryBuffer;
-using compact_protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
-
 // A load beyond this is not one that a server could bear.
 static constexpr int mostRequests = 100000;
 static constexpr std::size_t longestServerId = 64;
+static constexpr std::size_t mostHintBytes = 1200;
 
 std::string encodeHints(const server_hints& hints)
 {
@@ -38,10 +34,7 @@
         wire.prompts.push_back(static_cast<std::int32_t>(hints.homes[index].prompt));
         wire.homes.push_back(static_cast<std::int32_t>(hints.homes[index].server));
     }
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    compact_protocol protocol { buffer };
-    wire.write(&protocol);
-    return buffer->getBufferAsString();
+    return encodeCompact(wire, mostHintBytes);
 }
 
 static bool isUsable(const hints_wire::Hints& wire)
@@ -55,15 +48,7 @@
 std::optional<server_hints> decodeHints(std::string_view bytes)
 {
     hints_wire::Hints wire;
-    try {
-        std::string copy { bytes };
-        const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(copy.data()), static_cast<std::uint32_t>(copy.size()));
-        compact_protocol protocol { buffer, static_cast<int>(copy.size()), static_cast<int>(copy.size()) };
-        wire.read(&protocol);
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-    if (!isUsable(wire))
+    if (!decodeCompact(bytes, static_cast<int>(bytes.size()), wire) || !isUsable(wire))
         return std::nullopt;
     server_hints hints;
     for (std::size_t index = 0; index < wire.servers.size(); ++index)
--- a/lib/Gossip/gossip_codec.cpp
+++ b/lib/Gossip/gossip_codec.cpp
@@ -1,21 +1,16 @@
 // Converts gossip messages; checks all limits before a message reaches the membership.
 #include "radishflow/Gossip/gossip_codec.h"
 
+#include "radishflow/Gossip/compact_message.h"
 #include "radishflow/Membership/member_record.h"
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 #include <algorithm>
 #include <cstring>
 #include <gossip_types.h>
-#include <memory>
 
 namespace radishflow {
 
 namespace wire = gossip_wire;
-using compact_protocol = apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer>;
-using apache::thrift::transport::TMemoryBuffer;
 
 static constexpr std::size_t maxNameBytes = 64;
 
@@ -120,10 +115,7 @@
 
 std::string encodeGossip(const gossip_message& message)
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>(static_cast<std::uint32_t>(gossip_message::maxBytes));
-    compact_protocol protocol(buffer);
-    toWire(message).write(&protocol);
-    return buffer->getBufferAsString();
+    return encodeCompact(toWire(message), gossip_message::maxBytes);
 }
 
 static bool areNames(std::initializer_list<const std::string*> names)
@@ -232,18 +224,9 @@
     const auto refuse = [](const char* why) { return fail({ .code = failure_code::Broken, .step = "decode gossip", .peer = {}, .detail = why }); };
     if (bytes.empty() || bytes.size() > gossip_message::maxBytes)
         return refuse("size out of bounds");
-    constexpr int limit = gossip_message::maxBytes;
-    const auto configuration = std::make_shared<apache::thrift::TConfiguration>(limit, limit, 8);
-    // The buffer only observes the bytes; Thrift asks for a pointer that is not const.
-    auto* start = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
     wire::Message in;
-    try {
-        const auto buffer = std::make_shared<TMemoryBuffer>(start, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, configuration);
-        compact_protocol protocol(buffer, limit, limit);
-        in.read(&protocol);
-    } catch (const std::exception&) {
+    if (!decodeCompact(bytes, gossip_message::maxBytes, in))
         return refuse("not Thrift");
-    }
     gossip_message message;
     if (!fromWire(in, message))
         return refuse("value out of bounds");
