Keep the platform's names of tests in platform/; read streams by one connection

Cause: the fleet for tests, the soak and a benchmark wrote the platform's configuration, settings, rows and header fields themselves, and the adapter's own tests stood outside its folder; relayd named the path of lookups. relay_fleet::stream and soak_connection both read answers by the relay's parsers. Change: standin_call, standin_config and store_standin write and read what the platform's words are needed for; the tests of the adapter move to platform/unittests; caller_connection serves the fleet and the soak. The check for names looks through test, unittests and benchmarks as well, and for four names more. Measured: wireNamesStayInTheAdapter fails before this commit for the folders that it now looks through. No assertion changed otherwise: UsersPlatformTests, SoakTests, relay and the soak's seeds pass.

--- a/benchmarks/relay/event_round.cpp
+++ b/benchmarks/relay/event_round.cpp
@@ -2,6 +2,7 @@
 #include "event_round.h"
 
 #include "Support/http_call.h"
+#include "standin_call.h"
 
 #include <algorithm>
 #include <atomic>
@@ -29,7 +30,7 @@
                 const auto due = begin + std::chrono::duration_cast<steady::duration>(interval * number);
                 std::this_thread::sleep_until(due);
                 double first = -1;
-                const http_call_reply reply = httpStream({ .url = "http://" + options.address + "/stream/x", .headers = { { "Host", "h" }, { "X-Request-Id", "b" + std::to_string(number) }, { "X-Deadline-Ms", "9000" }, { "Api-Key", options.key } } },
+                const http_call_reply reply = httpStream({ .url = "http://" + options.address + "/stream/x", .headers = headersOf({ .id = "b" + std::to_string(number), .key = options.key, .timeLeft = std::chrono::seconds { 9 } }) },
                     [&](std::string_view) {
                         if (first < 0)
                             first = std::chrono::duration<double, std::milli>(steady::now() - due).count();
--- a/test/Soak/soak_connection.cpp
+++ b/test/Relay/caller_connection.cpp
@@ -1,5 +1,5 @@
-// Implements a caller's connection of a soak on the relay's own parsers.
-#include "soak_connection.h"
+// Implements a caller's connection on the relay's own parsers.
+#include "caller_connection.h"
 
 #include "radishflow/Relay/body_decoder.h"
 #include "radishflow/Relay/parse_head.h"
@@ -16,24 +16,24 @@
 
 static constexpr std::size_t mostHeadBytes = 8192;
 
-bool soak_connection::open(std::uint16_t port)
+bool caller_connection::open(const std::string& address)
 {
-    if (m_socket && m_port == port)
+    if (m_socket && m_address == address)
         return true;
     m_socket.reset();
     try {
         Poco::Net::StreamSocket socket;
-        socket.connect(Poco::Net::SocketAddress { "127.0.0.1", port }, Poco::Timespan { 1, 0 });
+        socket.connect(Poco::Net::SocketAddress { address }, Poco::Timespan { 1, 0 });
         m_socket = socket;
-        m_port = port;
+        m_address = address;
     } catch (const Poco::Exception&) {
-        return false; // A daemon that is down is a case of the soak; the caller counts it as a call without an answer.
+        return false; // A daemon that is down is a case of its own; the caller counts a call without an answer.
     }
     return true;
 }
 
 // Returns false at the end of the connection and of the time.
-bool soak_connection::receive(steady::time_point end, std::string& input)
+bool caller_connection::receive(steady::time_point end, std::string& input)
 {
     const auto left = std::chrono::duration_cast<std::chrono::microseconds>(end - steady::now());
     if (left.count() <= 0 || !m_socket->poll(toTimespan(left), Poco::Net::Socket::SELECT_READ))
@@ -44,9 +44,10 @@
     return count > 0;
 }
 
-void soak_connection::run(const std::string& request, std::chrono::milliseconds bound, soak_call& call)
+caller_answer caller_connection::run(const std::string& request, std::chrono::milliseconds bound)
 {
     const auto end = steady::now() + bound;
+    caller_answer answer;
     bool staysOpen = false;
     try {
         m_socket->sendBytes(request.data(), static_cast<int>(request.size()));
@@ -57,18 +58,19 @@
         while (state == parse_state::Incomplete && receive(end, input))
             state = parseResponseHead(input, mostHeadBytes, head, length);
         if (state == parse_state::Whole) {
-            call.status = head.status;
+            answer.status = head.status;
             input.erase(0, length);
             auto decoder = body_decoder::ofResponse(head, false);
-            while (decoder && decoder->feed(input, call.body) == body_decoder::state::Reading && receive(end, input)) { }
-            call.isWhole = decoder && decoder->isWhole();
-            staysOpen = call.isWhole && keepsConnection(head.minorVersion, head.fields);
+            while (decoder && decoder->feed(input, answer.body) == body_decoder::state::Reading && receive(end, input)) { }
+            answer.isWhole = decoder && decoder->isWhole();
+            staysOpen = answer.isWhole && keepsConnection(head.minorVersion, head.fields);
         }
     } catch (const Poco::Exception&) {
-        staysOpen = false; // Cut: the call stands without a whole answer.
+        staysOpen = false; // Cut: the answer stands as far as it came.
     }
     if (!staysOpen)
         m_socket.reset();
+    return answer;
 }
 
 } // namespace radishflow
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -24,7 +24,7 @@
     server_behaviour behaviour; ///< Of all servers at first.
 };
 
-/// One route of each kind, two workspaces; daemons on addresses of their own within loopback.
+/// The configuration of writeConfig(); daemons on addresses of their own within loopback.
 class relay_fleet {
 public:
     static constexpr const char* key = "key-of-w";
@@ -66,6 +66,7 @@
 
 private:
     std::string ipOf(int daemon) const;
+    std::uint16_t portOf(int offset) const { return static_cast<std::uint16_t>(m_port + offset); }
     std::string storeAddress(int daemon) const;
     void start(int number);
 
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -1,5 +1,6 @@
 // Tests the whole path of the relay: real daemons between callers and stand-ins of the users' platform.
 #include "relay_fleet.h"
+#include "standin_call.h"
 
 #include <Poco/Net/StreamSocket.h>
 #include <boost/test/data/monomorphic.hpp>
@@ -37,7 +38,7 @@
     const http_call_reply reply = fleet.call(0, "/order/a?b=c", "POST", relay_fleet::key, "a valve");
     BOOST_TEST(reply.status == 200);
     BOOST_TEST(reply.body.starts_with("answer of i-"));
-    BOOST_TEST(reply.headers.at("x-response-seal") == "seal-of-" + reply.body.substr(10));
+    BOOST_TEST(reply.headers.at(signatureField) == "seal-of-" + reply.body.substr(10));
     BOOST_TEST(fleet.runs() == 1);
     for (int server = 0; server < 3; ++server) {
         for (const seen_request& seen : fleet.server(server).seen()) {
@@ -96,7 +97,7 @@
         const http_call_reply reply = fleet.call(0, each.path, std::string { each.path }.starts_with("/order") ? "POST" : "GET");
         BOOST_TEST(reply.status == each.status);
         BOOST_TEST(reply.headers.contains("retry-after") == (each.status == 503));
-        BOOST_TEST(reply.headers.contains("x-response-seal") == (each.status == 500));
+        BOOST_TEST(reply.headers.contains(signatureField) == (each.status == 500));
     }
     BOOST_TEST((std::chrono::steady_clock::now() - began < 1300ms));
     BOOST_TEST(fleet.runs() <= each.mostRuns);
@@ -152,7 +153,7 @@
     relay_fleet fleet { { .daemons = 1, .servers = 1 } };
     const auto statusLineOf = [&](const std::string& path) {
         Poco::Net::StreamSocket socket { Poco::Net::SocketAddress { fleet.callerAddress(0) } };
-        const std::string request = "GET " + path + " HTTP/1.0\r\nHost: h\r\nX-Request-Id: old\r\nApi-Key: " + relay_fleet::key + "\r\n\r\n";
+        const std::string request = headText("GET " + path + " HTTP/1.0", { .id = "old", .key = relay_fleet::key }, false);
         socket.sendBytes(request.data(), static_cast<int>(request.size()));
         std::string received(12, ' ');
         socket.receiveBytes(received.data(), static_cast<int>(received.size()));
@@ -168,7 +169,7 @@
     relay_fleet fleet { { .daemons = 1, .servers = 1 } };
     fleet.server(0).setBehaviour({ .events = 1000, .pause = 20ms });
     int count = 0;
-    httpStream({ .url = "http://" + fleet.callerAddress(0) + "/stream/a", .headers = { { "Host", "h" }, { "X-Request-Id", "leaver" }, { "Api-Key", relay_fleet::key } } },
+    httpStream({ .url = "http://" + fleet.callerAddress(0) + "/stream/a", .headers = headersOf({ .id = "leaver", .key = relay_fleet::key }) },
         [&](std::string_view) { return ++count < 6; });
     BOOST_TEST(waitUntil([&] { return fleet.server(0).seen().front().hasEnded; }, 500ms));
     BOOST_TEST(fleet.server(0).seen().front().wasCancelled);
@@ -243,14 +244,14 @@
 {
     relay_fleet fleet { { .daemons = 2 } };
     fleet.list(1, "draining");
-    fleet.store().put("op", "evacuate/za", "{}");
+    fleet.store().setZoneOut("za", true);
     std::this_thread::sleep_for(1s);
     const int before = fleet.server(0).runs() + fleet.server(1).runs();
     for (int request = 0; request < 20; ++request)
         BOOST_TEST(fleet.call(request % 2, "/read/a").status == 200);
     BOOST_TEST(fleet.server(0).runs() + fleet.server(1).runs() == before);
     BOOST_TEST(fleet.server(2).runs() >= 20);
-    fleet.store().remove("op", "evacuate/za");
+    fleet.store().setZoneOut("za", false);
     BOOST_TEST(waitUntil([&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > 0; }, 3s));
 }
 
@@ -259,7 +260,7 @@
     relay_fleet fleet { { .daemons = 1 } };
     fleet.store().setUnreachable(true);
     for (int server = 0; server < 3; ++server)
-        fleet.store().remove("servers", fleet.server(server).id());
+        fleet.store().unlist(fleet.server(server).id());
     std::this_thread::sleep_for(1500ms);
     fleet.store().setUnreachable(false);
     BOOST_REQUIRE(fleet.waitReady(0));
@@ -293,7 +294,7 @@
         callers.emplace_back([&, caller] {
             const auto end = std::chrono::steady_clock::now() + 3s;
             while (std::chrono::steady_clock::now() < end)
-                httpCall({ .url = "http://" + fleet.callerAddress(caller % 3) + "/read/a", .headers = { { "Host", "h" }, { "X-Request-Id", "cold" }, { "Api-Key", relay_fleet::key } } });
+                httpCall({ .url = "http://" + fleet.callerAddress(caller % 3) + "/read/a", .headers = headersOf({ .id = "cold", .key = relay_fleet::key }) });
         });
     }
     for (std::thread& caller : callers)
@@ -325,7 +326,7 @@
     BOOST_TEST(isWhole);
     BOOST_TEST(joined(events) == lines(1, 100));
     BOOST_TEST(fleet.daemon(0).wait(relay_fleet::stopGrace).has_value());
-    BOOST_TEST(fleet.store().value("daemons", "d0").empty());
+    BOOST_TEST(!fleet.store().isAnnounced("d0"));
 }
 
 BOOST_AUTO_TEST_CASE(killedDaemonIsNamedNoMoreAndComesBack)
--- a/test/Soak/soak_call.h
+++ b/test/Soak/soak_call.h
@@ -1,6 +1,8 @@
 // Declares soak_call, one call of a soak as its caller saw it.
 #pragma once
 
+#include "caller_connection.h"
+
 #include <chrono>
 #include <string>
 
@@ -20,9 +22,7 @@
     int keyNumber = 1;
     std::chrono::milliseconds begin { 0 }; ///< From the beginning of the soak.
     std::chrono::milliseconds end { 0 };
-    int status = 0; ///< 0 when no head came.
-    bool isWhole = false;
-    std::string body;
+    caller_answer answer;
 };
 
 } // namespace radishflow
--- a/test/Soak/soak_callers.cpp
+++ b/test/Soak/soak_callers.cpp
@@ -1,7 +1,8 @@
 // Implements the callers of a soak.
 #include "soak_callers.h"
 
-#include "soak_connection.h"
+#include "caller_connection.h"
+#include "standin_call.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -80,8 +81,7 @@
     static std::string textOf(const soak_call& call)
     {
         static constexpr const char* starts[] { "GET /read", "POST /order", "GET /stream", "GET /resumable-stream" };
-        return fmt::format("{}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 5000\r\nApi-Key: {}\r\nContent-Length: 0\r\n\r\n",
-            starts[static_cast<int>(call.kind)], call.id, soak_callers::keyOf(call.keyNumber));
+        return headText(fmt::format("{}/x HTTP/1.1", starts[static_cast<int>(call.kind)]), { .id = call.id, .key = soak_callers::keyOf(call.keyNumber), .timeLeft = std::chrono::seconds { 5 } });
     }
 
     void callOnce()
@@ -91,10 +91,10 @@
         if (m_daemon < 0)
             return;
         soak_call call = draw();
-        if (m_connection.open(m_owner.m_fleet.callerLink(m_daemon).port()))
-            m_connection.run(textOf(call), callBound, call);
+        if (m_connection.open("127.0.0.1:" + std::to_string(m_owner.m_fleet.callerLink(m_daemon).port())))
+            call.answer = m_connection.run(textOf(call), callBound);
         call.end = sinceBegin();
-        if (call.status == 0)
+        if (call.answer.status == 0)
             m_daemon = -1;
         const std::lock_guard lock { m_owner.m_mutex };
         m_owner.m_calls.push_back(std::move(call));
@@ -107,7 +107,7 @@
     int m_daemon = -1; ///< Negative when one has to be chosen.
     std::vector<std::string> m_addresses;
     steady::time_point m_lookedUpAt;
-    soak_connection m_connection;
+    caller_connection m_connection;
 };
 
 soak_callers::soak_callers(relay_fleet& fleet, const soak_callers_options& options)
--- a/test/Soak/soak_judge.cpp
+++ b/test/Soak/soak_judge.cpp
@@ -59,7 +59,7 @@
 
         void tell(const soak_call& call, const std::string& what)
         {
-            m_broken.push_back(fmt::format("{} at {} ms on daemon {} (status {}, {} ms): {}", call.id, call.begin.count(), call.daemon, call.status, (call.end - call.begin).count(), what));
+            m_broken.push_back(fmt::format("{} at {} ms on daemon {} (status {}, {} ms): {}", call.id, call.begin.count(), call.daemon, call.answer.status, (call.end - call.begin).count(), what));
         }
 
         milliseconds timeOf(const seen_request& seen) const { return std::chrono::duration_cast<milliseconds>(seen.at - m_evidence.began); }
@@ -76,7 +76,7 @@
             return std::any_of(m_evidence.stalls.begin(), m_evidence.stalls.end(), [&](const machine_stall& stall) { return stall.begin <= end && stall.end >= begin; });
         }
 
-        static bool isExpectedPlain(const soak_call& call) { return call.body.starts_with("answer of i-") && call.body.ends_with(" to " + call.id); }
+        static bool isExpectedPlain(const soak_call& call) { return call.answer.body.starts_with("answer of i-") && call.answer.body.ends_with(" to " + call.id); }
 
         // Whole events in order, and at a break at most a part of the next.
         static bool isExpectedStream(const soak_call& call)
@@ -85,15 +85,15 @@
             std::string expected;
             for (int event = 1; event <= events; ++event)
                 expected += fmt::format("id: {}\ndata: token {} of {}\n\n", event, event, call.id);
-            return call.isWhole ? call.body == expected : expected.starts_with(call.body);
+            return call.answer.isWhole ? call.answer.body == expected : expected.starts_with(call.answer.body);
         }
 
         void checkAnswer(const soak_call& call)
         {
-            if (call.status != 200)
+            if (call.answer.status != 200)
                 return;
-            if (isStream(call) ? !isExpectedStream(call) : call.isWhole && !isExpectedPlain(call))
-                tell(call, "got another answer: " + call.body);
+            if (isStream(call) ? !isExpectedStream(call) : call.answer.isWhole && !isExpectedPlain(call))
+                tell(call, "got another answer: " + call.answer.body);
         }
 
         void checkRuns(const soak_call& call)
@@ -103,16 +103,16 @@
             const int most = call.kind == soak_call_kind::Order || call.kind == soak_call_kind::Stream ? 1 : 2;
             if (runs > most)
                 tell(call, fmt::format("ran {} times", runs));
-            if (runs > 0 && call.body.find(R"("execution":"not_run")") != std::string::npos)
+            if (runs > 0 && call.answer.body.find(R"("execution":"not_run")") != std::string::npos)
                 tell(call, "was said not to have run, and ran");
-            if (runs == 0 && call.status == 200)
+            if (runs == 0 && call.answer.status == 200)
                 tell(call, "was answered and ran nowhere");
         }
 
         void checkKey(const soak_call& call)
         {
             const auto key = static_cast<std::size_t>(call.keyNumber);
-            if (key <= m_evidence.keyRemovals.size() && call.status == 200 && call.begin > m_evidence.keyRemovals[key - 1] + m_evidence.keyRevocation)
+            if (key <= m_evidence.keyRemovals.size() && call.answer.status == 200 && call.begin > m_evidence.keyRemovals[key - 1] + m_evidence.keyRevocation)
                 tell(call, "was served with a key that was taken away");
         }
 
@@ -121,7 +121,7 @@
             if (call.begin < m_evidence.settled)
                 return;
             const bool isKeyRemoved = static_cast<std::size_t>(call.keyNumber) <= m_evidence.keyRemovals.size();
-            if (!call.isWhole || call.status != (isKeyRemoved ? 401 : 200))
+            if (!call.answer.isWhole || call.answer.status != (isKeyRemoved ? 401 : 200))
                 tell(call, isKeyRemoved ? "has a key that was taken away, and wasn't told so" : "was not served after the last disturbance");
         }
 
@@ -135,7 +135,7 @@
         // A planned stop ends streams whole that were running when it came.
         void checkStop(const soak_call& call)
         {
-            if (!isStream(call) || call.isWhole || call.status != 200)
+            if (!isStream(call) || call.answer.isWhole || call.answer.status != 200)
                 return;
             for (const soak_step& step : m_evidence.plan) {
                 if (step.fault != soak_fault::StopDaemon || step.target != call.daemon || step.at < call.begin || step.at > call.end)
--- a/test/Soak/soak_judge_test.cpp
+++ b/test/Soak/soak_judge_test.cpp
@@ -42,9 +42,9 @@
     for (int event = 1; event <= 20; ++event)
         events += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + " of c\n\n";
     evidence.calls = {
-        { .id = "a", .kind = soak_call_kind::Read, .begin = 10s, .end = 10100ms, .status = 200, .isWhole = true, .body = "answer of i-0 to a" },
-        { .id = "b", .kind = soak_call_kind::Order, .begin = 10s, .end = 10100ms, .status = 200, .isWhole = true, .body = "answer of i-0 to b" },
-        { .id = "c", .kind = soak_call_kind::Stream, .begin = 10s, .end = 10400ms, .status = 200, .isWhole = true, .body = events },
+        { .id = "a", .kind = soak_call_kind::Read, .begin = 10s, .end = 10100ms, .answer = { .status = 200, .isWhole = true, .body = "answer of i-0 to a" } },
+        { .id = "b", .kind = soak_call_kind::Order, .begin = 10s, .end = 10100ms, .answer = { .status = 200, .isWhole = true, .body = "answer of i-0 to b" } },
+        { .id = "c", .kind = soak_call_kind::Stream, .begin = 10s, .end = 10400ms, .answer = { .status = 200, .isWhole = true, .body = events } },
     };
     return evidence;
 }
@@ -58,19 +58,19 @@
 std::ostream& operator<<(std::ostream& out, const broken_case& each) { return out << each.name; }
 
 const broken_case brokenCases[] {
-    { "another's answer", [](soak_evidence& evidence) { evidence.calls[0].body = "answer of i-0 to b"; }, "got another answer" },
-    { "another's event", [](soak_evidence& evidence) { evidence.calls[2].body.replace(evidence.calls[2].body.rfind("of c"), 4, "of d"); }, "got another answer" },
-    { "event left out", [](soak_evidence& evidence) { evidence.calls[2].body.erase(0, evidence.calls[2].body.find("id: 2")), evidence.calls[2].isWhole = false; }, "got another answer" },
+    { "another's answer", [](soak_evidence& evidence) { evidence.calls[0].answer.body = "answer of i-0 to b"; }, "got another answer" },
+    { "another's event", [](soak_evidence& evidence) { evidence.calls[2].answer.body.replace(evidence.calls[2].answer.body.rfind("of c"), 4, "of d"); }, "got another answer" },
+    { "event left out", [](soak_evidence& evidence) { evidence.calls[2].answer.body.erase(0, evidence.calls[2].answer.body.find("id: 2")), evidence.calls[2].answer.isWhole = false; }, "got another answer" },
     { "order run twice", [](soak_evidence& evidence) { evidence.seen[0].push_back(evidence.seen[0][1]); }, "ran 2 times" },
     { "read run three times", [](soak_evidence& evidence) { evidence.seen.push_back({ evidence.seen[0][0], evidence.seen[0][0] }); }, "ran 3 times" },
-    { "run denied", [](soak_evidence& evidence) { evidence.calls[1].status = 503, evidence.calls[1].body = R"({"execution":"not_run"})"; }, "said not to have run" },
+    { "run denied", [](soak_evidence& evidence) { evidence.calls[1].answer.status = 503, evidence.calls[1].answer.body = R"({"execution":"not_run"})"; }, "said not to have run" },
     { "answer from nowhere", [](soak_evidence& evidence) { evidence.seen[0].clear(); }, "ran nowhere" },
     { "removed key", [](soak_evidence& evidence) { evidence.keyRemovals = { 7s }; }, "key that was taken away" },
     { "late answer", [](soak_evidence& evidence) { evidence.calls[0].end = 11500ms; }, "too late" },
-    { "stop cuts a stream", [](soak_evidence& evidence) { evidence.calls[2].isWhole = false, evidence.plan = { { .at = 10200ms, .length = 1s, .fault = soak_fault::StopDaemon } }; }, "cut by a planned stop" },
+    { "stop cuts a stream", [](soak_evidence& evidence) { evidence.calls[2].answer.isWhole = false, evidence.plan = { { .at = 10200ms, .length = 1s, .fault = soak_fault::StopDaemon } }; }, "cut by a planned stop" },
     { "draining server", [](soak_evidence& evidence) { evidence.plan = { { .at = 7s, .length = 4s, .fault = soak_fault::DrainServer } }; }, "which drains" },
     { "cold server", [](soak_evidence& evidence) { evidence.plan = { { .at = 9s, .length = 2s, .fault = soak_fault::CoolServer } }, evidence.seen[0].insert(evidence.seen[0].end(), 20, seen_request { .id = "x", .at = evidence.began + 10s }); }, "cold since" },
-    { "not served at the end", [](soak_evidence& evidence) { evidence.settled = 9s, evidence.calls[0].status = 503; }, "after the last disturbance" },
+    { "not served at the end", [](soak_evidence& evidence) { evidence.settled = 9s, evidence.calls[0].answer.status = 503; }, "after the last disturbance" },
     { "seen on the way", [](soak_evidence& evidence) { evidence.broken = { "daemon 0 ended by itself" }; }, "ended by itself" },
 };
 
@@ -101,7 +101,7 @@
     BOOST_TEST(!judge(evidence).empty());
     evidence.stalls = { { .begin = 12s, .end = 12300ms } };
     BOOST_TEST(judge(evidence).empty());
-    evidence.calls[2].isWhole = false;
+    evidence.calls[2].answer.isWhole = false;
     evidence.plan.push_back({ .at = 9s, .length = 2s, .fault = soak_fault::ServerCuts });
     BOOST_TEST(judge(evidence).empty());
 }
--- a/test/Soak/soak_run.cpp
+++ b/test/Soak/soak_run.cpp
@@ -123,7 +123,7 @@
     case soak_fault::DrainServer:
         return m_fleet.list(step.target, "draining");
     case soak_fault::LapseServer:
-        return m_fleet.store().remove("servers", m_fleet.server(step.target).id());
+        return m_fleet.store().unlist(m_fleet.server(step.target).id());
     case soak_fault::CoolServer:
         return m_fleet.list(step.target, "ready", static_cast<int>(step.length.count()));
     case soak_fault::ChangeKey:
--- a/test/Soak/soak_test.cpp
+++ b/test/Soak/soak_test.cpp
@@ -56,7 +56,7 @@
     for (const std::uint64_t seed : seedsToPlay()) {
         const soak_evidence evidence = soak_run { { .plan = { .seed = seed, .steps = FLAGS_steps }, .logFolder = logFolderOf(seed) } }.play();
         const std::vector<std::string> broken = judge(evidence);
-        const auto served = std::count_if(evidence.calls.begin(), evidence.calls.end(), [](const soak_call& call) { return call.status == 200 && call.isWhole; });
+        const auto served = std::count_if(evidence.calls.begin(), evidence.calls.end(), [](const soak_call& call) { return call.answer.status == 200 && call.answer.isWhole; });
         BOOST_TEST_MESSAGE("seed " << seed << ": " << evidence.calls.size() << " calls, " << served << " served whole, " << evidence.plan.size() << " disturbances, " << evidence.stalls.size() << " stalls of the machine, " << broken.size() << " promises broken");
         BOOST_TEST(served > 0);
         for (const std::string& each : broken)
--- a/test/Soak/version_watch.cpp
+++ b/test/Soak/version_watch.cpp
@@ -1,6 +1,8 @@
 // Implements the look for daemons that go back to an older configuration.
 #include "version_watch.h"
 
+#include "standin_call.h"
+
 #include <spdlog/fmt/fmt.h>
 
 namespace radishflow {
@@ -39,7 +41,7 @@
     std::atomic<int>& seen = m_seen[static_cast<std::size_t>(daemon)];
     for (int version = 1; version <= m_newest; ++version) {
         const int before = seen;
-        const http_call_reply reply = httpCall({ .url = fmt::format("http://{}/v{}/w", m_fleet.callerAddress(daemon), version), .headers = { { "Host", "h" }, { "X-Request-Id", "watch" }, { "X-Deadline-Ms", "300" } }, .timeout = askBound });
+        const http_call_reply reply = httpCall({ .url = fmt::format("http://{}/v{}/w", m_fleet.callerAddress(daemon), version), .headers = headersOf({ .id = "watch", .timeLeft = askBound }), .timeout = askBound });
         if (reply.status == 0)
             return; // Out or paused, as the plan may have it.
         if (reply.status == 404)
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -11,7 +11,6 @@
 #include "daemon_rows.h"
 #include "lookup_answer.h"
 #include "platform_feed.h"
-#include "wire_names.h"
 #include "wire_protocol.h"
 
 #include <spdlog/spdlog.h>
@@ -135,7 +134,7 @@
 
     document lookupPage(const std::string& target)
     {
-        if (!target.starts_with(wire::lookupPath))
+        if (!isLookup(target))
             return { .status = 404, .contentType = "text/plain", .body = "not found\n" };
         const auto view = routing.fleet();
         std::vector<std::string> ready;
