Let the stand-ins and the fleets for tests share their small steps

Cause: the platform's stand-ins read bodies and queries, cut connections and looked for callers that had left by code of their own beside Emulator/http_reply; waiting for a condition stood in both fleets. Change: http_reply is a public header of the emulator and serves the stand-ins; one waitUntil in the tests' support, which looks every 10 ms (the older one looked every 20).

--- a/lib/Emulator/http_reply.h
+++ b/include/radishflow/Emulator/http_reply.h
@@ -25,6 +25,9 @@
 /// Closes the connection without answering, or in the middle of the answer.
 void cutConnection(Poco::Net::HTTPServerRequest&);
 
+/// Whether the peer has closed the connection.
+bool hasPeerClosed(Poco::Net::HTTPServerRequest&);
+
 /// Waits until the peer closes the connection or the function returns true, whichever is first.
 void waitForClose(Poco::Net::HTTPServerRequest&, const std::function<bool()>& isOver);
 
--- a/lib/Emulator/chat_json.cpp
+++ b/lib/Emulator/chat_json.cpp
@@ -2,8 +2,7 @@
 #include "chat_json.h"
 
 #include "radishflow/Emulator/expected_answer.h"
-
-#include "http_reply.h"
+#include "radishflow/Emulator/http_reply.h"
 
 #include <algorithm>
 #include <sstream>
--- a/lib/Emulator/engine_core.h
+++ b/lib/Emulator/engine_core.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "radishflow/Emulator/engine_emulator_options.h"
+#include "radishflow/Emulator/http_reply.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include "engine_batch.h"
-#include "http_reply.h"
 #include "lagged_text.h"
 #include "order_book.h"
 
--- a/lib/Emulator/fault_proxy.cpp
+++ b/lib/Emulator/fault_proxy.cpp
@@ -1,9 +1,9 @@
 // Implements fault_proxy as a relay with a control server beside it.
 #include "radishflow/Emulator/fault_proxy.h"
 
+#include "radishflow/Emulator/http_reply.h"
 #include "radishflow/Emulator/http_server.h"
 
-#include "http_reply.h"
 #include "proxy_json.h"
 #include "tcp_relay.h"
 #include "udp_relay.h"
--- a/lib/Emulator/http_reply.cpp
+++ b/lib/Emulator/http_reply.cpp
@@ -1,5 +1,5 @@
 // Implements the steps that the stand-ins' request handlers share.
-#include "http_reply.h"
+#include "radishflow/Emulator/http_reply.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
@@ -58,14 +58,25 @@
     }
 }
 
+static bool hasEnded(Poco::Net::StreamSocket& socket)
+{
+    char byte = 0;
+    return ::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
+bool hasPeerClosed(Poco::Net::HTTPServerRequest& request)
+{
+    Poco::Net::StreamSocket& socket = socketOf(request);
+    return socket.poll(Poco::Timespan { 0 }, Poco::Net::Socket::SELECT_READ) && hasEnded(socket);
+}
+
 void waitForClose(Poco::Net::HTTPServerRequest& request, const std::function<bool()>& isOver)
 {
     Poco::Net::StreamSocket& socket = socketOf(request);
     while (!isOver()) {
         if (!socket.poll(Poco::Timespan { pollMicroseconds }, Poco::Net::Socket::SELECT_READ))
             continue;
-        char byte = 0;
-        if (::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+        if (hasEnded(socket))
             return;
         // The peer sent more; only its closing matters.
         Poco::Thread::sleep(pollMicroseconds / 1000);
--- a/lib/Emulator/plain_core.h
+++ b/lib/Emulator/plain_core.h
@@ -1,10 +1,9 @@
 // Declares plain_core, which answers the requests to a plain service's stand-in.
 #pragma once
 
+#include "radishflow/Emulator/http_reply.h"
 #include "radishflow/Emulator/plain_emulator_options.h"
 
-#include "http_reply.h"
-
 #include <cstdint>
 #include <map>
 #include <mutex>
--- a/lib/Emulator/platform_core.h
+++ b/lib/Emulator/platform_core.h
@@ -1,11 +1,11 @@
 // Declares platform_core, which answers the requests to the platform's stand-in.
 #pragma once
 
+#include "radishflow/Emulator/http_reply.h"
 #include "radishflow/Emulator/platform_emulator_options.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include "etcd_table.h"
-#include "http_reply.h"
 #include "lagged_text.h"
 #include "rate_limit.h"
 
--- a/lib/Emulator/stand_in.h
+++ b/lib/Emulator/stand_in.h
@@ -1,11 +1,10 @@
 // Declares stand_in, which puts a stand-in's core behind HTTP with the control calls that all of them have.
 #pragma once
 
+#include "radishflow/Emulator/http_reply.h"
 #include "radishflow/Emulator/http_server.h"
 #include "radishflow/Emulator/listen_options.h"
 
-#include "http_reply.h"
-
 #include <concepts>
 #include <memory>
 
--- a/test/Fleet/test_fleet.cpp
+++ b/test/Fleet/test_fleet.cpp
@@ -193,17 +193,6 @@
     return handle.wait();
 }
 
-bool test_fleet::waitUntil(milliseconds bound, const std::function<bool()>& condition)
-{
-    const auto deadline = std::chrono::steady_clock::now() + bound;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= deadline)
-            return false;
-        std::this_thread::sleep_for(milliseconds { 20 });
-    }
-    return true;
-}
-
 std::string chatBody(const std::string& prompt, int tokens, bool isStream)
 {
     return R"({"model":"hydro-large","messages":[{"role":"user","content":")" + prompt + R"("}],"max_tokens":)" + std::to_string(tokens) + (isStream ? R"(,"stream":true})" : "}");
--- a/test/Fleet/test_fleet.h
+++ b/test/Fleet/test_fleet.h
@@ -3,9 +3,9 @@
 
 #include "child_process.h"
 #include "http_call.h"
+#include "wait_until.h"
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -77,9 +77,6 @@
     /// Publishes the service file with these limits and waits until it is in force.
     int publish(const test_fleet_options&) const;
 
-    /// Waits until the condition holds; returns whether it does.
-    static bool waitUntil(std::chrono::milliseconds bound, const std::function<bool()>& condition);
-
     /// A model call through a daemon; `stream` false.
     http_call_reply chat(const fleet_member& daemon, const std::string& chatId, const std::string& prompt, int tokens, const std::map<std::string, std::string>& headers = {}) const;
 
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -67,7 +67,7 @@
     }
     for (int number = 0; number < options.daemons; ++number)
         requireThat(waitReady(number), "daemon " + std::to_string(number) + " is not ready");
-    requireThat(waitUntil([&] { return lookUp(0).size() == m_daemons.size(); }, std::chrono::seconds { 10 }), "the first daemon doesn't name all daemons");
+    requireThat(waitUntil(std::chrono::seconds { 10 }, [&] { return lookUp(0).size() == m_daemons.size(); }), "the first daemon doesn't name all daemons");
 }
 
 relay_fleet::~relay_fleet()
@@ -162,7 +162,7 @@
 bool relay_fleet::waitReady(int daemon, bool ready, std::chrono::milliseconds bound) const
 {
     const std::string url = "http://" + ipOf(daemon) + ':' + std::to_string(portOf(ReadinessPort)) + readinessTarget();
-    return waitUntil([&] { return (httpCall({ .url = url }).status == 200) == ready; }, bound);
+    return waitUntil(bound, [&] { return (httpCall({ .url = url }).status == 200) == ready; });
 }
 
 int relay_fleet::runs() const
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -3,10 +3,10 @@
 
 #include "Support/child_process.h"
 #include "Support/http_call.h"
+#include "Support/wait_until.h"
 #include "faulty_link.h"
 #include "server_standin.h"
 #include "store_standin.h"
-#include "wait_until.h"
 
 #include <chrono>
 #include <filesystem>
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -171,7 +171,7 @@
     int count = 0;
     httpStream({ .url = "http://" + fleet.callerAddress(0) + "/stream/a", .headers = headersOf({ .id = "leaver", .key = relay_fleet::key }) },
         [&](std::string_view) { return ++count < 6; });
-    BOOST_TEST(waitUntil([&] { return fleet.server(0).seen().front().hasEnded; }, 500ms));
+    BOOST_TEST(waitUntil(500ms, [&] { return fleet.server(0).seen().front().hasEnded; }));
     BOOST_TEST(fleet.server(0).seen().front().wasCancelled);
 }
 
@@ -180,7 +180,7 @@
     relay_fleet fleet { { .daemons = 3 } };
     fleet.configure(5, relay_fleet::key, "read");
     for (int daemon = 0; daemon < 3; ++daemon)
-        BOOST_TEST(waitUntil([&] { return fleet.call(daemon, "/read/a").status == 404; }, 2s));
+        BOOST_TEST(waitUntil(2s, [&] { return fleet.call(daemon, "/read/a").status == 404; }));
     fleet.store().dropHistory();
     fleet.configure(4);
     std::this_thread::sleep_for(500ms);
@@ -188,7 +188,7 @@
         BOOST_TEST(fleet.call(daemon, "/read/a").status == 404);
     fleet.configure(6, "new-key");
     for (int daemon = 0; daemon < 3; ++daemon) {
-        BOOST_TEST(waitUntil([&] { return fleet.call(daemon, "/read/a", "GET", "new-key").status == 200; }, 2s));
+        BOOST_TEST(waitUntil(2s, [&] { return fleet.call(daemon, "/read/a", "GET", "new-key").status == 200; }));
         BOOST_TEST(fleet.call(daemon, "/read/a").status == 401);
     }
 }
@@ -230,7 +230,7 @@
     BOOST_TEST(fleet.call(0, "/public/a").status == 200);
     fleet.store().setFault(store_fault::None);
     fleet.store().setUnreachable(false);
-    BOOST_TEST(waitUntil([&] { return fleet.call(0, "/read/a").status == 200; }, 4s));
+    BOOST_TEST(waitUntil(4s, [&] { return fleet.call(0, "/read/a").status == 200; }));
 }
 
 // The store holds a call of a quiet table for longer than this fleet's keys may go without a confirmation.
@@ -252,7 +252,7 @@
     BOOST_TEST(fleet.server(0).runs() + fleet.server(1).runs() == before);
     BOOST_TEST(fleet.server(2).runs() >= 20);
     fleet.store().setZoneOut("za", false);
-    BOOST_TEST(waitUntil([&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > 0; }, 3s));
+    BOOST_TEST(waitUntil(3s, [&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > 0; }));
 }
 
 BOOST_AUTO_TEST_CASE(entriesThatLapseInAnOutageComeBack)
@@ -318,7 +318,7 @@
     std::this_thread::sleep_for(200ms);
     fleet.daemon(0).signal(SIGTERM);
     BOOST_TEST(fleet.waitReady(0, false, 500ms));
-    BOOST_TEST(waitUntil([&] { return fleet.lookUp(1).size() == 1 && fleet.lookUp(1).front() == fleet.callerAddress(1); }, 2s));
+    BOOST_TEST(waitUntil(2s, [&] { return fleet.lookUp(1).size() == 1 && fleet.lookUp(1).front() == fleet.callerAddress(1); }));
     const http_call_reply late = fleet.call(0, "/read/a");
     BOOST_TEST(late.status == 200);
     BOOST_TEST(late.headers.at("connection") == "close");
@@ -333,8 +333,8 @@
 {
     relay_fleet fleet { { .daemons = 3 } };
     fleet.daemon(2).signal(SIGKILL);
-    BOOST_TEST(waitUntil([&] { return fleet.lookUp(0).size() == 2 && fleet.lookUp(1).size() == 2; }, 6s));
+    BOOST_TEST(waitUntil(6s, [&] { return fleet.lookUp(0).size() == 2 && fleet.lookUp(1).size() == 2; }));
     fleet.restart(2);
     BOOST_TEST(fleet.waitReady(2));
-    BOOST_TEST(waitUntil([&] { return fleet.lookUp(0).size() == 3 && fleet.lookUp(1).size() == 3; }, 10s));
+    BOOST_TEST(waitUntil(10s, [&] { return fleet.lookUp(0).size() == 3 && fleet.lookUp(1).size() == 3; }));
 }
--- a/test/Relay/wait_until.h
+++ b/test/Support/wait_until.h
@@ -8,7 +8,7 @@
 
 /// Checks a condition every few milliseconds; returns false when it doesn't hold within the bound.
 template <typename Condition>
-bool waitUntil(Condition condition, std::chrono::milliseconds bound)
+bool waitUntil(std::chrono::milliseconds bound, Condition condition)
 {
     const auto end = std::chrono::steady_clock::now() + bound;
     while (!condition()) {
--- a/test/answers_test.cpp
+++ b/test/answers_test.cpp
@@ -37,7 +37,7 @@
 static streamed_answer stream(const std::string& address, const std::string& chat, const std::string& prompt, int tokens, const std::map<std::string, std::string>& headers = {})
 {
     streamed_answer answer;
-    test_fleet::waitUntil(milliseconds { 12000 }, [&] {
+    waitUntil(milliseconds { 12000 }, [&] {
         answer = streamOnce(address, chat, prompt, tokens, headers);
         return answer.reply.status != 503;
     });
@@ -150,5 +150,5 @@
     BOOST_REQUIRE(fleet.isReady());
     httpStream({ .method = "POST", .url = "http://" + fleet.daemons()[0].http + "/v1/chat/completions", .headers = { { "X-Workspace", "desk" } }, .body = chatBody("long", 400, true) },
         [](std::string_view line) { return !line.starts_with("data:"); });
-    BOOST_TEST(test_fleet::waitUntil(milliseconds { 5000 }, [&] { return test_fleet::record(fleet.engines()[0].target).find("\"cancelled\":1") != std::string::npos; }));
+    BOOST_TEST(waitUntil(milliseconds { 5000 }, [&] { return test_fleet::record(fleet.engines()[0].target).find("\"cancelled\":1") != std::string::npos; }));
 }
--- a/test/configuration_test.cpp
+++ b/test/configuration_test.cpp
@@ -75,7 +75,7 @@
 static std::optional<milliseconds> timeUntil(const std::function<bool()>& condition)
 {
     const auto start = steady_clock::now();
-    if (!test_fleet::waitUntil(inForceBound, condition))
+    if (!waitUntil(inForceBound, condition))
         return std::nullopt;
     return std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
 }
--- a/test/hostile_callers_test.cpp
+++ b/test/hostile_callers_test.cpp
@@ -125,7 +125,7 @@
     BOOST_TEST(after - before < mostGrowthMegabytes);
     BOOST_TEST(!daemon.process->wait(0ms).has_value());
     // The dribblers hold workers no longer than a request may take.
-    const bool areCut = test_fleet::waitUntil(12s, [&] {
+    const bool areCut = waitUntil(12s, [&] {
         for (Poco::Net::StreamSocket& dribbler : slow) {
             if (!dribbler.poll(Poco::Timespan { 0 }, Poco::Net::Socket::SELECT_READ))
                 return false;
--- a/test/limits_test.cpp
+++ b/test/limits_test.cpp
@@ -149,5 +149,5 @@
             other = index;
     }
     // The term lapses after 3.75 s here; then the host's refusal and one load report prove that nothing is left.
-    BOOST_TEST(test_fleet::waitUntil(milliseconds { 14000 }, [&] { return fleet.chat(fleet.daemons()[other], "c", "again", 4).status == 200; }));
+    BOOST_TEST(waitUntil(milliseconds { 14000 }, [&] { return fleet.chat(fleet.daemons()[other], "c", "again", 4).status == 200; }));
 }
--- a/test/reuse_test.cpp
+++ b/test/reuse_test.cpp
@@ -38,7 +38,7 @@
 static bool takeTurn(test_fleet& fleet, std::size_t daemon, int chat)
 {
     int status = 0;
-    test_fleet::waitUntil(milliseconds { 8000 }, [&] {
+    waitUntil(milliseconds { 8000 }, [&] {
         status = fleet.chat(fleet.daemons()[daemon], "chat-" + std::to_string(chat), "turn", 8).status;
         return status != 503;
     });
