Forward load reports of servers with their age through the fleet

A daemon of 195 sends 2.7 requests a second to 117 servers and receives the reports of six random daemons four times a second, each once, so a report of one server is seven seconds old on average; reports expire after three. Without a report all servers count as equally loaded, and prompts stay where their rank places them. A peer's older report also replaced a newer one of this daemon. Change: hints state the age of each report; a newer report is kept, whoever sent it, and in fleets larger than a round of hints it is forwarded once. Daemons of earlier versions send no ages and are still understood.

--- a/include/radishflow/Fleet/hint_exchange.h
+++ b/include/radishflow/Fleet/hint_exchange.h
@@ -36,6 +36,8 @@
 
     /// Sends hints to a random sample of the fleet, or to the whole fleet if they include crashes, which are rare.
     void send(const server_hints&, const fleet_view&);
+    /// Returns whether the hints of one round reach all daemons of the fleet.
+    bool reachesAll(const fleet_view&) const;
 
 private:
     void receive();
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -32,7 +32,7 @@
 struct load_balancer_options {
     duration reportLifetime = std::chrono::seconds { 3 }; ///< Maximum age of a load report that is used.
     double meanWeight = 4; ///< Weight of the mean load, in requests of this daemon, when a server's load is estimated without a report.
-    duration peerReportDelay = std::chrono::milliseconds { 300 }; ///< Mean age of a load report when it is received from another daemon.
+    duration maxForwardedAge = std::chrono::milliseconds { 1500 }; ///< Maximum age of another daemon's load report that is published again.
     duration healthHalfLife = std::chrono::seconds { 4 }; ///< Half-life of the weight of a request's outcome.
     double healthPrior = 2; ///< Number of outcomes with the service's failure rate that are added to those of each server.
     double ejectMargin = 0.25; ///< Amount by which a server's failure rate must exceed that of the rest of its service for ejection.
@@ -114,31 +114,40 @@
         m_unpublished.insert(server);
     }
 
-    /// Returns the loads reported since the last call, for publication to other daemons.
+    /// Returns the loads reported since the last call, the newest ones first, for publication to other daemons.
     std::vector<shared_load> takeLoadUpdates()
     {
         const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
         std::vector<shared_load> loads;
         for (const server_id& server : std::exchange(m_unpublished, {})) {
             const auto record = m_records.find(server);
             if (record != m_records.end() && record->second.report)
-                loads.push_back({ .server = serverHashOf(server), .requests = record->second.report->running + record->second.report->waiting });
+                loads.push_back({ .server = serverHashOf(server), .requests = record->second.report->running + record->second.report->waiting, .age = now - record->second.reportedAt });
         }
+        std::sort(loads.begin(), loads.end(), [](const shared_load& left, const shared_load& right) { return left.age < right.age; });
         return loads;
     }
 
-    /// Records loads that another daemon published. They are not published again.
-    void recordPeerLoads(const std::vector<shared_load>& loads)
+    /// Records loads that another daemon published, except those that are older than the known ones. With
+    /// `forwardsLoads`, the recorded ones are published again once: in a fleet that is larger than the number of daemons
+    /// that receive a daemon's hints, a report spreads to all daemons only if they forward it.
+    void recordPeerLoads(const std::vector<shared_load>& loads, bool forwardsLoads)
     {
         const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
         for (const shared_load& load : loads) {
             const auto server = m_idsByHash.find(load.server);
             if (server == m_idsByHash.end())
                 continue;
             server_record& record = m_records[server->second];
+            if (record.report && now - load.age <= record.reportedAt)
+                continue;
             record.report = load_sample { .running = load.requests };
-            record.reportedAt = m_clock.now() - m_options.peerReportDelay;
+            record.reportedAt = now - load.age;
             record.inFlightAtReport = record.inFlight;
+            if (forwardsLoads && load.age < m_options.maxForwardedAge)
+                m_unpublished.insert(server->second);
         }
     }
 
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -12,6 +12,10 @@
 // No server can run more requests; a datagram with a higher load is invalid.
 static constexpr int maxRequestsPerServer = 100000;
 static constexpr std::size_t maxServerIdBytes = 64;
+// A report of this age is of no use to any receiver.
+static constexpr int maxLoadAgeMs = 60000;
+// Daemons of earlier versions publish no ages, and publish each report once, within a few hundred milliseconds.
+static constexpr std::chrono::milliseconds assumedLoadAge { 300 };
 static constexpr std::size_t expectedDatagramBytes = 1200;
 
 std::string encodeHints(const server_hints& hints)
@@ -20,6 +24,7 @@
     for (std::size_t index = 0; index < std::min(hints.loads.size(), maxLoadHints); ++index) {
         wire.servers.push_back(static_cast<std::int32_t>(hints.loads[index].server));
         wire.loads.push_back(hints.loads[index].requests);
+        wire.load_ages_ms.push_back(static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(hints.loads[index].age).count()));
     }
     for (std::size_t index = 0; index < std::min(hints.crashes.size(), maxCrashHints); ++index) {
         const crash_record& crash = hints.crashes[index];
@@ -40,9 +45,11 @@
 static bool isValid(const hints_wire::Hints& wire)
 {
     const bool hasValidLoads = std::all_of(wire.loads.begin(), wire.loads.end(), [](int requests) { return requests >= 0 && requests <= maxRequestsPerServer; });
+    const bool hasValidAges = std::all_of(wire.load_ages_ms.begin(), wire.load_ages_ms.end(), [](int age) { return age >= 0 && age <= maxLoadAgeMs; });
+    const bool hasAllAges = wire.load_ages_ms.empty() || wire.load_ages_ms.size() == wire.loads.size();
     const bool hasValidCrashes = std::all_of(wire.crashes.begin(), wire.crashes.end(), [](const hints_wire::CrashHint& crash) { return crash.remaining_ms > 0 && crash.server.size() <= maxServerIdBytes; });
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
-    return hasValidLoads && hasValidCrashes && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    return hasValidLoads && hasValidAges && hasAllAges && hasValidCrashes && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
 }
 
 std::optional<server_hints> decodeHints(std::string_view bytes)
@@ -51,8 +58,10 @@
     if (!decodeCompact(bytes, static_cast<int>(bytes.size()), wire) || !isValid(wire))
         return std::nullopt;
     server_hints hints;
-    for (std::size_t index = 0; index < wire.servers.size(); ++index)
-        hints.loads.push_back({ .server = static_cast<std::uint32_t>(wire.servers[index]), .requests = wire.loads[index] });
+    for (std::size_t index = 0; index < wire.servers.size(); ++index) {
+        const std::chrono::milliseconds age = wire.load_ages_ms.empty() ? assumedLoadAge : std::chrono::milliseconds { wire.load_ages_ms[index] };
+        hints.loads.push_back({ .server = static_cast<std::uint32_t>(wire.servers[index]), .requests = wire.loads[index], .age = age });
+    }
     for (std::size_t index = 0; index < wire.prompts.size(); ++index)
         hints.promptHolders.push_back({ .prompt = static_cast<std::uint32_t>(wire.prompts[index]), .server = static_cast<std::uint32_t>(wire.homes[index]) });
     for (const hints_wire::CrashHint& crash : wire.crashes) {
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -60,6 +60,11 @@
     }
 }
 
+bool hint_exchange::reachesAll(const fleet_view& fleet) const
+{
+    return fleet.daemons.size() <= m_options.peersPerRound + 1;
+}
+
 void hint_exchange::receive()
 {
     std::array<char, maxDatagramBytes> datagram;
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -10,9 +10,11 @@
 }
 
 struct Hints {
-  // Parallel lists: the hash of a server's id, and the number of its running and waiting requests.
+  // Parallel lists: the hash of a server's id, the number of its running and waiting requests, and the age of that report.
+  // Daemons of earlier versions send no ages.
   1: list<i32> servers
   2: list<i32> loads
+  6: list<i32> load_ages_ms
   3: list<CrashHint> crashes
   // Parallel lists: the hash of a prompt, and the hash of the id of the server whose cache holds it.
   4: list<i32> prompts
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -76,7 +76,7 @@
         , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
         , hints({ .address = withPort(options.platform.ip, options.platform.firstPeerPort + 1), .onReceive = [this](const server_hints& received) {
-                      balancer.recordPeerLoads(received.loads);
+                      balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
                       balancer.mergePromptUpdates(received.promptHolders);
                       crashes.merge(received.crashes); } })
         , feed(options.platform, routing, balancer, freshness)
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -21,7 +21,7 @@
     std::vector<shared_load> loads;
     loads.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
-        loads.push_back({ .server = 0xfffffff0U + static_cast<std::uint32_t>(number), .requests = number * 3 });
+        loads.push_back({ .server = 0xfffffff0U + static_cast<std::uint32_t>(number), .requests = number * 3, .age = 50ms * number });
     std::vector<crash_record> crashes;
     crashes.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count / 10; ++number)
@@ -49,6 +49,7 @@
     for (std::size_t index = 0; index < decoded->loads.size(); ++index) {
         BOOST_TEST(decoded->loads[index].server == loads[index].server);
         BOOST_TEST(decoded->loads[index].requests == loads[index].requests);
+        BOOST_TEST((decoded->loads[index].age == loads[index].age));
     }
 }
 
--- a/unittests/Routing/load_balancer_test.cpp
+++ b/unittests/Routing/load_balancer_test.cpp
@@ -98,13 +98,42 @@
     BOOST_TEST(balancer.takeLoadUpdates().empty());
     load_balancer<manual_clock> other { clock };
     other.retain(list);
-    other.recordPeerLoads(updates);
-    other.recordPeerLoads({ { .server = 12345, .requests = 5 } });
+    other.recordPeerLoads(updates, false);
+    other.recordPeerLoads({ { .server = 12345, .requests = 5 } }, false);
     for (int request = 0; request < 20; ++request)
         BOOST_TEST(other.startRequest(list, { .service = service_id { "model" }, .tieBreak = tie++, .zone = zone_id { "za" }, .fleet = &fleet })->server.id.value() != "s0");
     BOOST_TEST(other.takeLoadUpdates().empty());
 }
 
+// A daemon of a large fleet hears from few others, so it must keep the newest report whoever forwards it, and forward it once.
+BOOST_AUTO_TEST_CASE(newestPeerReportIsKeptAndForwardedOnce)
+{
+    balancer.retain(list);
+    const std::uint32_t server = serverHashOf(server_id { "s0" });
+    struct peer_report {
+        shared_load load;
+        bool forwards = false;
+        std::optional<int> published;
+    };
+    const std::vector<peer_report> reports {
+        { .load = { .server = server, .requests = 30, .age = 400ms }, .forwards = true, .published = 30 },
+        { .load = { .server = server, .requests = 30, .age = 400ms }, .forwards = true, .published = std::nullopt },
+        { .load = { .server = server, .requests = 9, .age = 900ms }, .forwards = true, .published = std::nullopt },
+        { .load = { .server = server, .requests = 7, .age = 300ms }, .forwards = false, .published = std::nullopt },
+        { .load = { .server = server, .requests = 5, .age = 100ms }, .forwards = true, .published = 5 },
+    };
+    for (const peer_report& report : reports) {
+        balancer.recordPeerLoads({ report.load }, report.forwards);
+        const std::vector<shared_load> updates = balancer.takeLoadUpdates();
+        BOOST_REQUIRE(updates.size() == (report.published ? 1U : 0U));
+        if (report.published)
+            BOOST_TEST(updates.front().requests == *report.published);
+    }
+    clock.advance(2s);
+    balancer.recordPeerLoads({ { .server = server, .requests = 6, .age = 1600ms } }, true);
+    BOOST_TEST(balancer.takeLoadUpdates().empty());
+}
+
 BOOST_AUTO_TEST_CASE(failingServerIsEjectedForTheEjectTime)
 {
     for (int failure = 0; failure < 2; ++failure)
