Keep the logger while the last requests of a stopping relay are logged

Cause: stopLog() removed the default logger while workers still logged their requests, so a planned stop could end by SIGSEGV instead of status 0 (seen four times in the kernel's log). Change: the log's queue and writer belong to the relay's log and end there; the logger stays and drops later lines.

--- a/lib/Relay/relay_log.cpp
+++ b/lib/Relay/relay_log.cpp
@@ -44,19 +44,30 @@
 
 } // namespace
 
+// The queue of log lines and the thread that writes them; owned here rather than by spdlog's registry, so that stopLog()
+// can end it without removing the logger.
+static std::shared_ptr<spdlog::details::thread_pool>& logWriter()
+{
+    static std::shared_ptr<spdlog::details::thread_pool> writer;
+    return writer;
+}
+
 void startLog(std::string_view level)
 {
-    spdlog::init_thread_pool(maxQueuedLines, 1);
+    logWriter() = std::make_shared<spdlog::details::thread_pool>(maxQueuedLines, 1);
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
-    auto logger = std::make_shared<spdlog::async_logger>("radishflow", std::move(sink), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+    auto logger = std::make_shared<spdlog::async_logger>("radishflow", std::move(sink), logWriter(), spdlog::async_overflow_policy::overrun_oldest);
+    // A line logged after stopLog() has no writer left, which is no error.
+    logger->set_error_handler([](const std::string&) {});
     spdlog::set_default_logger(std::move(logger));
     spdlog::set_level(spdlog::level::from_str(std::string { level }));
     spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
 }
 
+// Workers may still log requests when the process ends, so the logger itself stays.
 void stopLog()
 {
-    spdlog::shutdown();
+    logWriter().reset();
 }
 
 static double milliseconds(duration time)
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -327,7 +327,7 @@
     const auto [events, isComplete] = running.get();
     BOOST_TEST(isComplete);
     BOOST_TEST(joinLines(events) == expectedEvents(1, 100));
-    BOOST_TEST(fleet.daemon(0).wait(relay_fleet::stopGrace).has_value());
+    BOOST_TEST(fleet.daemon(0).wait(relay_fleet::stopGrace).value_or(-1) == 0);
     BOOST_TEST(!fleet.store().isAnnounced("d0"));
 }
 
