--- a/include/radishflow/Membership/membership_options.h
+++ b/include/radishflow/Membership/membership_options.h
@@ -51,9 +51,11 @@
     double retransmitFactor = 1.5; ///< Each daemon sends an update retransmitFactor * log2(members + 1) times, but at least 3 times.
     duration syncInterval = std::chrono::seconds { 1 };
     duration syncQuietTime = std::chrono::seconds { 2 }; ///< Time without updates before digests are compared, in which updates can propagate.
+    duration startSyncTime = std::chrono::seconds { 10 }; ///< Time after the start in which digests are compared every startSyncInterval, without waiting for quiet.
+    duration startSyncInterval = std::chrono::milliseconds { 200 };
     std::size_t syncDatagrams = 6; ///< Maximum number of datagrams in one response.
     std::size_t gossipBytesPerSecond = 6000; ///< Limit of gossip and synchronisation sent; probes, loads and registers are exempt.
-    std::size_t gossipBurstBytes = 24000;
+    std::size_t gossipBurstBytes = 200000; ///< Lets a fleet of some hundred daemons that starts at once exchange all members in seconds.
 
     duration flapHalfLife = std::chrono::seconds { 60 };
     double flapThreshold = 6; ///< A member with more changes of state (decayed) counts as flapping.
--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -76,6 +76,7 @@
     using message_list = std::vector<outgoing_message>;
 
     const member_entry& self() const { return *m_list.find(m_options.id); }
+    bool isStarting(time_point now) const { return now - m_startedAt < m_options.startSyncTime; }
     bool hasLeft() const { return self().update.status.isTerminal(); }
     member viewOf(const member_entry&, time_point now) const;
     std::size_t retransmitLimit() const;
@@ -134,6 +135,7 @@
     std::map<std::string, own_record> m_ownRecords;
     std::set<daemon_id> m_deferredUpdates;
     std::size_t m_crossRegionTurn = 0;
+    time_point m_startedAt {};
     time_point m_lastTickAt {};
     time_point m_lastReceivedAt {};
     time_point m_lastUpdateAt {};
--- a/include/radishflow/Membership/membership_table_probes.h
+++ b/include/radishflow/Membership/membership_table_probes.h
@@ -21,8 +21,10 @@
     message.sender = m_options.id;
     message.incarnation = status.incarnation;
     message.refutation = status.refutation;
+    // The receiver of the hash starts a synchronisation if its own state differs.
     const bool isProbe = message.kind == message_kind::Ping || message.kind == message_kind::Ack;
-    if (isProbe)
+    const bool isEarlyGossip = message.kind == message_kind::Gossip && isStarting(m_clock.now());
+    if (isProbe || isEarlyGossip)
         message.stateHash = m_list.digest().total();
     std::size_t room = gossip_message::maxBytes - messageHeaderBound;
     for (const member_update& update : message.members)
--- a/include/radishflow/Membership/membership_table_receive.h
+++ b/include/radishflow/Membership/membership_table_receive.h
@@ -208,10 +208,12 @@
     if (message.stateHash == 0 || message.stateHash == m_list.digest().total() || m_options.testSwitches.noAntiEntropy)
         return;
     // States differ while updates propagate, so digests are compared once no update arrived for syncQuietTime,
-    // and after five sync intervals in any case.
+    // and after five sync intervals in any case. A daemon that has just started lacks most of the state, and a comparison
+    // transfers each entry once, where gossip sends it as often as the retransmit limit.
     const duration sinceSync = now - m_lastSyncAt;
     const bool isQuiet = now - m_lastUpdateAt >= m_options.syncQuietTime || m_list.liveCount() <= 2;
-    if (sinceSync < m_options.syncInterval || (!isQuiet && sinceSync < 5 * m_options.syncInterval))
+    const bool isDueInSteadyState = sinceSync >= m_options.syncInterval && (isQuiet || sinceSync >= 5 * m_options.syncInterval);
+    if (isStarting(now) ? sinceSync < m_options.startSyncInterval : !isDueInSteadyState)
         return;
     m_lastSyncAt = now;
     ++m_counters.synchronisations;
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -21,6 +21,7 @@
 {
     assert(!m_options.id.empty() && "a member needs an id");
     const time_point now = m_clock.now();
+    m_startedAt = now;
     m_lastTickAt = now;
     m_lastReceivedAt = now;
     m_list.merge(member_update { .id = m_options.id,
--- a/unittests/Membership/registers_test.cpp
+++ b/unittests/Membership/registers_test.cpp
@@ -131,6 +131,7 @@
     virtual_fleet_options options { .daemons = 100, .regions = 3 };
     options.base.testSwitches = switches;
     options.base.gossipBytesPerSecond = 3000;
+    options.base.gossipBurstBytes = 24000;
     virtual_fleet fleet(options);
     fleet.run(4s);
     BOOST_TEST(zone_register(fleet.table(0)).change(testZone, zone_state::Out, 0, 1).has_value());
