Let a few daemons follow the store and pass its changes on to the others

The list of daemons is read less often in a larger fleet. Ruled out: failing fetches (94 of some thousand, connections closed while idle, next attempt succeeds). Model key_freshness: passes with copies of followers, fails without their date (DATE_COPY=0) and when older copies apply (KEEP_NEWER=0).

--- a/include/radishflow/Fleet/table_update_monitor.h
+++ b/include/radishflow/Fleet/table_update_monitor.h
@@ -13,19 +13,21 @@
 struct table_update_monitor_options {
     bool publishesConfirmations = false; ///< Whether to publish also that the table has not changed.
     std::chrono::milliseconds confirmationInterval { 700 }; ///< Minimum time between two confirmations, by the store's clock.
+    double fetchTimeFactor = 1.5; ///< Factor on maxLag if other daemons have to pass the changes on first.
     duration maxLag = std::chrono::milliseconds { 500 }; ///< How long this daemon's copy may lag behind the fleet; longer than the pause after a call to the store that returned changes.
 };
 
 struct table_update_decision {
     std::optional<table_update> publish; ///< Update to publish to the other daemons.
     bool isConfirmed = false; ///< This daemon's copy is complete as of the fleet's update.
-    bool needsCatchUp = false; ///< The copy has lagged behind the fleet for maxLag, so the pending call has missed a change.
+    bool needsFetch = false; ///< The copy lags behind the fleet and this daemon does not follow the table itself, so another daemon has to pass the changes on.
+    bool needsCatchUp = false; ///< The copy has lagged behind the fleet for longer than allowed, so neither a pending call nor another daemon has delivered a change.
 };
 
 /// Decides when to publish an update of one table and when to read the table again.
 ///
-/// Each daemon follows the table by long polls, which keep the load on the store low. The fleet's update reveals a
-/// poll that has stopped delivering changes long before that poll times out. Not thread-safe.
+/// The followers of a fleet follow the table by long polls and publish each change; the other daemons fetch it from them. The
+/// fleet's update also reveals a poll that has stopped delivering changes long before that poll times out. Not thread-safe.
 class table_update_monitor {
 public:
     explicit table_update_monitor(const table_update_monitor_options& options)
@@ -33,8 +35,9 @@
     {
     }
 
-    /// Compares this daemon's progress with the newest update published in the fleet.
-    table_update_decision evaluate(const table_progress& own, const table_update& fleet, time_point now)
+    /// Compares this daemon's progress with the newest update published in the fleet. `isFollowing` states whether this
+    /// daemon follows the table by long polls that work.
+    table_update_decision evaluate(const table_progress& own, const table_update& fleet, time_point now, bool isFollowing = true)
     {
         table_update_decision decision;
         const bool isBehind = own.syncedRevision < fleet.lastChangeRevision;
@@ -42,7 +45,9 @@
             m_behindSince.reset();
         else if (!m_behindSince)
             m_behindSince = now;
-        decision.needsCatchUp = isBehind && now - *m_behindSince >= m_options.maxLag;
+        decision.needsFetch = isBehind && !isFollowing;
+        const duration maxLag = isFollowing ? m_options.maxLag : std::chrono::duration_cast<duration>(m_options.maxLag * m_options.fetchTimeFactor);
+        decision.needsCatchUp = isBehind && now - *m_behindSince >= maxLag;
         decision.isConfirmed = !isBehind && fleet.storeTime.count() > 0;
         const bool hasChange = own.update.lastChangeRevision > fleet.lastChangeRevision;
         const bool hasConfirmation = m_options.publishesConfirmations && own.update.storeTime >= fleet.storeTime + m_options.confirmationInterval;
--- a/models/key_freshness.pml
+++ b/models/key_freshness.pml
@@ -1,7 +1,8 @@
 /* A revoked key stops working at every daemon within MAX_REVOCATION_DELAY ticks, whichever daemons reach the store.
  *
  * Daemons read the configuration from the store, whose responses may be late, and receive from each other the time at
- * which a version was confirmed as current. A partitioned daemon receives no message: in such a run its receiving
+ * which a version was confirmed as current. A daemon that does not follow the store fetches a follower's copy of the
+ * configuration, with the time as of which that copy was complete; this response may be late as well. A partitioned daemon receives no message: in such a run its receiving
  * steps never occur. Time is CLOCK_BOOTTIME, whose rate all daemons share; its offsets cancel out, since daemons
  * exchange ages. Names are those of include/radishflow/Routing/key_freshness.h.
  *
@@ -27,6 +28,12 @@
 #ifndef MATCH_VERSION /* A confirmation of a version other than the one that the daemon has applied is ignored. */
 #define MATCH_VERSION 1
 #endif
+#ifndef DATE_COPY /* A follower's copy confirms as of the time at which the follower read it. */
+#define DATE_COPY 1
+#endif
+#ifndef KEEP_NEWER /* A copy that is older than the applied version is ignored. */
+#define KEEP_NEWER 1
+#endif
 
 byte now;
 byte storeVersion; /* in the store; version 1 no longer contains the key */
@@ -39,6 +46,10 @@
 byte responseVersion[DAEMONS];
 byte responseReadAt[DAEMONS];
 
+bool isCopyPending[DAEMONS]; /* a copy of another daemon is in flight */
+byte copyVersion[DAEMONS];
+byte copyReadAt[DAEMONS];
+
 inline confirm(daemon, at) {
     if
     :: (at) > confirmedAt[daemon] -> confirmedAt[daemon] = (at)
@@ -99,6 +110,37 @@
         daemon = 0;
         other = 0
        }
+    :: atomic { /* A daemon asks another one for its copy. */
+        select(daemon : 0 .. DAEMONS - 1);
+        select(other : 0 .. DAEMONS - 1);
+        if
+        :: daemon != other && !isCopyPending[daemon] ->
+            isCopyPending[daemon] = true;
+            copyVersion[daemon] = appliedVersion[other];
+            copyReadAt[daemon] = confirmedAt[other]
+        :: else
+        fi;
+        daemon = 0;
+        other = 0
+       }
+    :: atomic { /* The copy arrives. */
+        select(daemon : 0 .. DAEMONS - 1);
+        if
+        :: isCopyPending[daemon] ->
+            isCopyPending[daemon] = false;
+            if
+            :: copyVersion[daemon] >= appliedVersion[daemon] || !KEEP_NEWER ->
+                appliedVersion[daemon] = copyVersion[daemon];
+                if
+                :: DATE_COPY -> confirm(daemon, copyReadAt[daemon])
+                :: else -> confirm(daemon, now)
+                fi
+            :: else
+            fi
+        :: else
+        fi;
+        daemon = 0
+       }
     :: atomic { /* A request with the key arrives. */
         select(daemon : 0 .. DAEMONS - 1);
         if
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -14,7 +14,8 @@
 
 namespace radishflow {
 
-// Ports of a daemon, as offsets from the base: for callers, readiness, lookups, metrics and gossip.
+// Ports of a daemon, as offsets from the base: for callers, readiness, lookups, metrics and gossip. The two ports after that of
+// gossip carry hints and changes of tables.
 enum port_offset {
     CallerPort,
     ReadinessPort,
@@ -97,7 +98,7 @@
         .lookupPort = portOf(LookupPort),
         .firstPeerPort = portOf(GossipPort),
         .storeAddress = storeAddress(number),
-        .maxRevocationDelay = maxRevocationDelay,
+        .maxRevocationDelay = m_options.revocationDelay,
         .stopGrace = stopGrace,
     });
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -22,6 +22,7 @@
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
+    std::chrono::milliseconds revocationDelay { 2500 }; ///< Bound within which a revoked key must stop working.
 };
 
 /// Runs with the configuration of writeConfig(). Each daemon listens on a loopback address of its own. Not thread-safe.
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -10,6 +10,7 @@
 
 #include "daemon_registry.h"
 #include "lookup_response.h"
+#include "peer_changes.h"
 #include "platform_feed.h"
 #include "wire_protocol.h"
 
@@ -18,6 +19,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <optional>
 #include <thread>
 
 namespace radishflow {
@@ -29,8 +31,10 @@
 static constexpr std::chrono::milliseconds stopMargin { 500 };
 static constexpr std::chrono::milliseconds refreshInterval { 250 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
-// Interval at which the store's list of daemons is read. The gossip protocol discovers the whole fleet from any one member.
-static constexpr std::chrono::seconds announceInterval { 10 };
+// Interval at which the store's list of daemons is read, per daemon of the fleet, so that the load on the store does not grow
+// with the fleet. The gossip protocol discovers the whole fleet from any one member.
+static constexpr std::chrono::milliseconds announceIntervalPerDaemon { 1000 };
+static constexpr std::chrono::seconds minAnnounceInterval { 10 };
 static constexpr std::chrono::seconds announceRetryInterval { 1 };
 // File descriptors reserved for connections to servers and the store, and for files.
 static constexpr std::size_t reservedDescriptors = 1000;
@@ -61,7 +65,7 @@
     hint_exchange hints;
     platform_feed feed;
     daemon_registry rows;
-    time_point nextAnnounceAt {};
+    std::optional<time_point> lastAnnouncedAt;
     bool isAnnounced = false;
     std::atomic<bool> isReady = false;
     std::unique_ptr<caller_listener> listener;
@@ -75,7 +79,7 @@
         , freshness(options.platform.areKeysRevokedStrictly ? duration { options.platform.maxRevocationDelay } : duration { unboundedKeyTrust })
         , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
-        , hints({ .address = withPort(options.platform.ip, options.platform.firstPeerPort + 1), .onReceive = [this](const server_hints& received) {
+        , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received) {
                       balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
                       balancer.mergePromptUpdates(received.promptHolders);
                       crashes.merge(received.crashes); } })
@@ -124,6 +128,7 @@
             documents(options.platform.readinessAddress, &state::readinessPage),
             documents(options.platform.lookupAddress, &state::lookupPage),
             documents(withPort(options.platform.ip, options.metricsPort), &state::metricsPage),
+            documents(withPort(options.platform.ip, peerChangesPort(options.platform)), &state::peerChangesPage),
         };
     }
 
@@ -152,6 +157,11 @@
         return { .status = 200, .body = writeLookupResponse(readyAddresses.empty() ? allAddresses : readyAddresses, lookupLifetime) };
     }
 
+    document peerChangesPage(const std::string& target)
+    {
+        return writePeerChanges(target, [this](const std::string& table, std::uint64_t after) { return feed.changesSince(table, after); });
+    }
+
     document metricsPage(const std::string&)
     {
         metrics.setGauge("busy", listener->activeConnections());
@@ -171,7 +181,7 @@
         if (previousView->daemons.size() != view->daemons.size())
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
-        feed.refresh(fleet, view->size);
+        feed.refresh(fleet, view);
         hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = crashes.takeNewRecords(), .promptHolders = balancer.takePromptUpdates() }, *view);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
         if (isReady.exchange(ready) != ready) {
@@ -182,9 +192,10 @@
 
     void announce()
     {
-        if (stop.isStopping() || clock.now() < nextAnnounceAt)
+        const duration interval = std::max<duration>(minAnnounceInterval, announceIntervalPerDaemon * static_cast<int>(routing.fleet()->size));
+        if (stop.isStopping() || (lastAnnouncedAt && clock.now() - *lastAnnouncedAt < interval))
             return;
-        nextAnnounceAt = clock.now() + announceInterval;
+        lastAnnouncedAt = clock.now();
         valueOr(
             [&]() -> result<bool> {
                 if (!isAnnounced)
@@ -197,7 +208,7 @@
             },
             [&](const failure& error) {
                 spdlog::warn("event=announce_failed step=\"{}\" peer={} error=\"{}\"", error.step, error.peer, error.detail);
-                nextAnnounceAt = {};
+                lastAnnouncedAt.reset();
                 return false;
             });
     }
--- a/unittests/Fleet/table_update_monitor_test.cpp
+++ b/unittests/Fleet/table_update_monitor_test.cpp
@@ -66,6 +66,23 @@
     BOOST_TEST(!monitor.evaluate(own, { 7000ms, 20 }, startTime + 700ms).needsCatchUp);
 }
 
+// A daemon that does not follow the table itself fetches announced changes from another daemon at once, and asks the store
+// only if none has delivered them within 1.5 times maxLag.
+BOOST_AUTO_TEST_CASE(daemonThatDoesNotFollowFetchesChangesAtOnce)
+{
+    table_update_monitor monitor { {} };
+    const table_progress own { { 5000ms, 3 }, 9 };
+    const table_update fleet { 6000ms, 12 };
+    BOOST_TEST(!monitor.evaluate(own, { 6000ms, 9 }, startTime, false).needsFetch);
+    BOOST_TEST(!monitor.evaluate(own, fleet, startTime, true).needsFetch);
+    const table_update_decision first = monitor.evaluate(own, fleet, startTime, false);
+    BOOST_TEST(first.needsFetch);
+    BOOST_TEST(!first.needsCatchUp);
+    BOOST_TEST(!monitor.evaluate(own, fleet, startTime + 700ms, false).needsCatchUp);
+    BOOST_TEST(monitor.evaluate(own, fleet, startTime + 750ms, false).needsCatchUp);
+    BOOST_TEST(!monitor.evaluate({ { 6500ms, 12 }, 13 }, fleet, startTime + 800ms, false).needsFetch);
+}
+
 BOOST_AUTO_TEST_CASE(withoutConfirmationsOnlyChangesArePublished)
 {
     table_update_monitor monitor { {} };
