--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -39,6 +39,13 @@
         m_servers.insert_or_assign(server.id, std::move(server));
     }
 
+    /// Returns a listed server, or null; valid until the next change.
+    const listed_server* find(const server_id& id) const
+    {
+        const auto server = m_servers.find(id);
+        return server == m_servers.end() ? nullptr : &server->second;
+    }
+
     void remove(const server_id& id)
     {
         if (!m_servers.contains(id))
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -168,6 +168,7 @@
         metrics.setGauge("connections", listener->connections());
         metrics.setGauge("fleet_size", static_cast<double>(routing.fleet()->size));
         metrics.setGauge("config_age_seconds", std::chrono::duration<double>(freshness.age(clock.now())).count());
+        metrics.setGauge("follows_store", feed.isFollower() ? 1 : 0);
         const auto routes = routing.routes();
         metrics.setGauge("config_version", routes ? static_cast<double>(routes->version().value()) : 0);
         return { .status = 200, .contentType = "text/plain; version=0.0.4", .body = metrics.text() };
