--- a/include/radishflow/Fleet/retry_backoff.h
+++ b/include/radishflow/Fleet/retry_backoff.h
@@ -4,7 +4,6 @@
 #include "radishflow/Support/monotonic_clock.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <random>
 
 namespace radishflow {
--- a/include/radishflow/Fleet/store_followers.h
+++ b/include/radishflow/Fleet/store_followers.h
@@ -4,6 +4,7 @@
 #include "radishflow/Routing/fleet_view.h"
 #include "radishflow/Support/ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -12,7 +12,7 @@
 // No server can run more requests; a datagram with a higher load is invalid.
 static constexpr int maxRequestsPerServer = 100000;
 static constexpr std::size_t maxServerIdBytes = 64;
-// A report of this age is of no use to any receiver.
+// A report of this age is of no use to any receiver. Older ones, such as those of a daemon that was suspended, get this age.
 static constexpr int maxLoadAgeMs = 60000;
 // Daemons of earlier versions publish no ages, and publish each report once, within a few hundred milliseconds.
 static constexpr std::chrono::milliseconds assumedLoadAge { 300 };
@@ -24,7 +24,8 @@
     for (std::size_t index = 0; index < std::min(hints.loads.size(), maxLoadHints); ++index) {
         wire.servers.push_back(static_cast<std::int32_t>(hints.loads[index].server));
         wire.loads.push_back(hints.loads[index].requests);
-        wire.load_ages_ms.push_back(static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(hints.loads[index].age).count()));
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(hints.loads[index].age);
+        wire.load_ages_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxLoadAgeMs)));
     }
     for (std::size_t index = 0; index < std::min(hints.crashes.size(), maxCrashHints); ++index) {
         const crash_record& crash = hints.crashes[index];
--- a/lib/Relay/relay_log.cpp
+++ b/lib/Relay/relay_log.cpp
@@ -8,7 +8,9 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <chrono>
+#include <iostream>
 #include <mutex>
 #include <string>
 #include <utility>
@@ -52,13 +54,18 @@
     return writer;
 }
 
+static std::atomic<bool> hasStopped = false;
+
 void startLog(std::string_view level)
 {
     logWriter() = std::make_shared<spdlog::details::thread_pool>(maxQueuedLines, 1);
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     auto logger = std::make_shared<spdlog::async_logger>("radishflow", std::move(sink), logWriter(), spdlog::async_overflow_policy::overrun_oldest);
     // A line logged after stopLog() has no writer left, which is no error.
-    logger->set_error_handler([](const std::string&) {});
+    logger->set_error_handler([](const std::string& error) {
+        if (!hasStopped)
+            std::cerr << "log: " << error << '\n';
+    });
     spdlog::set_default_logger(std::move(logger));
     spdlog::set_level(spdlog::level::from_str(std::string { level }));
     spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
@@ -67,6 +74,7 @@
 // Workers may still log requests when the process ends, so the logger itself stays.
 void stopLog()
 {
+    hasStopped = true;
     logWriter().reset();
 }
 
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -53,6 +53,14 @@
     }
 }
 
+// A daemon that was suspended publishes old reports; its datagram must stay readable, since it may also hold crashes.
+BOOST_AUTO_TEST_CASE(agesBeyondTheMaximumAreReduced)
+{
+    const auto decoded = decodeHints(encodeHints({ .loads = { { .server = 1, .requests = 2, .age = 10h } } }));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded->loads.front().age == 60s));
+}
+
 // Corrupt datagrams are either rejected or decoded to no more hints than the maximum.
 BOOST_AUTO_TEST_CASE(corruptDatagramsAreRejectedOrDecodedWithinBounds)
 {
