--- a/unittests/Relay/relay_log_test.cpp
+++ b/unittests/Relay/relay_log_test.cpp
@@ -20,6 +20,7 @@
     std::atomic<bool> isDone = false;
     std::atomic<int> logged = 0;
     std::vector<std::thread> threads;
+    threads.reserve(workers);
     for (int worker = 0; worker < workers; ++worker) {
         threads.emplace_back([&] {
             for (; !isDone; ++logged)
--- a/unittests/Routing/load_balancer_test.cpp
+++ b/unittests/Routing/load_balancer_test.cpp
@@ -105,7 +105,8 @@
     BOOST_TEST(other.takeLoadUpdates().empty());
 }
 
-// A daemon of a large fleet hears from few others, so it must keep the newest report whoever forwards it, and forward it once.
+// A daemon of a large fleet receives hints of few others, so it must keep the newest report, whichever daemon forwards it, and
+// forward it once.
 BOOST_AUTO_TEST_CASE(newestPeerReportIsKeptAndForwardedOnce)
 {
     balancer.retain(list);
