--- a/test/Relay/store_followers_test.cpp
+++ b/test/Relay/store_followers_test.cpp
@@ -82,3 +82,19 @@
     BOOST_TEST(waitUntil(revocationDelay, [&] { return allRespond(fleet, rest, "new-key", 401); }));
     BOOST_TEST(allRespond(fleet, rest, "third-key", 200));
 }
+
+// Whole tables carry no removals, so a follower that had to read the whole table must make the other daemons read it as well.
+BOOST_AUTO_TEST_CASE(removalsInDroppedHistoryReachDaemonsThatDoNotFollow)
+{
+    constexpr auto maxDrainDelay = 2000ms;
+    relay_fleet fleet { { .daemons = daemons, .revocationDelay = revocationDelay } };
+    BOOST_REQUIRE(waitUntil(10s, [&] { return fleet.lookUp(0).size() == daemons && fleet.lookUp(daemons - 1).size() == daemons; }));
+    fleet.configure(2);
+    std::this_thread::sleep_for(4s);
+    fleet.store().unlistWithoutHistory("i-0"); // The server of the daemons' own zone, which they prefer.
+    std::this_thread::sleep_for(maxDrainDelay);
+    const int runsBefore = fleet.server(0).runs();
+    for (int round = 0; round < 6; ++round)
+        BOOST_TEST(allRespond(fleet, allDaemons(), relay_fleet::key, 200));
+    BOOST_TEST(fleet.server(0).runs() == runsBefore);
+}
