--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -1,6 +1,8 @@
 // Implements crash_quarantine with the quarantine of the admission library.
 #include "radishflow/Relay/crash_quarantine.h"
 
+#include <spdlog/spdlog.h>
+
 #include <chrono>
 #include <mutex>
 #include <string>
@@ -15,6 +17,11 @@
 {
 }
 
+static void logCrash(const char* event, const request_fingerprint& request, const server_id& server)
+{
+    spdlog::warn("event={} fingerprint={:016x}{:016x} server={}", event, request.high, request.low, server.value());
+}
+
 std::optional<request_fingerprint> crash_quarantine::fingerprint(const workspace_id& workspace, const service_id& service, std::string_view target, std::string_view body)
 {
     if (body.empty())
@@ -26,6 +33,7 @@
 
 void crash_quarantine::recordCrash(const request_fingerprint& request, const server_id& server)
 {
+    logCrash("crash_recorded", request, server);
     const std::lock_guard lock { m_mutex };
     m_quarantine.recordCrash(server, { request });
 }
@@ -50,6 +58,8 @@
 // Records received from other daemons are not sent on, because each daemon sends its own records to all others.
 void crash_quarantine::merge(const std::vector<crash_record>& records)
 {
+    for (const crash_record& record : records)
+        logCrash("crash_learned", record.fingerprint, record.server);
     const std::lock_guard lock { m_mutex };
     std::vector<crash_record> own = m_quarantine.takeNewRecords();
     m_quarantine.merge(records);
