Count the crash of a server that restarted under its former id

Callers' crashing requests reached a server again and again: a crash was identified by the server's id, so a server that came back under its id and crashed again counted once. The log of the failing case showed five crash_recorded for one id on three daemons before any refusal.

--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Admission/quarantine.h"
+#include "radishflow/Routing/listed_server.h"
 #include "radishflow/Support/boottime_clock.h"
 #include "radishflow/Support/ranked_mutex.h"
 
@@ -11,7 +12,7 @@
 
 namespace radishflow {
 
-/// Keeps a request that is retried after a crash from crashing further servers: once two servers have crashed while running
+/// Keeps a request that is retried after a crash from crashing further servers: once two processes of servers have crashed while running
 /// it, every daemon refuses it for a limited time. Thread-safe; uses one lock of rank Crashes.
 class crash_quarantine {
 public:
@@ -21,8 +22,8 @@
     /// requests without a body would have the same fingerprint.
     static std::optional<request_fingerprint> fingerprint(const workspace_id&, const service_id&, std::string_view target, std::string_view body);
 
-    /// Records that a server crashed before it answered the request.
-    void recordCrash(const request_fingerprint&, const server_id&);
+    /// Records that a server crashed before it completed the response.
+    void recordCrash(const request_fingerprint&, const listed_server&);
     /// Returns the remaining time for which the request is refused, or nothing if it is not quarantined.
     std::optional<duration> remainingQuarantine(const request_fingerprint&) const;
     /// Returns the crashes recorded by this daemon since the last call, to be sent to the other daemons.
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -268,7 +268,7 @@
         return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
         if (m_fingerprint && !acceptsConnections(server))
-            m_context.crashes.recordCrash(*m_fingerprint, server.id);
+            m_context.crashes.recordCrash(*m_fingerprint, server);
         return recordFailure(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
     case exchange_state::TimedOut:
         return recordFailure(server, server_outcome::Failed, true, "silent");
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -31,11 +31,13 @@
     return fingerprintOf(workspace, service, content);
 }
 
-void crash_quarantine::recordCrash(const request_fingerprint& request, const server_id& server)
+// A server that has restarted under its former id is another process, whose crash counts again.
+void crash_quarantine::recordCrash(const request_fingerprint& request, const listed_server& server)
 {
-    logCrash("crash_recorded", request, server);
+    const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
+    logCrash("crash_recorded", request, process);
     const std::lock_guard lock { m_mutex };
-    m_quarantine.recordCrash(server, { request });
+    m_quarantine.recordCrash(process, { request });
 }
 
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_fingerprint& request) const
--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -56,12 +56,20 @@
     return runs;
 }
 
+/// Waits until all servers accept connections again, and lists the processes that have started.
+void awaitRestart(relay_fleet& fleet)
+{
+    std::this_thread::sleep_for(crashLength);
+    for (int server = 0; server < fleet.servers(); ++server)
+        fleet.list(server);
+}
+
 /// Sends the request to the daemons in turn until it has crashed at least `count` servers or been sent twice as often.
 void crashServers(relay_fleet& fleet, const crash_case& request, int count, int daemons)
 {
     for (int send = 0; send < 2 * count && runsOf(fleet, request.path) < count; ++send) {
         fleet.call(send % daemons, request.path, request.method, relay_fleet::key, request.body);
-        std::this_thread::sleep_for(crashLength);
+        awaitRestart(fleet);
     }
 }
 
@@ -70,7 +78,7 @@
     for (int round = 0; round < rounds; ++round) {
         for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
             BOOST_TEST(fleet.call(daemon, request.path, request.method, relay_fleet::key, request.body).status == 503);
-            std::this_thread::sleep_for(crashLength);
+            awaitRestart(fleet);
         }
     }
 }
@@ -123,7 +131,7 @@
         fleet.call(0, crashes[0].path, crashes[0].method, relay_fleet::key, crashes[0].body);
         for (std::thread& caller : callers)
             caller.join();
-        std::this_thread::sleep_for(crashLength);
+        awaitRestart(fleet);
     }
     const int before = runsOf(fleet, crashes[0].path);
     std::this_thread::sleep_for(contactTime);
@@ -161,7 +169,7 @@
     std::this_thread::sleep_for(500ms);
     for (const char* body : { "one", "two", "three", "four" }) {
         fleet.call(0, crashes[0].path, crashes[0].method, relay_fleet::key, body);
-        std::this_thread::sleep_for(crashLength);
+        awaitRestart(fleet);
     }
     isStopping = true;
     for (std::thread& caller : callers)
