Record the crash of a server that breaks off its response

Callers' crashing streams reached every server: only a connection that broke before the response head was examined for a crash, so a request that crashes its server after the head, in a stream or in a body, left no record. Broken bodies of all kinds of responses go through handleBodyFailure(), which examines the server like a break before the head. A server that still listens, as after a cut connection, is not taken for crashed (relay requestWhoseResponsesAreCut*).

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -43,6 +43,8 @@
     bool refuse(const refusal&);
     std::optional<refusal> refusalWhileStopping() const;
     static bool acceptsConnections(const listed_server&);
+    /// Records a crash if the server, whose connection broke, no longer listens.
+    void recordIfCrashed(const listed_server&);
     std::optional<refusal> refusalForQuarantine() const;
     std::optional<chosen_server> chooseServer();
     server_query queryFor(const fleet_view&) const;
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -104,6 +104,13 @@
     }
 }
 
+template <relay_protocol Protocol>
+void relay_call<Protocol>::recordIfCrashed(const listed_server& server)
+{
+    if (m_fingerprint && !acceptsConnections(server))
+        m_context.crashes.recordCrash(*m_fingerprint, server);
+}
+
 // Distinguishes a crashed server from one whose response was lost in the network.
 template <relay_protocol Protocol>
 bool relay_call<Protocol>::acceptsConnections(const listed_server& server)
@@ -267,8 +274,7 @@
         --m_contactedServers;
         return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
-        if (m_fingerprint && !acceptsConnections(server))
-            m_context.crashes.recordCrash(*m_fingerprint, server);
+        recordIfCrashed(server);
         return recordFailure(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
     case exchange_state::TimedOut:
         return recordFailure(server, server_outcome::Failed, true, "silent");
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -31,12 +31,10 @@
     body_read_result bodyResult = body_read_result::Data;
     while (bodyResult == body_read_result::Data && failure.body.size() < maxBufferedBytes)
         bodyResult = exchange.read(failure.body);
-    if (bodyResult == body_read_result::CallerGone)
+    if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
-    if (bodyResult == body_read_result::Complete) {
-        exchange.releaseConnection();
-        m_serverError = std::move(failure);
-    }
+    exchange.releaseConnection();
+    m_serverError = std::move(failure);
     return recordFailure(server, server_outcome::Failed, true, "server_error");
 }
 
@@ -100,6 +98,8 @@
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::handleBodyFailure(const listed_server& server, body_read_result bodyResult)
 {
+    if (bodyResult == body_read_result::Broken)
+        recordIfCrashed(server);
     if (bodyResult != body_read_result::CallerGone)
         return recordFailure(server, server_outcome::Failed, true, bodyResult == body_read_result::TimedOut ? "silent" : "broke_off");
     m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
