Do not resend a request that its last crash has quarantined

A request that may be resent crashed one server more than needed: the quarantine was asked only when the request arrived, not before it was resent.

--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -81,6 +81,10 @@
     m_context.retries.countRequest(m_admitted.service);
     while (true) {
         const bool isResend = m_record.sends > 0;
+        if (const auto problem = isResend ? refusalForQuarantine() : std::nullopt) {
+            m_record.reason = problem->title;
+            return sendFailure();
+        }
         if (isResend && !std::exchange(m_isResendReserved, false) && !tryReserveResend())
             return sendFailure();
         const auto server = chooseServer();
--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -95,6 +95,22 @@
     BOOST_TEST(runsOf(fleet, testCase.path) <= maxCrashes);
 }
 
+BOOST_AUTO_TEST_CASE(crashingRequestIsNotResentOnceItIsQuarantined)
+{
+    constexpr int crashesToQuarantine = 2;
+    relay_fleet fleet { { .daemons = 1, .servers = 3 } };
+    setCrashing(fleet, crashes[1].path);
+    fleet.store().unlist("i-1");
+    fleet.store().unlist("i-2");
+    std::this_thread::sleep_for(1s);
+    fleet.call(0, crashes[1].path, crashes[1].method, relay_fleet::key, crashes[1].body);
+    BOOST_TEST(runsOf(fleet, crashes[1].path) == 1);
+    awaitRestart(fleet);
+    std::this_thread::sleep_for(2s);
+    BOOST_TEST(fleet.call(0, crashes[1].path, crashes[1].method, relay_fleet::key, crashes[1].body).status == 502);
+    BOOST_TEST(runsOf(fleet, crashes[1].path) == crashesToQuarantine);
+}
+
 BOOST_AUTO_TEST_CASE(restartedDaemonsStillRefuseCrashingRequest)
 {
     relay_fleet fleet { { .daemons = 2, .servers = 6 } };
