Send all crashes of a round to the other daemons

Daemons did not learn which request had crashed a server when the crash broke more than eight of their requests: a round of hints was one datagram, and the crashes that did not fit were dropped for good.

--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -19,6 +19,8 @@
 // Bounds how long the destructor waits for the receiving thread.
 static constexpr std::chrono::milliseconds receiveTimeout { 300 };
 static constexpr std::size_t maxDatagramBytes = 2048;
+// Bounds the traffic after a crash; more requests of one daemon rarely run at a server.
+static constexpr std::size_t maxCrashesPerRound = 128;
 
 hint_exchange::hint_exchange(hint_exchange_options options)
     : m_options(std::move(options))
@@ -34,10 +36,22 @@
     m_thread.join();
 }
 
+// Each crash of a server breaks all of its requests at once, so a round may have more crashes than fit into a datagram.
 void hint_exchange::send(const server_hints& hints, const fleet_view& fleet)
 {
     if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty())
         return;
+    const std::size_t first = std::min(hints.crashes.size(), maxCrashHints);
+    sendDatagram({ .loads = hints.loads, .crashes = { hints.crashes.begin(), hints.crashes.begin() + static_cast<std::ptrdiff_t>(first) }, .promptHolders = hints.promptHolders }, fleet);
+    const std::size_t end = std::min(hints.crashes.size(), maxCrashesPerRound);
+    for (std::size_t index = first; index < end; index += maxCrashHints) {
+        const auto begin = hints.crashes.begin() + static_cast<std::ptrdiff_t>(index);
+        sendDatagram({ .crashes = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxCrashHints, end - index)) } }, fleet);
+    }
+}
+
+void hint_exchange::sendDatagram(const server_hints& hints, const fleet_view& fleet)
+{
     static thread_local std::minstd_rand random { std::random_device {}() };
     std::vector<const fleet_daemon*> peers;
     peers.reserve(fleet.daemons.size());
