Keep crash records in the store, so that restarted and cut-off daemons learn of them

A crashing request reached further servers through daemons that had missed the datagram about its crashes: it was sent once, to the daemons known at the time, and a daemon that started later, or was paused or cut off from the sender, never learned of it. Records are rows of the table 'crashes' now, read by every daemon at its start, followed like the other tables (by all daemons of a small fleet, else by the followers, which pass changes on), rewritten if the store has lost them, and removed after the retention.

--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -7,6 +7,7 @@
 #include "radishflow/Support/ranked_mutex.h"
 #include "radishflow/Support/recent_set.h"
 
+#include <chrono>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,10 @@
 /// it, every daemon refuses it for a limited time. Thread-safe; uses one lock of rank Crashes.
 class crash_quarantine {
 public:
+    /// Time for which a crash counts. The platform sets no time after which a request that has crashed servers may be sent to
+    /// further ones.
+    static constexpr duration retention = std::chrono::minutes { 30 };
+
     crash_quarantine();
 
     /// Returns a fingerprint of workspace, target and body.
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -3,21 +3,18 @@
 
 #include <spdlog/spdlog.h>
 
-#include <chrono>
 #include <mutex>
 #include <string>
 
 namespace radishflow {
 
-// The platform sets no time after which a request that has crashed servers may be sent to further ones.
-static constexpr std::chrono::minutes quarantineDuration { 30 };
 
 // A request that crashes servers is never served, so a request that was served this recently only ran beside one.
 static constexpr std::chrono::seconds servedTime { 60 };
 static constexpr std::size_t maxServed = 4096;
 
 crash_quarantine::crash_quarantine()
-    : m_quarantine(m_clock, { .retention = quarantineDuration })
+    : m_quarantine(m_clock, { .retention = retention })
     , m_served(servedTime, maxServed)
 {
 }
@@ -72,12 +69,11 @@
 // Records received from other daemons are not sent on, because each daemon sends its own records to all others.
 void crash_quarantine::merge(const std::vector<crash_record>& records)
 {
-    for (const crash_record& record : records)
-        logCrash("crash_learned", record.fingerprint, record.server);
     const std::lock_guard lock { m_mutex };
     std::vector<crash_record> own = m_quarantine.takeNewRecords();
     m_quarantine.merge(records);
-    m_quarantine.takeNewRecords();
+    for (const crash_record& record : m_quarantine.takeNewRecords())
+        logCrash("crash_learned", record.fingerprint, record.server);
     m_pendingRecords.insert(m_pendingRecords.end(), own.begin(), own.end());
 }
 
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -3,11 +3,13 @@
 
 #include "radishflow/Fleet/fleet_membership.h"
 #include "radishflow/Fleet/hint_exchange.h"
+#include "radishflow/Fleet/store_followers.h"
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
 #include "radishflow/Relay/relay_session.h"
 #include "radishflow/Threads/periodic_task.h"
 
+#include "crash_table.h"
 #include "daemon_registry.h"
 #include "lookup_response.h"
 #include "peer_changes.h"
@@ -63,6 +65,7 @@
     relay_context parts;
     fleet_membership fleet;
     hint_exchange hints;
+    crash_table crashRows;
     platform_feed feed;
     daemon_registry rows;
     std::optional<time_point> lastAnnouncedAt;
@@ -72,6 +75,7 @@
     std::unique_ptr<periodic_task> refreshTask;
     std::unique_ptr<periodic_task> announceTask;
     std::unique_ptr<periodic_task> catchUpTask;
+    std::unique_ptr<periodic_task> crashTask;
 
     explicit state(const relay_daemon_options& daemonOptions)
         : options(daemonOptions)
@@ -83,7 +87,8 @@
                       balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
                       balancer.mergePromptUpdates(received.promptHolders);
                       crashes.merge(received.crashes); } })
-        , feed(options.platform, routing, balancer, freshness)
+        , crashRows({ .storeAddress = options.platform.storeAddress, .retention = crash_quarantine::retention, .onRead = [this](const std::vector<crash_record>& records) { crashes.merge(records); } })
+        , feed(options.platform, routing, balancer, freshness, crashRows)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
         seedFleet(options.platform.seedAddresses);
@@ -91,6 +96,7 @@
         refreshTask = std::make_unique<periodic_task>(refreshInterval, [this] { refresh(); });
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetryInterval }, [this] { announce(); });
         catchUpTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.catchUp(); });
+        crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
     }
 
     std::string peerAddress() const { return withPort(options.platform.ip, options.platform.firstPeerPort); }
@@ -183,7 +189,9 @@
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
         feed.refresh(fleet, view);
-        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = crashes.takeNewRecords(), .promptHolders = balancer.takePromptUpdates() }, *view);
+        const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
+        crashRows.add(newCrashes);
+        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates() }, *view);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
         if (isReady.exchange(ready) != ready) {
             spdlog::info("event=readiness_changed ready={} config_age_ms={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count());
@@ -191,6 +199,14 @@
         }
     }
 
+    // One daemon is enough to remove expired rows of the store.
+    bool isFirstFollower() const
+    {
+        const auto view = routing.fleet();
+        const auto followers = storeFollowers(*view);
+        return !followers.empty() && followers.front()->id == view->self;
+    }
+
     void announce()
     {
         const duration interval = std::max<duration>(minAnnounceInterval, announceIntervalPerDaemon * static_cast<int>(routing.fleet()->size));
