Log the versions of servers and which stream a request resumes

Rows of servers and attempts of a request state the version now, and a request the one whose stream it resumes. No logic changes.

--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -48,6 +48,7 @@
     , m_fleet(context.routing.fleet())
 {
     m_record.request = m_request.id;
+    m_record.resumes = m_request.resumes;
     m_record.configAge = context.freshness.age(now());
     m_record.fleetSize = m_fleet->size;
     if (!m_admitted.target)
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -160,7 +160,7 @@
     m_history.servers.push_back(server.id);
     if (!m_record.servers.empty())
         m_record.servers += ' ';
-    m_record.servers += server.id.value() + ':' + result;
+    m_record.servers += server.id.value() + ':' + server.version.value() + ':' + result;
 }
 
 template <relay_protocol Protocol>
--- a/include/radishflow/Relay/relayed_request.h
+++ b/include/radishflow/Relay/relayed_request.h
@@ -21,6 +21,7 @@
     std::vector<prompt_part> prompt; ///< Parts shared with other requests come first; the last one is specific to the request or its session.
     int promptTokens = 0;
     int maxOutputTokens = 0;
+    request_id resumes; ///< Request that brought the first event of the interrupted stream that this one resumes; empty for a new stream.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that the caller received of an interrupted stream.
 };
 
--- a/include/radishflow/Requests/request_record.h
+++ b/include/radishflow/Requests/request_record.h
@@ -11,6 +11,7 @@
 
 struct request_record {
     request_id request;
+    request_id resumes; ///< Request whose stream it resumes; empty for a new one.
     std::string route;
     workspace_id workspace;
     service_id service;
--- a/include/radishflow/Routing/listed_server.h
+++ b/include/radishflow/Routing/listed_server.h
@@ -14,6 +14,7 @@
     service_id service;
     std::string address; ///< "IP:port". Another server may get the same address later.
     zone_id zone;
+    software_version version;
     bool isDraining = false;
     int slots = 1; ///< Requests that the server runs concurrently.
     time_point coldUntil {};
--- a/include/radishflow/Support/ids.h
+++ b/include/radishflow/Support/ids.h
@@ -13,6 +13,7 @@
 using workspace_id = string_id<struct workspace_id_tag>; ///< A customer's workspace.
 using service_id = string_id<struct service_id_tag>;
 using server_id = string_id<struct server_id_tag>; ///< A backend server or engine, "host:port".
+using software_version = string_id<struct software_version_tag>; ///< Version of a backend server's software, not of its model weights.
 using model_id = string_id<struct model_id_tag>;
 using chat_id = string_id<struct chat_id_tag>;
 using request_id = string_id<struct request_id_tag>;
