--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -1,9 +1,7 @@
 // Implements relay_fleet: writes the daemons' settings, starts them and sends requests to them.
 #include "relay_fleet.h"
 
-#include "caller_connection.h"
 #include "standin_config.h"
-#include "test_request.h"
 
 #include <csignal>
 #include <fstream>
@@ -50,7 +48,7 @@
     std::filesystem::create_directories(m_folder);
     configure(1);
     for (int number = 0; number < options.servers; ++number) {
-        m_servers.push_back(std::make_unique<server_standin>("i-" + std::to_string(number), standinService, number == 0 ? standinZone : "zb"));
+        m_servers.push_back(std::make_unique<server_standin>("i-" + std::to_string(number), standinService, number == 0 ? standinZone : "zb", options.versions.at(static_cast<std::size_t>(number) % options.versions.size())));
         m_servers.back()->setBehaviour(options.behaviour);
         if (options.isProxied) {
             m_serverLinks.push_back(std::make_unique<faulty_link>("127.0.0.1:" + std::to_string(m_servers.back()->port())));
@@ -139,12 +137,17 @@
     });
 }
 
-std::pair<std::vector<std::string>, bool> relay_fleet::stream(int daemon, const std::string& path)
+received_response relay_fleet::stream(int daemon, const std::string& path, const test_request& request)
 {
     constexpr std::chrono::seconds timeout { 60 }; // Only ends a test that would hang.
     caller_connection connection;
     require(connection.open(callerAddress(daemon)), "daemon " + std::to_string(daemon) + " does not accept connections");
-    const received_response response = connection.run(writeRequestHead("GET " + path + " HTTP/1.1", { .id = "r" + std::to_string(++m_requests), .key = key, .timeLeft = std::chrono::seconds { 9 } }, false), timeout);
+    return connection.run(writeRequestHead("GET " + path + " HTTP/1.1", request, false), timeout);
+}
+
+std::pair<std::vector<std::string>, bool> relay_fleet::stream(int daemon, const std::string& path)
+{
+    const received_response response = stream(daemon, path, { .id = "r" + std::to_string(++m_requests), .key = key, .timeLeft = std::chrono::seconds { 9 } });
     if (response.status != 200)
         return {};
     std::vector<std::string> lines;
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -4,9 +4,11 @@
 #include "Support/child_process.h"
 #include "Support/http_call.h"
 #include "Support/wait_until.h"
+#include "caller_connection.h"
 #include "faulty_link.h"
 #include "server_standin.h"
 #include "store_standin.h"
+#include "test_request.h"
 
 #include <chrono>
 #include <filesystem>
@@ -19,6 +21,7 @@
 struct relay_fleet_options {
     int daemons = 2;
     int servers = 3;
+    std::vector<std::string> versions { "v1" }; ///< Software versions of the servers, in turn.
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
@@ -58,6 +61,8 @@
     http_call_reply call(int daemon, const std::string& path, const std::string& method = "GET", const std::string& withKey = key, const std::string& body = {});
     /// Returns the lines of a stream and whether it is complete.
     std::pair<std::vector<std::string>, bool> stream(int daemon, const std::string& path);
+    /// Sends a request for a stream with the given fields on a new connection.
+    received_response stream(int daemon, const std::string& path, const test_request&);
     /// Returns the addresses of daemons from a daemon's lookup response; empty on failure.
     std::vector<std::string> lookUp(int daemon, std::chrono::milliseconds timeout = std::chrono::seconds { 5 }) const;
     /// Waits until a daemon's readiness is `ready`; returns false on timeout.
--- /dev/null
+++ b/test/Relay/stream_versions_test.cpp
@@ -0,0 +1,138 @@
+// Tests that a stream continues only at servers of the software version that began it, and that most streams continue.
+#include "relay_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <functional>
+#include <ostream>
+#include <set>
+#include <thread>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int streams = 24;
+constexpr int origin = 0; ///< Daemon at which the streams begin.
+constexpr int other = 1; ///< Daemon at which they are resumed.
+constexpr const char* path = "/resumable-stream/a";
+
+/// What happens between the break of the streams and their resumption.
+struct disturbance_case {
+    const char* name;
+    int daemons;
+    std::function<void(relay_fleet&)> disturb;
+};
+
+std::ostream& operator<<(std::ostream& out, const disturbance_case& testCase) { return out << testCase.name; }
+
+void killDaemon(relay_fleet& fleet, int daemon)
+{
+    fleet.daemon(daemon).signal(SIGKILL);
+    fleet.daemon(daemon).wait(1s);
+}
+
+const disturbance_case disturbances[] {
+    { "none", 3, [](relay_fleet&) {} },
+    { "first daemon killed", 3, [](relay_fleet& fleet) { killDaemon(fleet, origin); } },
+    { "first daemon paused", 3, [](relay_fleet& fleet) { fleet.daemon(origin).signal(SIGSTOP); } },
+    { "second daemon restarted", 3, [](relay_fleet& fleet) {
+         killDaemon(fleet, other);
+         fleet.restart(other);
+         BOOST_REQUIRE(fleet.waitReady(other));
+     } },
+    { "first daemon killed, second restarted", 3, [](relay_fleet& fleet) {
+         killDaemon(fleet, origin);
+         killDaemon(fleet, other);
+         fleet.restart(other);
+         BOOST_REQUIRE(fleet.waitReady(other));
+     } },
+    { "first daemon of many killed", 20, [](relay_fleet& fleet) { killDaemon(fleet, origin); } },
+};
+
+void setAll(relay_fleet& fleet, const server_behaviour& behaviour)
+{
+    for (int server = 0; server < fleet.servers(); ++server)
+        fleet.server(server).setBehaviour(behaviour);
+}
+
+/// Returns the versions of the servers that received any of the given requests.
+std::set<std::string> versionsOf(relay_fleet& fleet, const std::set<std::string>& ids)
+{
+    std::set<std::string> versions;
+    for (int server = 0; server < fleet.servers(); ++server) {
+        for (const received_request& received : fleet.server(server).seen()) {
+            if (ids.contains(received.id))
+                versions.insert(fleet.server(server).version());
+        }
+    }
+    return versions;
+}
+
+std::string lastEventId(const std::string& body)
+{
+    const auto complete = body.rfind("\n\n");
+    const auto start = body.rfind("id: ", complete);
+    return complete == std::string::npos ? "" : body.substr(start + 4, body.find('\n', start) - start - 4);
+}
+
+test_request beginning(int number) { return { .id = "s" + std::to_string(number), .key = relay_fleet::key, .timeLeft = 9s }; }
+
+test_request resumption(int number, const std::string& position)
+{
+    return { .id = "t" + std::to_string(number), .key = relay_fleet::key, .timeLeft = 9s, .resumes = "s" + std::to_string(number), .lastEventId = position };
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(resumedStreamsStayAtTheirVersion, boost::unit_test::data::make(disturbances), testCase)
+{
+    relay_fleet fleet { { .daemons = testCase.daemons, .servers = 6, .versions = { "v1", "v2" } } };
+    BOOST_REQUIRE(waitUntil(10s, [&] { return static_cast<int>(fleet.lookUp(origin).size()) == testCase.daemons; }));
+    std::this_thread::sleep_for(1s);
+    setAll(fleet, { .kind = server_response_kind::Cut });
+    std::vector<std::string> positions;
+    for (int number = 0; number < streams; ++number)
+        positions.push_back(lastEventId(fleet.stream(origin, path, beginning(number)).body));
+    setAll(fleet, {});
+    testCase.disturb(fleet);
+    int resumed = 0;
+    for (int number = 0; number < streams; ++number) {
+        BOOST_REQUIRE(!positions[static_cast<std::size_t>(number)].empty());
+        const received_response response = fleet.stream(other, path, resumption(number, positions[static_cast<std::size_t>(number)]));
+        resumed += response.status == 200 && response.isComplete ? 1 : 0;
+        BOOST_TEST(versionsOf(fleet, { "s" + std::to_string(number), "t" + std::to_string(number) }).size() == 1U);
+    }
+    BOOST_TEST_MESSAGE(testCase.name << ": " << resumed << " of " << streams << " streams went on");
+    BOOST_TEST(2 * resumed >= streams);
+    if (std::string { testCase.name } == "first daemon paused")
+        fleet.daemon(origin).signal(SIGCONT);
+}
+
+BOOST_AUTO_TEST_CASE(streamOfUnknownVersionIsRefusedWhileTwoServe)
+{
+    relay_fleet fleet { { .daemons = 2, .servers = 4, .versions = { "v1", "v2" } } };
+    const received_response response = fleet.stream(other, path, resumption(0, "2"));
+    BOOST_TEST(response.status == 503);
+    BOOST_TEST(fleet.runs() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(streamsGoOnAfterTheirVersionsOnlyServerIsRelisted)
+{
+    relay_fleet fleet { { .daemons = 2, .servers = 2, .versions = { "v1", "v2" } } };
+    setAll(fleet, { .kind = server_response_kind::Cut });
+    const std::string position = lastEventId(fleet.stream(origin, path, beginning(0)).body);
+    const int server = versionsOf(fleet, { "s0" }).contains("v1") ? 0 : 1;
+    setAll(fleet, {});
+    fleet.list(server, "draining");
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(fleet.stream(other, path, resumption(0, position)).status == 503);
+    fleet.list(server);
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(fleet.stream(other, path, resumption(0, position)).status == 200);
+    BOOST_TEST(versionsOf(fleet, { "s0", "t0" }).size() == 1U);
+}
