Continue a stream only at the software version that began it

Cause: a server was chosen for the rest of a stream as for a new one; neither the daemon that received a caller's resumption nor the relay that resumed a stream itself knew or asked for the version. A daemon now records the version with the first event, before it is forwarded, and sends it to holders in every availability zone by one datagram each; a daemon that receives a resumption asks its own records, then the holders, and sends the request to servers of that version only. An unknown origin is refused with Retry-After, unless this daemon has seen one version only for longer than streams last.

--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -5,7 +5,7 @@
 #include "radishflow/Routing/listed_server.h"
 #include "radishflow/Support/boottime_clock.h"
 #include "radishflow/Support/ranked_mutex.h"
-#include "radishflow/Support/recent_set.h"
+#include "radishflow/Support/recent_map.h"
 
 #include <chrono>
 #include <optional>
@@ -44,7 +44,7 @@
     boottime_clock m_clock;
     mutable ranked_mutex m_mutex { lock_rank::Crashes };
     quarantine<boottime_clock> m_quarantine;
-    recent_set<request_fingerprint> m_served;
+    recent_map<request_fingerprint, bool> m_served; ///< Requests that were served recently.
     std::vector<crash_record> m_pendingRecords; ///< Recorded by this daemon and not yet taken.
 };
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -46,6 +46,11 @@
     /// Records a crash if the server, whose connection broke, no longer listens.
     void recordIfCrashed(const listed_server&);
     std::optional<refusal> refusalForQuarantine() const;
+    bool resumesStream() const { return !m_request.resumes.empty() || m_request.resumeAfter; }
+    /// Looks up the version that began the stream which this request resumes; returns a refusal if it is unknown.
+    std::optional<refusal> refusalForUnknownOrigin();
+    /// Keeps the stream, whose first event in this response is about to be forwarded, at the version of its server.
+    void recordOrigin(const listed_server&);
     std::optional<chosen_server> chooseServer();
     server_query queryFor(const fleet_view&) const;
     std::uint64_t affinity() const;
@@ -79,6 +84,7 @@
     request_fingerprint m_fingerprint;
     attempt_history m_history;
     event_splitter m_eventSplitter;
+    std::optional<version_key> m_version; ///< Software version at which the stream began; not set before its first event.
     std::optional<server_error_response> m_serverError; ///< Last error response; forwarded if no attempt succeeds.
     bool m_isResendReserved = false; ///< A resend was taken from the retry budget and has not been used yet.
     bool m_hasResponseStarted = false; ///< Part of the response was sent to the caller.
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -34,6 +34,8 @@
 // A running server accepts connections within a few milliseconds.
 inline constexpr std::chrono::milliseconds crashProbeTimeout { 60 };
 inline constexpr std::chrono::milliseconds stoppingRetryAfter { 20 };
+// Another daemon may know the origin of a stream, or reach one that does.
+inline constexpr std::chrono::milliseconds unknownOriginRetryAfter { 250 };
 
 template <relay_protocol Protocol>
 relay_call<Protocol>::relay_call(const Protocol& protocol, const relay_context& context, relay_socket& caller, const caller_message& message, bool keepsOpen)
@@ -79,6 +81,8 @@
         return refuse(*problem);
     if (!m_servers)
         return refuse(refusalForAttempts(m_history, false));
+    if (const auto problem = refusalForUnknownOrigin())
+        return refuse(*problem);
     m_context.retries.countRequest(m_admitted.service);
     while (true) {
         const bool isResend = m_record.sends > 0;
@@ -136,6 +140,28 @@
     return refusal { .status = 503, .title = "Request crashes servers", .detail = "two servers broke off when they ran it", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(*remaining) };
 }
 
+// Events of two versions do not fit together, and servers do not check it.
+template <relay_protocol Protocol>
+std::optional<refusal> relay_call<Protocol>::refusalForUnknownOrigin()
+{
+    if (!m_admitted.target->isResumable || !resumesStream())
+        return std::nullopt;
+    m_version = m_context.origins.find(m_admitted.service, m_request.resumes);
+    if (m_version)
+        return std::nullopt;
+    return refusal { .status = 503, .title = "Origin of the stream is unknown", .detail = "no daemon in reach knows which version of the backend servers began the stream", .retryAfter = unknownOriginRetryAfter };
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::recordOrigin(const listed_server& server)
+{
+    if (!m_admitted.target->isResumable)
+        return;
+    if (!m_version)
+        m_version = versionKeyOf(server.service, server.version);
+    m_context.origins.publish({ .stream = streamKeyOf(m_request.resumes.empty() ? m_request.id : m_request.resumes), .version = *m_version });
+}
+
 // The service's limit on connections to a server applies to all daemons together. Idle connections use at most half of it,
 // divided equally among the daemons.
 template <relay_protocol Protocol>
@@ -198,6 +224,7 @@
         .tieBreak = stableHash(m_request.id.value()),
         .zone = m_context.zone,
         .coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0,
+        .version = m_version,
         .excluded = m_history.servers,
         .fleet = &fleet,
     };
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -73,8 +73,10 @@
         const bool isEnd = bodyResult == body_read_result::Complete && isInOrder && received.empty();
         if (!events.empty() || isEnd) {
             std::string text;
-            if (!std::exchange(m_hasResponseStarted, true))
+            if (!std::exchange(m_hasResponseStarted, true)) {
+                recordOrigin(server);
                 text = writeResponseHead(exchange.head(), std::nullopt, m_keepsOpen);
+            }
             if (!events.empty())
                 appendChunk(text, events);
             if (isEnd)
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -6,6 +6,7 @@
 #include "radishflow/Relay/retry_shares.h"
 #include "radishflow/Relay/server_connection_pool.h"
 #include "radishflow/Relay/stop_state.h"
+#include "radishflow/Relay/stream_origins.h"
 #include "radishflow/Routing/key_freshness.h"
 #include "radishflow/Routing/load_balancer.h"
 #include "radishflow/Routing/shared_routing.h"
@@ -22,6 +23,7 @@
     const key_freshness& freshness;
     crash_quarantine& crashes;
     server_connection_pool& connections;
+    const stream_origins& origins;
     const stop_state& stop;
     relay_metrics& metrics;
 };
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -218,7 +218,8 @@
         const double mean = meanLoad(eligible, query.fleet->size);
         for (const listed_server* server : eligible) {
             const server_record& record = m_records[server->id];
-            const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
+            const bool isOtherVersion = query.version && versionKeyOf(server->service, server->version) != *query.version;
+            const bool isExcluded = isOtherVersion || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
             if (isExcluded || isColdLimited(*server, record, query, now))
                 continue;
             std::vector<server_candidate>& group = record.unreachableUntil > now ? unreachable : record.ejectedUntil > now ? ejected
--- a/include/radishflow/Routing/server_query.h
+++ b/include/radishflow/Routing/server_query.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "radishflow/Routing/fleet_view.h"
+#include "radishflow/Routing/stream_origin.h"
 #include "radishflow/Support/ids.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace radishflow {
@@ -15,6 +17,7 @@
     std::uint64_t tieBreak = 0; ///< A number that differs between requests; selects among equally loaded servers.
     zone_id zone; ///< Availability zone of this daemon.
     double coldRequestsPerSecond = 0; ///< Request rate of one cold server, from the policy of the service; 0 sets no limit.
+    std::optional<version_key> version; ///< Only servers of this software version may be chosen.
     std::vector<server_id> excluded; ///< Servers to which the request was already sent.
     const fleet_view* fleet = nullptr;
 };
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -35,7 +35,7 @@
 void crash_quarantine::recordServed(const request_fingerprint& request)
 {
     const std::lock_guard lock { m_mutex };
-    m_served.insert(request, m_clock.now());
+    m_served.set(request, true, m_clock.now());
 }
 
 // A server that has restarted under its former id is another process, whose crash counts again.
@@ -43,7 +43,7 @@
 {
     const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
     const std::lock_guard lock { m_mutex };
-    if (m_served.contains(request, m_clock.now()))
+    if (m_served.find(request, m_clock.now()))
         return;
     logCrash("crash_recorded", request, process);
     m_quarantine.recordCrash(process, { request });
@@ -52,7 +52,7 @@
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_fingerprint& request) const
 {
     const std::lock_guard lock { m_mutex };
-    if (m_quarantine.stateOf(request) != quarantine_state::Quarantined || m_served.contains(request, m_clock.now()))
+    if (m_quarantine.stateOf(request) != quarantine_state::Quarantined || m_served.find(request, m_clock.now()))
         return std::nullopt;
     return m_quarantine.remaining(request);
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -4,9 +4,11 @@
 #include "radishflow/Fleet/fleet_membership.h"
 #include "radishflow/Fleet/hint_exchange.h"
 #include "radishflow/Fleet/store_followers.h"
+#include "radishflow/Fleet/stream_origin_exchange.h"
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
 #include "radishflow/Relay/relay_session.h"
+#include "radishflow/Routing/version_history.h"
 #include "radishflow/Threads/periodic_task.h"
 
 #include "crash_table.h"
@@ -59,6 +61,9 @@
     retry_shares<boottime_clock> retries;
     key_freshness freshness;
     crash_quarantine crashes;
+    stream_origin_exchange originExchange;
+    version_history versions;
+    stream_origins origins;
     server_connection_pool connections;
     stop_state stop;
     relay_metrics metrics;
@@ -81,7 +86,10 @@
         : options(daemonOptions)
         , retries(clock, { .ratio = options.platform.retryRatio, .slack = options.platform.retrySlack })
         , freshness(options.platform.areKeysRevokedStrictly ? duration { options.platform.maxRevocationDelay } : duration { unboundedKeyTrust })
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .stop = stop, .metrics = metrics }
+        , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
+        , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
+            .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .origins = origins, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received) {
                       balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
@@ -99,6 +107,16 @@
         crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
     }
 
+    // A service whose servers have had only one version for long needs no record of its streams, such as after a restart of
+    // all daemons that had one. A daemon that no longer learns of changes cannot know that.
+    std::optional<version_key> findOrigin(const service_id& service, const request_id& request)
+    {
+        const auto found = request.empty() ? std::nullopt : originExchange.find(streamKeyOf(request), [this] { return routing.fleet(); });
+        if (found || freshness.age(clock.now()) >= freshness.staleAge())
+            return found;
+        return versions.soleVersion(service, clock.now());
+    }
+
     std::string peerAddress() const { return withPort(options.platform.ip, options.platform.firstPeerPort); }
 
     // All daemons use the same gossip port, so the port of a listed address is replaced.
@@ -189,6 +207,8 @@
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
         feed.refresh(fleet, view);
+        if (const auto servers = routing.servers())
+            versions.record(*servers, clock.now());
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
         crashRows.add(newCrashes);
         hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates() }, *view);
