Bound the resends of a daemon across its restarts

Each new process had its whole part of the slack again, and took itself for the whole fleet until it had discovered others.

--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -7,6 +7,7 @@
 #include "radishflow/Routing/fleet_view.h"
 #include "radishflow/Support/boottime_clock.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
     void leave();
     /// Returns the current fleet.
     std::shared_ptr<const fleet_view> view();
+    /// Sets the number of daemons that the platform lists, which include some that have ended.
+    void recordListedDaemons(std::size_t count);
     /// Publishes an update of a table; the fleet keeps a newer one if there is one.
     void publishTableUpdate(const std::string& table, const table_update&);
     /// Returns the newest update that has been received from any daemon, or an empty one if there is none.
@@ -38,6 +41,8 @@
 
     fleet_options m_options;
     std::unique_ptr<gossip_transport> m_gossip;
+    std::atomic<std::size_t> m_listedDaemons = 0; ///< Until the next view(); 0 if none were recorded.
+    bool m_isSizeKnown = false;
     std::size_t m_largestSize = 1; ///< Largest number of live daemons within the retention time.
     time_point m_largestSizeAt {};
 };
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -180,7 +180,7 @@
     if (!canResend(*m_admitted.target, m_history) || now() >= m_deadline)
         return false;
     // Only requests that reach a server add load, so a resend is free as long as none was reached.
-    return m_contactedServers == 0 || m_context.retries.tryConsume(m_admitted.service, m_fleet->size);
+    return m_contactedServers == 0 || m_context.retries.tryConsume(m_admitted.service, m_fleet->knownSize());
 }
 
 // Returns how long to wait for a response head before a request that may be repeated is resent to another server.
@@ -289,7 +289,7 @@
     if (state == exchange_state::TimedOut && now() < m_deadline) {
         attempt_history withThisAttempt = m_history;
         ++withThisAttempt.mayHaveRun;
-        m_isResendReserved = canResend(*m_admitted.target, withThisAttempt) && m_context.retries.tryConsume(m_admitted.service, m_fleet->size);
+        m_isResendReserved = canResend(*m_admitted.target, withThisAttempt) && m_context.retries.tryConsume(m_admitted.service, m_fleet->knownSize());
         if (!m_isResendReserved)
             state = exchange.awaitHead(m_deadline);
     }
--- a/include/radishflow/Relay/retry_shares.h
+++ b/include/radishflow/Relay/retry_shares.h
@@ -17,6 +17,7 @@
     retry_shares(const Clock& clock, const retry_share_options& options)
         : m_clock(clock)
         , m_options(options)
+        , m_processStart(clock.now())
     {
     }
 
@@ -27,7 +28,7 @@
         shareOf(service).countRequest();
     }
 
-    /// Takes one resend from the budget; returns false if this daemon's share is used up.
+    /// Takes one resend from the budget; returns false if this daemon's share is used up. A fleet size of 0 is unknown.
     bool tryConsume(const service_id& service, std::size_t fleetSize)
     {
         const std::lock_guard lock { m_mutex };
@@ -35,10 +36,11 @@
     }
 
 private:
-    retry_share<Clock>& shareOf(const service_id& service) { return m_shares.try_emplace(service, m_clock, m_options).first->second; }
+    retry_share<Clock>& shareOf(const service_id& service) { return m_shares.try_emplace(service, m_clock, m_options, m_processStart).first->second; }
 
     const Clock& m_clock;
     retry_share_options m_options;
+    time_point m_processStart;
     ranked_mutex m_mutex { lock_rank::RetryBudget };
     std::unordered_map<service_id, retry_share<Clock>> m_shares;
 };
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -75,10 +75,18 @@
             .acceptsCallers = record != daemon.records.end() && record->second.bytes == takesCallersValue,
         });
     }
-    snapshot->size = sizeFor(snapshot->daemons.size(), boottime_clock {}.now());
+    const std::size_t listed = m_listedDaemons.exchange(0);
+    m_isSizeKnown = m_isSizeKnown || listed > 0;
+    snapshot->isSizeKnown = m_isSizeKnown;
+    snapshot->size = sizeFor(std::max(snapshot->daemons.size(), listed), boottime_clock {}.now());
     return snapshot;
 }
 
+void fleet_membership::recordListedDaemons(std::size_t count)
+{
+    m_listedDaemons = count;
+}
+
 void fleet_membership::publishTableUpdate(const std::string& table, const table_update& update)
 {
     m_gossip->setRegister(tableUpdatePrefix + table, { .version = static_cast<std::uint64_t>(update.storeTime.count()), .bytes = update.encode() });
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -98,6 +98,7 @@
         .storeAddress = storeAddress(number),
         .maxRevocationDelay = m_options.revocationDelay,
         .stopGrace = stopGrace,
+        .isFirstStart = m_daemons[static_cast<std::size_t>(number)] == nullptr,
     });
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
         .program = std::string { RADISHFLOW_BINARIES } + "/radishflow-relayd",
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -25,6 +25,7 @@
 #include <chrono>
 #include <optional>
 #include <thread>
+#include <utility>
 
 namespace radishflow {
 
@@ -75,6 +76,7 @@
     daemon_registry rows;
     std::optional<time_point> lastAnnouncedAt;
     bool isAnnounced = false;
+    bool hasListedDaemons = false;
     std::atomic<bool> isReady = false;
     std::unique_ptr<caller_listener> listener;
     std::unique_ptr<periodic_task> refreshTask;
@@ -84,7 +86,7 @@
 
     explicit state(const relay_daemon_options& daemonOptions)
         : options(daemonOptions)
-        , retries(clock, { .ratio = options.platform.retryRatio, .slack = options.platform.retrySlack })
+        , retries(clock, { .ratio = options.platform.retryRatio, .slack = options.platform.retrySlack, .startsFull = options.platform.isFirstStart })
         , freshness(options.platform.areKeysRevokedStrictly ? duration { options.platform.maxRevocationDelay } : duration { unboundedKeyTrust })
         , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
@@ -239,6 +241,9 @@
                     BOOST_LEAF_CHECK(rows.announce());
                 isAnnounced = true;
                 BOOST_LEAF_AUTO(addresses, rows.readPeerAddresses());
+                // Rows of daemons that have ended are never removed, so later reads would keep the size from shrinking.
+                if (!std::exchange(hasListedDaemons, true))
+                    fleet.recordListedDaemons(addresses.size() + 1);
                 addresses.insert(addresses.end(), options.platform.seedAddresses.begin(), options.platform.seedAddresses.end());
                 seedFleet(addresses);
                 return true;
