End responses whose bytes never end

Callers could wait past their deadline, and a daemon's memory grow by 16 MB for each of their requests, when a server sent bytes without end: the deadline and the caller's disconnect were examined only when a read had to wait, which it never does for a sender that is faster than the reader; interim responses, responses to other requests, trailers and a stream's unfinished event had no bound.

--- a/include/radishflow/Relay/body_decoder.h
+++ b/include/radishflow/Relay/body_decoder.h
@@ -51,6 +51,7 @@
     framing m_framing;
     chunk_step m_step = chunk_step::Size;
     state m_state = state::Reading;
+    std::size_t m_trailerBytes = 0;
     std::uint64_t m_remainingBytes = 0; ///< Bytes not yet received of the body, or of the current chunk.
 };
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -25,6 +25,10 @@
 public:
     relay_call(const Protocol&, const relay_context&, relay_socket& caller, const caller_message&, bool keepsOpen);
 
+    ~relay_call() { m_context.bufferedResponses.remove(m_bufferedBytes); }
+    relay_call(const relay_call&) = delete;
+    relay_call& operator=(const relay_call&) = delete;
+
     /// Serves the request. Returns whether the caller was sent a complete response, so that its connection can be reused.
     bool run();
 
@@ -60,6 +64,8 @@
     bool tryReserveResend();
     attempt_result handleExchangeState(const listed_server&, server_exchange&, exchange_state, const response_metadata&);
     attempt_result handleResponse(const listed_server&, server_exchange&, const response_metadata&);
+    /// Reads a body into memory; returns Broken if it is too large.
+    body_read_result readWholeBody(server_exchange&, std::string& body);
     attempt_result forwardResponse(const listed_server&, server_exchange&);
     attempt_result forwardEvents(const listed_server&, server_exchange&);
     attempt_result handleBodyFailure(const listed_server&, body_read_result);
@@ -89,6 +95,7 @@
     bool m_isResendReserved = false; ///< A resend was taken from the retry budget and has not been used yet.
     bool m_hasResponseStarted = false; ///< Part of the response was sent to the caller.
     bool m_isResponseComplete = false;
+    std::size_t m_bufferedBytes = 0; ///< Counted in the daemon's bufferedResponses.
     int m_contactedServers = 0; ///< Number of attempts that sent the request to a server.
     request_record m_record;
 };
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -8,6 +8,7 @@
 namespace radishflow {
 
 inline constexpr std::size_t maxBufferedBytes = 16U << 20U; // Limit on the body of a response that is not a stream, since such bodies are held in memory.
+inline constexpr std::size_t maxEventBytes = 1U << 20U; // Events are held in memory until they are complete.
 // Maximum time to send one part of a response to the caller.
 inline constexpr std::chrono::seconds callerSendTimeout { 10 };
 
@@ -28,9 +29,7 @@
     if (exchange.head().status < firstServerError)
         return metadata.isEventStream ? forwardEvents(server, exchange) : forwardResponse(server, exchange);
     server_error_response failure { .head = exchange.head(), .body = {} };
-    body_read_result bodyResult = body_read_result::Data;
-    while (bodyResult == body_read_result::Data && failure.body.size() < maxBufferedBytes)
-        bodyResult = exchange.read(failure.body);
+    const body_read_result bodyResult = readWholeBody(exchange, failure.body);
     if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
     exchange.releaseConnection();
@@ -39,12 +38,25 @@
 }
 
 template <relay_protocol Protocol>
-typename relay_call<Protocol>::attempt_result relay_call<Protocol>::forwardResponse(const listed_server& server, server_exchange& exchange)
+body_read_result relay_call<Protocol>::readWholeBody(server_exchange& exchange, std::string& body)
 {
-    std::string body;
     body_read_result bodyResult = body_read_result::Data;
-    while (bodyResult == body_read_result::Data && body.size() < maxBufferedBytes)
+    while (bodyResult == body_read_result::Data) {
+        const std::size_t before = body.size();
         bodyResult = exchange.read(body);
+        const std::size_t added = body.size() - before;
+        if (body.size() > maxBufferedBytes || !m_context.bufferedResponses.tryAdd(added))
+            return body_read_result::Broken;
+        m_bufferedBytes += added;
+    }
+    return bodyResult;
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_result relay_call<Protocol>::forwardResponse(const listed_server& server, server_exchange& exchange)
+{
+    std::string body;
+    const body_read_result bodyResult = readWholeBody(exchange, body);
     if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
     exchange.releaseConnection();
@@ -96,8 +108,8 @@
             m_isResponseComplete = true;
             return attempt_result::Finished;
         }
-        if (bodyResult != body_read_result::Data || !isInOrder)
-            return handleBodyFailure(server, isInOrder && bodyResult != body_read_result::Complete ? bodyResult : body_read_result::Broken);
+        if (bodyResult != body_read_result::Data || !isInOrder || received.size() > maxEventBytes)
+            return handleBodyFailure(server, isInOrder && (bodyResult == body_read_result::TimedOut || bodyResult == body_read_result::CallerGone) ? bodyResult : body_read_result::Broken);
     }
 }
 
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -3,6 +3,7 @@
 
 #include "radishflow/Metrics/relay_metrics.h"
 #include "radishflow/Relay/crash_quarantine.h"
+#include "radishflow/Relay/response_memory.h"
 #include "radishflow/Relay/retry_shares.h"
 #include "radishflow/Relay/server_connection_pool.h"
 #include "radishflow/Relay/stop_state.h"
@@ -24,6 +25,7 @@
     crash_quarantine& crashes;
     server_connection_pool& connections;
     const stream_origins& origins;
+    response_memory& bufferedResponses;
     const stop_state& stop;
     relay_metrics& metrics;
 };
--- a/include/radishflow/Relay/relay_socket.h
+++ b/include/radishflow/Relay/relay_socket.h
@@ -56,7 +56,9 @@
     Poco::Net::StreamSocket m_socket;
     std::string m_input;
     bool m_isOpen = false;
-    bool m_isDrained = false;
+    bool m_isDrained = false; ///< The last read left no bytes in the socket.
+    bool m_hasReceived = false;
+    int m_lateReads = 0; ///< Consecutive reads after their deadline.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -63,6 +63,8 @@
     std::optional<body_decoder> m_decoder;
     bool m_isReused = false;
     bool m_isRequestSent = false;
+    int m_interimResponses = 0;
+    int m_foreignResponses = 0;
     bool m_hasForeignBytes = false; ///< A response to another request was received, so the connection must not be reused.
 };
 
--- a/lib/Relay/body_decoder.cpp
+++ b/lib/Relay/body_decoder.cpp
@@ -9,6 +9,7 @@
 namespace radishflow {
 
 static constexpr std::size_t maxChunkLineBytes = 4096; // Chunk extensions are discarded.
+static constexpr std::size_t maxTrailerBytes = 65536; // Trailers are discarded, too.
 
 static bool parseNumber(std::string_view text, int base, std::uint64_t& number)
 {
@@ -112,6 +113,9 @@
         if (m_step == chunk_step::Trailer) {
             if (line.empty())
                 return state::Complete;
+            m_trailerBytes += line.size();
+            if (m_trailerBytes > maxTrailerBytes)
+                return state::Malformed;
             continue;
         }
         if (m_step == chunk_step::DataEnd) {
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -19,6 +19,8 @@
 
 static constexpr std::chrono::milliseconds lingerTime { 500 };
 static constexpr std::size_t readBytes = 8192;
+static constexpr int maxLateReads = 64;
+static constexpr int maxDiscardedReads = 64;
 
 static int pollTimeout(time_point deadline)
 {
@@ -94,6 +96,13 @@
 
 io_outcome relay_socket::receive(time_point deadline, const relay_socket* caller)
 {
+    // While a peer sends faster than its bytes are read, nothing below waits, so the deadline and the caller are checked here.
+    // Bytes that had arrived by the deadline are still read if this thread runs late.
+    m_lateReads = boottime_clock {}.now() < deadline ? 0 : m_lateReads + 1;
+    if (m_lateReads > maxLateReads)
+        return io_outcome::TimedOut;
+    if (!m_isDrained && m_hasReceived && caller && (!caller->isOpen() || caller->hasPeerDisconnected()))
+        return io_outcome::CallerGone;
     while (true) {
         // The previous read did not fill the buffer and thus drained the socket, so waiting first saves a read that
         // would fail with EAGAIN.
@@ -108,6 +117,7 @@
         const int error = errno;
         m_input.resize(before + static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
         if (received > 0) {
+            m_hasReceived = true;
             m_isDrained = static_cast<std::size_t>(received) < readBytes;
             return io_outcome::Done;
         }
@@ -178,7 +188,7 @@
 {
     ::shutdown(descriptor(), SHUT_WR);
     std::array<char, readBytes> dropped;
-    while (::recv(descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT) > 0) { }
+    for (int read = 0; read < maxDiscardedReads && ::recv(descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT) > 0; ++read) { }
 }
 
 void relay_socket::lingeringClose()
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -12,6 +12,10 @@
 namespace radishflow {
 
 static constexpr std::size_t maxHeadBytes = 65536;
+static constexpr int maxInterimResponses = 16;
+// Of responses to earlier requests, which a connection holds at most a few of.
+static constexpr int maxForeignResponses = 16;
+static constexpr std::size_t maxForeignBytes = 1U << 20U; // Of each body.
 // Time for which a connection is pooled if the server does not state its idle timeout.
 static constexpr std::chrono::seconds defaultIdleTime { 4 };
 
@@ -109,8 +113,10 @@
         const parse_state parsed = parseResponseHead(m_socket.input(), maxHeadBytes, m_head, length);
         if (parsed == parse_state::Complete) {
             m_socket.input().erase(0, length);
-            if (m_head.status < firstFinalStatus)
+            if (m_head.status < firstFinalStatus && ++m_interimResponses <= maxInterimResponses)
                 continue;
+            if (m_head.status < firstFinalStatus)
+                return exchange_state::MayHaveRun;
             m_decoder = body_decoder::forResponse(m_head, m_options.isHeadOnly);
             return m_decoder ? exchange_state::Succeeded : exchange_state::MayHaveRun;
         }
@@ -125,10 +131,16 @@
 exchange_state server_exchange::discardResponse()
 {
     m_hasForeignBytes = true;
+    if (++m_foreignResponses > maxForeignResponses)
+        return exchange_state::MayHaveRun;
     std::string dropped;
+    std::size_t droppedBytes = 0;
     while (true) {
         switch (read(dropped)) {
         case body_read_result::Data:
+            droppedBytes += dropped.size();
+            if (droppedBytes > maxForeignBytes)
+                return exchange_state::MayHaveRun;
             dropped.clear();
             continue;
         case body_read_result::Complete:
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -66,6 +66,7 @@
     version_history versions;
     stream_origins origins;
     server_connection_pool connections;
+    response_memory bufferedResponses;
     stop_state stop;
     relay_metrics metrics;
     relay_context parts;
@@ -91,7 +92,7 @@
         , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .origins = origins, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .origins = origins, .bufferedResponses = bufferedResponses, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received) {
                       balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
