Keep up with a store that came back from a copy

Updates carry the era now: another era makes a daemon read whole tables, and progress is compared and published by era first. Servers that were draining or removed stay so against the old copy until their entries change, or for 5 s.

--- a/include/radishflow/Fleet/table_update_monitor.h
+++ b/include/radishflow/Fleet/table_update_monitor.h
@@ -40,7 +40,8 @@
     table_update_decision evaluate(const table_progress& own, const table_update& fleet, time_point now, bool isFollowing = true)
     {
         table_update_decision decision;
-        const bool isBehind = own.syncedRevision < fleet.lastChangeRevision;
+        const bool isBehind = fleet.isNewerThan(own.update.era, own.syncedRevision);
+        const bool isNewEra = own.update.era > fleet.era;
         if (!isBehind)
             m_behindSince.reset();
         else if (!m_behindSince)
@@ -48,13 +49,15 @@
         decision.needsFetch = isBehind && !isFollowing;
         const duration maxLag = isFollowing ? m_options.maxLag : std::chrono::duration_cast<duration>(m_options.maxLag * m_options.fetchTimeFactor);
         decision.needsCatchUp = isBehind && now - *m_behindSince >= maxLag;
-        decision.isConfirmed = !isBehind && fleet.storeTime.count() > 0;
-        const bool hasChange = own.update.lastChangeRevision > fleet.lastChangeRevision;
+        decision.isConfirmed = !isBehind && !isNewEra && fleet.storeTime.count() > 0;
+        const bool hasChange = isNewEra || own.update.lastChangeRevision > fleet.lastChangeRevision;
         const bool hasConfirmation = m_options.publishesConfirmations && own.update.storeTime >= fleet.storeTime + m_options.confirmationInterval;
         // The fleet's register keeps the version with the latest store time, so an update with an earlier time would
         // be discarded: the published time and revision are never below the fleet's.
-        if (!isBehind && (hasChange || hasConfirmation))
-            decision.publish = table_update { .storeTime = std::max(own.update.storeTime, fleet.storeTime), .lastChangeRevision = std::max(own.update.lastChangeRevision, fleet.lastChangeRevision) };
+        if (!isBehind && isNewEra)
+            decision.publish = own.update;
+        else if (!isBehind && (hasChange || hasConfirmation))
+            decision.publish = table_update { .storeTime = std::max(own.update.storeTime, fleet.storeTime), .lastChangeRevision = std::max(own.update.lastChangeRevision, fleet.lastChangeRevision), .era = own.update.era };
         return decision;
     }
 
--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -15,6 +15,8 @@
 namespace radishflow {
 
 struct server_registry_options {
+    duration removalMemory = std::chrono::seconds { 60 }; ///< How long a removal holds against an old copy of the list.
+    duration rewriteTime = std::chrono::seconds { 5 }; ///< Time in which servers that are alive renew their entries in an old copy, or lose them.
     duration recoveryGrace = std::chrono::milliseconds { 2000 }; ///< Time in which servers renew their entries after an outage of the platform; set by the platform.
 };
 
@@ -33,6 +35,7 @@
     void put(listed_server server)
     {
         m_pendingRemovals.erase(server.id);
+        m_withheld.erase(server.id);
         const auto listed = m_servers.find(server.id);
         const bool isSameProcess = listed != m_servers.end() && listed->second.processStartMs == server.processStartMs;
         server.listedAt = isSameProcess ? listed->second.listedAt : m_clock.now();
@@ -48,23 +51,33 @@
 
     void remove(const server_id& id)
     {
+        m_withheld.erase(id);
         if (!m_servers.contains(id))
             return;
         if (canApplyRemovals())
-            m_servers.erase(id);
+            erase(id);
         else
             m_pendingRemovals.insert(id);
     }
 
-    /// Replaces the whole list; servers that are not in the new list are removed as by remove().
-    void replaceAll(std::vector<listed_server> servers)
+    /// Replaces the whole list; servers that are not in the new list are removed as by remove(). An old copy, from which the
+    /// platform has recovered, lists servers that have begun to drain or were removed since. These stay so until their entries
+    /// change; a removed one that is still listed after the rewrite time is alive.
+    void replaceAll(std::vector<listed_server> servers, bool isOldCopy = false)
     {
         std::set<server_id> removed;
         for (const auto& [id, server] : m_servers)
             removed.insert(id);
         for (listed_server& server : servers) {
             removed.erase(server.id);
-            put(std::move(server));
+            const listed_server* known = find(server.id);
+            if (isOldCopy && known && known->isDraining && known->processStartMs == server.processStartMs)
+                server.isDraining = true;
+            const auto removal = m_removals.find(server.id);
+            if (isOldCopy && removal != m_removals.end() && removal->second.processStartMs == server.processStartMs && m_clock.now() - removal->second.at < m_options.removalMemory)
+                m_withheld.insert_or_assign(server.id, withheld_server { .server = std::move(server), .until = m_clock.now() + m_options.rewriteTime });
+            else
+                put(std::move(server));
         }
         for (const server_id& id : removed)
             remove(id);
@@ -79,31 +92,60 @@
             m_platformRecoveredAt = m_clock.now();
     }
 
-    /// Returns a snapshot of the current list. While hasPendingRemovals() is true, the list can change by the passage of
+    /// Returns a snapshot of the current list. While hasPendingChanges() is true, the list can change by the passage of
     /// time alone.
     std::shared_ptr<const server_list> list()
     {
         if (canApplyRemovals()) {
             for (const server_id& id : m_pendingRemovals)
-                m_servers.erase(id);
+                erase(id);
             m_pendingRemovals.clear();
         }
+        std::vector<listed_server> alive;
+        for (const auto& [id, withheld] : m_withheld) {
+            if (withheld.until <= m_clock.now())
+                alive.push_back(withheld.server);
+        }
+        for (listed_server& server : alive)
+            put(std::move(server));
         auto snapshot = std::make_shared<server_list>();
         snapshot->servers = m_servers;
         snapshot->zonesOutOfService = m_zonesOutOfService;
         return snapshot;
     }
 
-    /// Returns whether servers are kept that the platform no longer lists.
-    bool hasPendingRemovals() const { return !m_pendingRemovals.empty(); }
+    /// Returns whether servers are kept that the platform no longer lists, or withheld although it lists them.
+    bool hasPendingChanges() const { return !m_pendingRemovals.empty() || !m_withheld.empty(); }
 
 private:
+    struct removed_process {
+        std::int64_t processStartMs = 0;
+        time_point at {};
+    };
+    struct withheld_server {
+        listed_server server;
+        time_point until {};
+    };
+
+    void erase(const server_id& id)
+    {
+        const auto server = m_servers.find(id);
+        if (server == m_servers.end())
+            return;
+        const time_point now = m_clock.now();
+        std::erase_if(m_removals, [&](const auto& entry) { return now - entry.second.at >= m_options.removalMemory; });
+        m_removals.insert_or_assign(id, removed_process { .processStartMs = server->second.processStartMs, .at = now });
+        m_servers.erase(server);
+    }
+
     bool canApplyRemovals() const { return !m_isPlatformUnreachable && (!m_platformRecoveredAt || m_clock.now() - *m_platformRecoveredAt >= m_options.recoveryGrace); }
 
     const Clock& m_clock;
     server_registry_options m_options;
     std::map<server_id, listed_server> m_servers;
     std::set<server_id> m_pendingRemovals;
+    std::map<server_id, removed_process> m_removals; ///< Recent ones.
+    std::map<server_id, withheld_server> m_withheld; ///< Listed by an old copy only.
     std::set<zone_id> m_zonesOutOfService;
     bool m_isPlatformUnreachable = false;
     std::optional<time_point> m_platformRecoveredAt;
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -12,6 +12,9 @@
 
 // Minimum time between two versions of the readiness record, multiplied by the number of members.
 static constexpr std::chrono::milliseconds recordIntervalPerMember { 100 };
+// The fleet keeps the greatest version of a register. It holds the era above the store's time in milliseconds, because
+// progress within a new era replaces that of an old one.
+static constexpr int storeTimeBits = 44;
 static const std::string readinessKey = "callers";
 static const std::string takesCallersValue = "yes";
 static const std::string tableUpdatePrefix = "news/";
@@ -89,13 +92,13 @@
 
 void fleet_membership::publishTableUpdate(const std::string& table, const table_update& update)
 {
-    m_gossip->setRegister(tableUpdatePrefix + table, { .version = static_cast<std::uint64_t>(update.storeTime.count()), .bytes = update.encode() });
+    m_gossip->setRegister(tableUpdatePrefix + table, { .version = (update.era << storeTimeBits) | static_cast<std::uint64_t>(update.storeTime.count()), .bytes = update.encode() });
 }
 
 table_update fleet_membership::tableUpdateOf(const std::string& table) const
 {
     const fleet_register current = m_gossip->registerOf(tableUpdatePrefix + table);
-    table_update update { .storeTime = std::chrono::milliseconds { current.version } };
+    table_update update { .storeTime = std::chrono::milliseconds { current.version & ((1ULL << storeTimeBits) - 1) }, .era = current.version >> storeTimeBits };
     std::from_chars(current.bytes.data(), current.bytes.data() + current.bytes.size(), update.lastChangeRevision);
     return update;
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -76,6 +76,7 @@
     platform_feed feed;
     daemon_registry rows;
     std::optional<time_point> lastAnnouncedAt;
+    std::uint64_t announcedEra = 0;
     bool isAnnounced = false;
     bool hasListedDaemons = false;
     std::atomic<bool> isReady = false;
@@ -232,6 +233,11 @@
 
     void announce()
     {
+        // A store that came back from a copy may have lost this daemon's row.
+        if (std::exchange(announcedEra, feed.storeEra()) != feed.storeEra()) {
+            isAnnounced = false;
+            lastAnnouncedAt.reset();
+        }
         const duration interval = std::max<duration>(minAnnounceInterval, announceIntervalPerDaemon * static_cast<int>(routing.fleet()->size));
         if (stop.isStopping() || (lastAnnouncedAt && clock.now() - *lastAnnouncedAt < interval))
             return;
--- a/unittests/Routing/server_registry_test.cpp
+++ b/unittests/Routing/server_registry_test.cpp
@@ -32,7 +32,7 @@
 {
     registry.remove(server_id { "s1" });
     BOOST_TEST(count() == 2U);
-    BOOST_TEST(!registry.hasPendingRemovals());
+    BOOST_TEST(!registry.hasPendingChanges());
 }
 
 BOOST_AUTO_TEST_CASE(entriesRemovedInAnOutageAreKeptUntilTheRecoveryGraceEnds)
