Send nothing more to a server that says it leaves

The relay ignored the header: 20 further requests reached the server in the new test serverThatSaysItLeaves* before, none now. The daemon remembers it for that process of the server (server_restrictions).

--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -18,6 +18,8 @@
     constexpr int firstServerError = 500;
     if (metadata.load)
         m_context.balancer.recordLoadReport(server.id, *metadata.load);
+    if (metadata.isLeaving && !metadata.isMisdirected)
+        m_context.balancer.recordLeaving(server);
     if (metadata.isMisdirected) {
         m_context.connections.closeAll(server.id);
         return recordFailure(server, server_outcome::Unreachable, false, "other_server");
--- a/include/radishflow/Relay/response_metadata.h
+++ b/include/radishflow/Relay/response_metadata.h
@@ -13,6 +13,7 @@
     bool isSigned = false; ///< The head carries the server's signature; a response without it must not be forwarded as a success.
     bool isNotRun = false; ///< The server states that it did not run the request.
     bool isMisdirected = false; ///< The address now belongs to a different server.
+    bool isLeaving = false; ///< The server is about to stop and must get no new requests.
     bool isEventStream = false;
     std::optional<load_sample> load; ///< Load that the server reports with the response.
 };
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -10,6 +10,7 @@
 #include "radishflow/Routing/server_outcome.h"
 #include "radishflow/Routing/server_query.h"
 #include "radishflow/Routing/server_record.h"
+#include "radishflow/Routing/server_restrictions.h"
 #include "radishflow/Routing/shared_load.h"
 #include "radishflow/Support/ranked_mutex.h"
 
@@ -103,6 +104,13 @@
             ejectIfFailing(record, health, now);
     }
 
+    /// Records that the server has said that it leaves; this process of it gets no more requests.
+    void recordLeaving(const listed_server& server)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_restrictions.recordLeaving(server, m_clock.now());
+    }
+
     /// Records a load report that this daemon received from the server itself.
     void recordLoadReport(const server_id& server, const load_sample& report)
     {
@@ -214,7 +222,7 @@
         std::vector<server_candidate> healthy;
         std::vector<server_candidate> ejected;
         std::vector<server_candidate> unreachable;
-        std::erase_if(eligible, [&](const listed_server* server) { return !list.takesNewWork(*server); });
+        std::erase_if(eligible, [&](const listed_server* server) { return !list.takesNewWork(*server) || !m_restrictions.accepts(*server, now); });
         const double mean = meanLoad(eligible, query.fleet->size);
         for (const listed_server* server : eligible) {
             const server_record& record = m_records[server->id];
@@ -356,6 +364,7 @@
     std::unordered_map<service_id, service_health> m_health;
     std::unordered_map<std::uint32_t, server_id> m_idsByHash;
     prompt_holder_table m_promptHolders;
+    server_restrictions m_restrictions;
     std::unordered_set<server_id> m_unpublished; ///< Servers whose last report has not been published to other daemons.
 };
 
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -57,6 +57,12 @@
     BOOST_TEST(joinLines(events) == expectedEvents(1, 5));
 }
 
+namespace radishflow {
+
+static std::ostream& operator<<(std::ostream& out, server_response_kind kind) { return out << static_cast<int>(kind); }
+
+} // namespace radishflow
+
 namespace {
 
 /// How all servers fail, and what the caller of a route gets.
@@ -257,6 +263,22 @@
     BOOST_TEST(waitUntil(3s, [&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > 0; }));
 }
 
+BOOST_DATA_TEST_CASE(serverThatSaysItLeavesGetsNoNewRequestsFromThatDaemon, boost::unit_test::data::make({ server_response_kind::Complete, server_response_kind::Failure, server_response_kind::NotRun }), kind)
+{
+    relay_fleet fleet { { .daemons = 1 } };
+    fleet.server(0).setBehaviour({ .kind = kind, .isLeaving = true }); // Of the daemon's own zone, which it prefers.
+    const auto seenByLeaving = [&] { return fleet.server(0).seen().size(); };
+    BOOST_REQUIRE(waitUntil(5s, [&] {
+        fleet.call(0, "/read/a");
+        return seenByLeaving() > 0;
+    }));
+    const std::size_t before = seenByLeaving();
+    fleet.list(0); // Its entry may still say that it is ready.
+    for (int request = 0; request < 20; ++request)
+        BOOST_TEST(fleet.call(0, "/read/a").status == 200);
+    BOOST_TEST(seenByLeaving() == before);
+}
+
 BOOST_AUTO_TEST_CASE(entriesThatLapseDuringStoreOutageAreListedAgain)
 {
     relay_fleet fleet { { .daemons = 1 } };
