Wait out the pause that a server asks for when it refuses a request

A paused server is no candidate until the end of the pause now; if all servers of a service are paused, the request is refused at once with the time until the first one takes requests again. Test: relay serversThatAskForAPause*, which fails with the previous program (the servers received requests throughout the pause).

--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -241,7 +241,7 @@
         m_fleet = m_context.routing.fleet();
         m_record.eligibleServers = m_servers->eligible(m_admitted.service).size();
         auto server = m_context.balancer.startRequest(*m_servers, queryFor(*m_fleet));
-        if (server || m_record.eligibleServers == 0 || now() + serverWaitInterval > waitEnd || m_caller.hasPeerDisconnected())
+        if (server || m_record.eligibleServers == 0 || m_context.balancer.timeToFirstServer(*m_servers, m_admitted.service) || now() + serverWaitInterval > waitEnd || m_caller.hasPeerDisconnected())
             return server;
         std::this_thread::sleep_for(serverWaitInterval);
     }
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -24,6 +24,8 @@
         m_context.connections.closeAll(server.id);
         return recordFailure(server, server_outcome::Unreachable, false, "other_server");
     }
+    if (metadata.retryAfter)
+        m_context.balancer.recordPause(server, *metadata.retryAfter);
     if (metadata.isNotRun)
         return recordFailure(server, server_outcome::Failed, false, "not_run");
     if (!metadata.isSigned)
@@ -146,8 +148,13 @@
         recordOutcome(m_record.status, "stream_broken");
         return false;
     }
-    if (!m_serverError)
-        return refuse(refusalForAttempts(m_history, now() >= m_deadline));
+    if (!m_serverError) {
+        refusal reason = refusalForAttempts(m_history, now() >= m_deadline);
+        const auto pause = m_servers && reason.execution == execution_state::NotRun ? m_context.balancer.timeToFirstServer(*m_servers, m_admitted.service) : std::nullopt;
+        if (pause)
+            reason.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*pause);
+        return refuse(reason);
+    }
     const bool isSent = sendToCaller(writeResponseHead(m_serverError->head, m_serverError->body.size(), m_keepsOpen) + m_serverError->body);
     recordOutcome(m_serverError->head.status, "server_error");
     return isSent;
--- a/include/radishflow/Relay/response_metadata.h
+++ b/include/radishflow/Relay/response_metadata.h
@@ -4,6 +4,7 @@
 #include "radishflow/Routing/load_sample.h"
 #include "radishflow/Support/ids.h"
 
+#include <chrono>
 #include <optional>
 
 namespace radishflow {
@@ -15,6 +16,7 @@
     bool isMisdirected = false; ///< The address now belongs to a different server.
     bool isLeaving = false; ///< The server is about to stop and must get no new requests.
     bool isEventStream = false;
+    std::optional<std::chrono::milliseconds> retryAfter; ///< Time for which a server that refused the request wants none from this daemon.
     std::optional<load_sample> load; ///< Load that the server reports with the response.
 };
 
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -111,6 +111,30 @@
         m_restrictions.recordLeaving(server, m_clock.now());
     }
 
+    /// Records that the server wants no requests from this daemon for some time.
+    void recordPause(const listed_server& server, duration pause)
+    {
+        const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
+        m_restrictions.recordPause(server, now + pause, now);
+    }
+
+    /// Returns when the first of the servers of a service that want no requests now takes them again; nothing if some take them.
+    std::optional<duration> timeToFirstServer(const server_list& list, const service_id& service) const
+    {
+        const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
+        std::optional<duration> first;
+        for (const listed_server* server : list.eligible(service)) {
+            if (m_restrictions.accepts(*server, now))
+                return std::nullopt;
+            const auto end = m_restrictions.pausedUntil(*server, now);
+            if (end && (!first || *end - now < *first))
+                first = *end - now;
+        }
+        return first;
+    }
+
     /// Records a load report that this daemon received from the server itself.
     void recordLoadReport(const server_id& server, const load_sample& report)
     {
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -279,6 +279,28 @@
     BOOST_TEST(seenByLeaving() == before);
 }
 
+BOOST_AUTO_TEST_CASE(serversThatAskForAPauseGetNoRequestsUntilItEnds)
+{
+    constexpr auto pause = 2500ms;
+    constexpr std::size_t maxRequestsPerServer = 3; // The one that was refused, and the platform's limit for the time until its end.
+    relay_fleet fleet { { .daemons = 1 } };
+    for (int server = 0; server < 3; ++server)
+        fleet.server(server).setBehaviour({ .kind = server_response_kind::NotRun, .retryAfter = "2.5" });
+    const auto began = std::chrono::steady_clock::now();
+    fleet.call(0, "/read/a");
+    while (std::chrono::steady_clock::now() - began < pause - 100ms) {
+        const http_call_reply refused = fleet.call(0, "/read/a");
+        BOOST_TEST(refused.status == 503);
+        BOOST_TEST(refused.headers.contains("retry-after"));
+        std::this_thread::sleep_for(20ms);
+    }
+    for (int server = 0; server < 3; ++server) {
+        BOOST_TEST(fleet.server(server).seen().size() <= maxRequestsPerServer);
+        fleet.server(server).setBehaviour({});
+    }
+    BOOST_TEST(waitUntil(1s, [&] { return fleet.call(0, "/read/a").status == 200; }));
+}
+
 BOOST_AUTO_TEST_CASE(entriesThatLapseDuringStoreOutageAreListedAgain)
 {
     relay_fleet fleet { { .daemons = 1 } };
