--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -8,7 +8,6 @@
 
 namespace radishflow {
 
-
 // A request that crashes servers is never served, so a request that was served this recently only ran beside one.
 static constexpr std::chrono::seconds servedTime { 60 };
 static constexpr std::size_t maxServed = 4096;
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -188,7 +188,7 @@
 {
     ::shutdown(descriptor(), SHUT_WR);
     std::array<char, readBytes> dropped;
-    for (int read = 0; read < maxDiscardedReads && ::recv(descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT) > 0; ++read) { }
+    for (int read = 0; read<maxDiscardedReads&& ::recv(descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT)> 0; ++read) { }
 }
 
 void relay_socket::lingeringClose()
