--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -73,9 +73,8 @@
             const listed_server* known = find(server.id);
             if (isOldCopy && known && known->isDraining && known->processStartMs == server.processStartMs)
                 server.isDraining = true;
-            const auto removal = m_removals.find(server.id);
-            if (isOldCopy && removal != m_removals.end() && removal->second.processStartMs == server.processStartMs && m_clock.now() - removal->second.at < m_options.removalMemory)
-                m_withheld.insert_or_assign(server.id, withheld_server { .server = std::move(server), .until = m_clock.now() + m_options.rewriteTime });
+            if (isOldCopy && wasRemoved(server))
+                m_withheld[server.id] = { .server = server, .until = m_clock.now() + m_options.rewriteTime };
             else
                 put(std::move(server));
         }
@@ -127,6 +126,13 @@
         time_point until {};
     };
 
+    /// Returns whether this process of the server was removed recently.
+    bool wasRemoved(const listed_server& server) const
+    {
+        const auto removal = m_removals.find(server.id);
+        return removal != m_removals.end() && removal->second.processStartMs == server.processStartMs && m_clock.now() - removal->second.at < m_options.removalMemory;
+    }
+
     void erase(const server_id& id)
     {
         const auto server = m_servers.find(id);
--- a/unittests/Routing/server_registry_test.cpp
+++ b/unittests/Routing/server_registry_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <vector>
+
 using namespace radishflow;
 using namespace std::chrono_literals;
 
@@ -51,6 +53,29 @@
     BOOST_TEST(!registry.list()->servers.contains(server_id { "s2" }));
 }
 
+BOOST_AUTO_TEST_CASE(oldCopyOfTheListBringsNoLeavingServersBack)
+{
+    listed_server draining = testServer(1);
+    draining.isDraining = true;
+    registry.put(draining);
+    registry.remove(server_id { "s2" });
+    const std::vector<listed_server> oldCopy { testServer(0), testServer(1), testServer(2) };
+    registry.replaceAll(oldCopy, true);
+    BOOST_TEST(count() == 2U);
+    BOOST_TEST(registry.hasPendingChanges());
+    BOOST_TEST(registry.list()->servers.at(server_id { "s1" }).isDraining);
+    registry.put(testServer(2)); // A server that is alive writes its entry again.
+    BOOST_TEST(registry.list()->servers.contains(server_id { "s2" }));
+    registry.remove(server_id { "s2" });
+    registry.replaceAll(oldCopy, true);
+    clock.advance(5s);
+    BOOST_TEST(registry.list()->servers.contains(server_id { "s2" })); // Still listed, so it is alive.
+    BOOST_TEST(!registry.hasPendingChanges());
+    registry.remove(server_id { "s2" });
+    registry.replaceAll(oldCopy);
+    BOOST_TEST(count() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(drainingIsAppliedWithinTheRecoveryGrace)
 {
     registry.setPlatformUnreachable();
