--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -177,6 +177,7 @@
     setCrashing(fleet, crashes[0].path, 50ms);
     std::atomic<bool> isStopping = false;
     std::vector<std::thread> callers;
+    callers.reserve(bystanders);
     for (int caller = 0; caller < bystanders; ++caller) {
         callers.emplace_back([&, caller] {
             while (!isStopping)
--- a/test/Relay/endless_responses_test.cpp
+++ b/test/Relay/endless_responses_test.cpp
@@ -19,6 +19,7 @@
     constexpr double maxMegabytes = 130; // Half of the smallest memory limit of a daemon on the users' deployments.
     relay_fleet fleet { { .daemons = 1, .behaviour = { .kind = server_response_kind::Endless } } };
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
             const auto began = std::chrono::steady_clock::now();
--- a/test/Relay/retry_budget_test.cpp
+++ b/test/Relay/retry_budget_test.cpp
@@ -90,6 +90,7 @@
     std::mutex mutex;
     std::vector<steady_time> requests;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
             for (int number = 0; !isStopping; ++number) {
--- a/test/Relay/stream_versions_test.cpp
+++ b/test/Relay/stream_versions_test.cpp
@@ -96,6 +96,7 @@
     std::this_thread::sleep_for(1s);
     setAll(fleet, { .kind = server_response_kind::Cut });
     std::vector<std::string> positions;
+    positions.reserve(streams);
     for (int number = 0; number < streams; ++number)
         positions.push_back(lastEventId(fleet.stream(origin, path, beginning(number)).body));
     setAll(fleet, {});
