--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -41,7 +41,7 @@
 
     fleet_options m_options;
     std::unique_ptr<gossip_transport> m_gossip;
-    std::atomic<std::size_t> m_listedDaemons = 0; ///< Until the next view(); 0 if none were recorded.
+    std::atomic<std::size_t> m_listedDaemons = 0; ///< Until the next view(); 0 if no count was recorded since.
     bool m_isSizeKnown = false;
     std::size_t m_largestSize = 1; ///< Largest number of live daemons within the retention time.
     time_point m_largestSizeAt {};
--- a/include/radishflow/Routing/server_restrictions.h
+++ b/include/radishflow/Routing/server_restrictions.h
@@ -1,4 +1,5 @@
-// Declares server_restrictions, what backend servers have told this daemon about the requests that they want from it.
+// Declares server_restrictions, which records the backend servers that take no requests from this daemon for now, by their own
+// responses.
 #pragma once
 
 #include "radishflow/Routing/listed_server.h"
@@ -15,8 +16,8 @@
     duration memory = std::chrono::minutes { 10 }; ///< Longer than a server takes to leave.
 };
 
-/// Keeps which processes of servers are leaving, and which want no requests from this daemon for some time. They hold also
-/// while the platform's list says otherwise, or does not contain the server. Not thread-safe.
+/// Keeps which processes of servers are leaving, and which have asked this daemon for a pause. A restriction
+/// holds also while the platform lists the server as ready, or does not list it. Not thread-safe.
 class server_restrictions {
 public:
     explicit server_restrictions(const server_restrictions_options& options = {})
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -78,7 +78,7 @@
     std::optional<time_point> lastAnnouncedAt;
     std::uint64_t announcedEra = 0;
     bool isAnnounced = false;
-    bool hasListedDaemons = false;
+    bool hasReadDaemonList = false;
     std::atomic<bool> isReady = false;
     std::unique_ptr<caller_listener> listener;
     std::unique_ptr<periodic_task> refreshTask;
@@ -249,7 +249,7 @@
                 isAnnounced = true;
                 BOOST_LEAF_AUTO(addresses, rows.readPeerAddresses());
                 // Rows of daemons that have ended are never removed, so later reads would keep the size from shrinking.
-                if (!std::exchange(hasListedDaemons, true))
+                if (!std::exchange(hasReadDaemonList, true))
                     fleet.recordListedDaemons(addresses.size() + 1);
                 addresses.insert(addresses.end(), options.platform.seedAddresses.begin(), options.platform.seedAddresses.end());
                 seedFleet(addresses);
