--- a/include/radishflow/Admission/request_fingerprint.h
+++ b/include/radishflow/Admission/request_fingerprint.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace radishflow {
@@ -18,6 +19,9 @@
     friend bool operator==(const request_fingerprint&, const request_fingerprint&) = default;
 };
 
+/// Returns 32 hexadecimal digits, for logs and keys.
+std::string toHex(const request_fingerprint&);
+
 /// Returns the same fingerprint for the same workspace, service and body in every daemon.
 request_fingerprint fingerprintOf(const workspace_id&, const service_id&, std::string_view body);
 
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -77,6 +77,7 @@
     if (m_admitted.target->kind == work_kind::Stream && m_message.head.minorVersion == 0)
         return refuse({ .status = 505, .title = "Streams need HTTP/1.1", .detail = "without chunks a stream that breaks looks like one that ends" });
     m_fingerprint = crash_quarantine::fingerprint(m_record.workspace, m_message.head.target, m_message.body);
+    m_record.fingerprint = toHex(m_fingerprint);
     if (const auto problem = refusalForQuarantine())
         return refuse(*problem);
     if (!m_servers)
--- a/include/radishflow/Requests/request_record.h
+++ b/include/radishflow/Requests/request_record.h
@@ -14,6 +14,7 @@
     request_id resumes; ///< Request whose stream it resumes; empty for a new one.
     std::string route;
     workspace_id workspace;
+    std::string fingerprint; ///< In hexadecimal, as in the log lines of crashes; empty if the request was refused before it was computed.
     service_id service;
     std::string servers; ///< Those tried, in order, each with how the attempt ended.
     std::string prompt = "none"; ///< Where the last server had the shared prompt from, in one word.
--- a/lib/Admission/request_fingerprint.cpp
+++ b/lib/Admission/request_fingerprint.cpp
@@ -4,10 +4,21 @@
 
 #include "radishflow/Support/hashing.h"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <string>
 
 namespace radishflow {
 
+std::string toHex(const request_fingerprint& fingerprint)
+{
+    constexpr int hexDigits = 16; // Of each half.
+    std::array<char, 2 * hexDigits + 1> text {};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, fingerprint.high, fingerprint.low);
+    return text.data();
+}
+
 request_fingerprint fingerprintOf(const workspace_id& workspace, const service_id& service, std::string_view body)
 {
     constexpr std::uint64_t highSeed = 1;
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -20,7 +20,7 @@
 
 static void logCrash(const char* event, const request_fingerprint& request, const server_id& server)
 {
-    spdlog::warn("event={} fingerprint={:016x}{:016x} server={}", event, request.high, request.low, server.value());
+    spdlog::warn("event={} fingerprint={} server={}", event, toHex(request), server.value());
 }
 
 // The service is left out, so that a request stays quarantined when its route moves to another service.
@@ -42,8 +42,10 @@
 {
     const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
     const std::lock_guard lock { m_mutex };
-    if (m_served.find(request, m_clock.now()))
+    if (m_served.find(request, m_clock.now())) {
+        logCrash("crash_ignored", request, process);
         return;
+    }
     logCrash("crash_recorded", request, process);
     m_quarantine.recordCrash(process, { request });
 }
