--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -1,5 +1,7 @@
 // Tests that a request that crashes the servers which run it reaches no further server, whichever daemon receives it and
 // however the crash shows.
+#include "radishflow/Relay/crash_quarantine.h"
+
 #include "relay_fleet.h"
 #include "test_request.h"
 
@@ -28,6 +30,8 @@
     const char* method;
     const char* path;
     const char* body;
+    std::chrono::milliseconds timeToCrash = 0ms; ///< Runs before the crash, also after the relay or the caller has disconnected.
+    std::chrono::milliseconds callerPatience = 5000ms; ///< After which the caller disconnects.
 };
 
 std::ostream& operator<<(std::ostream& out, const crash_case& testCase) { return out << testCase.name; }
@@ -40,10 +44,22 @@
     { "in a stream that is resumed", "POST", "/resumable-stream/crash", "a crashing body" },
 };
 
-void setCrashing(relay_fleet& fleet, const char* path, std::chrono::milliseconds pause = 5ms)
+// The relay waits for a response for 800 ms at most.
+const crash_case unobservedCrashes[] {
+    { "after the relay's timeout", "POST", "/order/crash", "a crashing body", 1000ms },
+    { "after the caller left", "POST", "/order/crash", "a crashing body", 300ms, 100ms },
+    { "after the caller left, without a body", "GET", "/read/crash", "", 300ms, 100ms },
+};
+
+void setBehaviour(relay_fleet& fleet, const server_behaviour& behaviour)
 {
     for (int server = 0; server < fleet.servers(); ++server)
-        fleet.server(server).setBehaviour({ .kind = server_response_kind::Crash, .crashingTarget = path, .pause = pause });
+        fleet.server(server).setBehaviour(behaviour);
+}
+
+void setCrashing(relay_fleet& fleet, const char* path, std::chrono::milliseconds pause = 5ms)
+{
+    setBehaviour(fleet, { .kind = server_response_kind::Crash, .crashingTarget = path, .pause = pause });
 }
 
 int runsOf(relay_fleet& fleet, const char* path)
@@ -95,6 +111,56 @@
     BOOST_TEST(runsOf(fleet, testCase.path) <= maxCrashes);
 }
 
+// No connection of the request breaks, so the crash shows only when the server is listed with another process.
+BOOST_DATA_TEST_CASE(crashingRequestIsRefusedThoughItsAttemptsEndedBeforeTheCrash, boost::unit_test::data::make(unobservedCrashes), testCase)
+{
+    constexpr int sends = 9;
+    relay_fleet fleet { { .daemons = 3, .servers = 6 } };
+    setBehaviour(fleet, { .kind = server_response_kind::Crash, .crashingTarget = testCase.path, .timeToCrash = testCase.timeToCrash });
+    for (int send = 0; send < sends; ++send) {
+        httpCall({ .method = testCase.method, .url = "http://" + fleet.callerAddress(send % fleet.daemons()) + testCase.path, .headers = headersOf({ .id = "c" + std::to_string(send), .key = relay_fleet::key, .timeLeft = 5000ms }), .body = testCase.body, .timeout = testCase.callerPatience });
+        std::this_thread::sleep_for(testCase.timeToCrash);
+        awaitRestart(fleet);
+    }
+    BOOST_TEST(runsOf(fleet, testCase.path) <= maxCrashes);
+}
+
+BOOST_AUTO_TEST_CASE(crashingRequestIsRefusedThoughAnotherCallersWithTheSameTargetIsServed)
+{
+    constexpr const char* path = "/read/shared";
+    constexpr const char* crashingKey = "second-key-of-w";
+    constexpr int sends = 9;
+    relay_fleet fleet { { .daemons = 3, .servers = 6 } };
+    fleet.configure({ .version = 2, .workspaceKey = relay_fleet::key, .secondKey = crashingKey });
+    std::this_thread::sleep_for(1s);
+    setBehaviour(fleet, { .kind = server_response_kind::Crash, .crashingTarget = path, .crashingIdPrefix = "crash" });
+    int crashes = 0;
+    for (int send = 0; send < sends; ++send) {
+        for (int daemon = 0; daemon < fleet.daemons(); ++daemon)
+            BOOST_TEST(fleet.call(daemon, path).status == 200);
+        const std::string id = "crash" + std::to_string(send);
+        httpCall({ .url = "http://" + fleet.callerAddress(send % fleet.daemons()) + path, .headers = headersOf({ .id = id, .key = crashingKey, .timeLeft = 5000ms }) });
+        awaitRestart(fleet);
+    }
+    for (int server = 0; server < fleet.servers(); ++server) {
+        for (const received_request& received : fleet.server(server).seen())
+            crashes += received.id.starts_with("crash") ? 1 : 0;
+    }
+    BOOST_TEST(crashes <= maxCrashes);
+}
+
+// Rows of a daemon that is cut off from the others, or has ended since, reach them through the store only.
+BOOST_DATA_TEST_CASE(crashesThatAreInTheStoreOnlyReachAllDaemonsWithinContactTime, boost::unit_test::data::make({ 3, 20 }), daemons)
+{
+    relay_fleet fleet { { .daemons = daemons, .servers = 2 } };
+    const std::string fingerprint = toHex(crash_quarantine::fingerprint(workspace_id { "w" }, crashes[0].path, crashes[0].body));
+    for (const char* process : { "/i-8@1", "/i-9@1" })
+        fleet.store().putCrash(fingerprint + process, {});
+    std::this_thread::sleep_for(contactTime);
+    for (int daemon = 0; daemon < daemons; ++daemon)
+        BOOST_TEST(fleet.call(daemon, crashes[0].path, crashes[0].method, relay_fleet::key, crashes[0].body).status == 503);
+}
+
 BOOST_AUTO_TEST_CASE(crashingRequestIsNotResentOnceItIsQuarantined)
 {
     constexpr int crashesToQuarantine = 2;
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -1,8 +1,6 @@
 // Implements relay_fleet: writes the daemons' settings, starts them and sends requests to them.
 #include "relay_fleet.h"
 
-#include "standin_config.h"
-
 #include <csignal>
 #include <fstream>
 #include <random>
@@ -115,7 +113,12 @@
 
 void relay_fleet::configure(int version, const std::string& workspaceKey, const std::string& without)
 {
-    m_store.configure(writeConfig({ .version = version, .workspaceKey = workspaceKey, .without = without }));
+    configure({ .version = version, .workspaceKey = workspaceKey, .without = without });
+}
+
+void relay_fleet::configure(const standin_config& config)
+{
+    m_store.configure(writeConfig(config));
 }
 
 void relay_fleet::list(int server, const std::string& state, int coldForMs)
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -7,6 +7,7 @@
 #include "caller_connection.h"
 #include "faulty_link.h"
 #include "server_standin.h"
+#include "standin_config.h"
 #include "store_standin.h"
 #include "test_request.h"
 
@@ -54,6 +55,7 @@
     void restart(int number);
     /// Publishes a configuration that has a public route "v<version>" and lacks the route `without`.
     void configure(int version, const std::string& workspaceKey = key, const std::string& without = {});
+    void configure(const standin_config&);
     void list(int server, const std::string& state = "ready", int coldForMs = 0);
 
     std::string callerAddress(int daemon) const;
