Clear a request without a body of crashes only when the same caller's was served

A read that crashes its servers reached 18 servers in 9 sends while another key of its workspace read the same target: each answer to the other caller made the daemon ignore crashes for 60 s, as both had the fingerprint of workspace, target and body. An answer now clears only the variant that was served, which the caller's key and the prompt tell apart; a crash still counts under the content, so that the request is refused however it returns. crashingRequestIsRefusedThoughAnother* failed before (18 runs, 3 allowed) and passes; popularRequestWithoutBodySurvives* still passes.

--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Admission/quarantine.h"
+#include "radishflow/Relay/request_identity.h"
 #include "radishflow/Routing/listed_server.h"
 #include "radishflow/Support/boottime_clock.h"
 #include "radishflow/Support/ranked_mutex.h"
@@ -27,14 +28,14 @@
     /// Returns a fingerprint of workspace, target and body.
     static request_fingerprint fingerprint(const workspace_id&, std::string_view target, std::string_view body);
 
-    /// Records that the request was served, which shows for a limited time that it does not crash servers. Only needed for
-    /// requests without a body, as many different ones of them have the same fingerprint.
-    void recordServed(const request_fingerprint&);
+    /// Records that the request was served, which shows for a limited time that this variant does not crash servers. Only
+    /// needed for requests without a body, as many different ones of them have the same content.
+    void recordServed(const request_identity&);
 
     /// Records that a server crashed before it completed the response.
-    void recordCrash(const request_fingerprint&, const listed_server&);
+    void recordCrash(const request_identity&, const listed_server&);
     /// Returns the remaining time for which the request is refused, or nothing if it is not quarantined.
-    std::optional<duration> remainingQuarantine(const request_fingerprint&) const;
+    std::optional<duration> remainingQuarantine(const request_identity&) const;
     /// Returns the crashes recorded by this daemon since the last call, to be sent to the other daemons.
     std::vector<crash_record> takeNewRecords();
     /// Adds crashes received from other daemons.
@@ -44,7 +45,7 @@
     boottime_clock m_clock;
     mutable ranked_mutex m_mutex { lock_rank::Crashes };
     quarantine<boottime_clock> m_quarantine;
-    recent_map<request_fingerprint, bool> m_served; ///< Requests that were served recently.
+    recent_map<request_fingerprint, bool> m_served; ///< Variants of requests that were served recently.
     std::vector<crash_record> m_pendingRecords; ///< Recorded by this daemon and not yet taken.
 };
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -49,6 +49,7 @@
     static bool acceptsConnections(const listed_server&);
     /// Records a crash if the server, whose connection broke, no longer listens.
     void recordIfCrashed(const listed_server&);
+    request_identity identify() const;
     std::optional<refusal> refusalForQuarantine() const;
     bool resumesStream() const { return !m_request.resumes.empty() || m_request.resumeAfter; }
     /// Looks up the version that began the stream which this request resumes; returns a refusal if it is unknown.
@@ -87,7 +88,7 @@
     std::shared_ptr<const server_list> m_servers;
     std::shared_ptr<const fleet_view> m_fleet;
     time_point m_deadline {};
-    request_fingerprint m_fingerprint;
+    request_identity m_identity;
     attempt_history m_history;
     event_splitter m_eventSplitter;
     std::optional<version_key> m_version; ///< Software version at which the stream began; not set before its first event.
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -76,8 +76,8 @@
         return refuse(*problem);
     if (m_admitted.target->kind == work_kind::Stream && m_message.head.minorVersion == 0)
         return refuse({ .status = 505, .title = "Streams need HTTP/1.1", .detail = "without chunks a stream that breaks looks like one that ends" });
-    m_fingerprint = crash_quarantine::fingerprint(m_record.workspace, m_message.head.target, m_message.body);
-    m_record.fingerprint = toHex(m_fingerprint);
+    m_identity = identify();
+    m_record.fingerprint = toHex(m_identity.content);
     if (const auto problem = refusalForQuarantine())
         return refuse(*problem);
     if (!m_servers)
@@ -114,11 +114,22 @@
     }
 }
 
+template <relay_protocol Protocol>
+request_identity relay_call<Protocol>::identify() const
+{
+    request_identity identity { .content = crash_quarantine::fingerprint(m_record.workspace, m_message.head.target, m_message.body) };
+    std::string variant = toHex(identity.content) + m_request.key;
+    for (const prompt_part& part : m_request.prompt)
+        variant += ' ' + std::to_string(part.id);
+    identity.variant = crash_quarantine::fingerprint(m_record.workspace, m_message.head.target, variant);
+    return identity;
+}
+
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordIfCrashed(const listed_server& server)
 {
     if (!acceptsConnections(server))
-        m_context.crashes.recordCrash(m_fingerprint, server);
+        m_context.crashes.recordCrash(m_identity, server);
 }
 
 // Distinguishes a crashed server from one whose response was lost in the network.
@@ -135,7 +146,7 @@
 template <relay_protocol Protocol>
 std::optional<refusal> relay_call<Protocol>::refusalForQuarantine() const
 {
-    const auto remaining = m_context.crashes.remainingQuarantine(m_fingerprint);
+    const auto remaining = m_context.crashes.remainingQuarantine(m_identity);
     if (!remaining)
         return std::nullopt;
     return refusal { .status = 503, .title = "Request crashes servers", .detail = "two servers broke off when they ran it", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(*remaining) };
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -67,7 +67,7 @@
     m_context.balancer.finishRequest(server.id, server_outcome::Served);
     recordAttempt(server, "served");
     if (m_message.body.empty())
-        m_context.crashes.recordServed(m_fingerprint);
+        m_context.crashes.recordServed(m_identity);
     std::string text = writeResponseHead(exchange.head(), body.size(), m_keepsOpen);
     if (m_message.head.method != "HEAD")
         text += body;
@@ -107,7 +107,7 @@
             m_context.balancer.finishRequest(server.id, server_outcome::Served);
             recordAttempt(server, "served");
             if (m_message.body.empty())
-                m_context.crashes.recordServed(m_fingerprint);
+                m_context.crashes.recordServed(m_identity);
             recordOutcome(exchange.head().status, "served");
             m_isResponseComplete = true;
             return attempt_result::Finished;
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -31,31 +31,31 @@
     return fingerprintOf(workspace, service_id {}, content);
 }
 
-void crash_quarantine::recordServed(const request_fingerprint& request)
+void crash_quarantine::recordServed(const request_identity& request)
 {
     const std::lock_guard lock { m_mutex };
-    m_served.set(request, true, m_clock.now());
+    m_served.set(request.variant, true, m_clock.now());
 }
 
 // A server that has restarted under its former id is another process, whose crash counts again.
-void crash_quarantine::recordCrash(const request_fingerprint& request, const listed_server& server)
+void crash_quarantine::recordCrash(const request_identity& request, const listed_server& server)
 {
     const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
     const std::lock_guard lock { m_mutex };
-    if (m_served.find(request, m_clock.now())) {
-        logCrash("crash_ignored", request, process);
+    if (m_served.find(request.variant, m_clock.now())) {
+        logCrash("crash_ignored", request.content, process);
         return;
     }
-    logCrash("crash_recorded", request, process);
-    m_quarantine.recordCrash(process, { request });
+    logCrash("crash_recorded", request.content, process);
+    m_quarantine.recordCrash(process, { request.content });
 }
 
-std::optional<duration> crash_quarantine::remainingQuarantine(const request_fingerprint& request) const
+std::optional<duration> crash_quarantine::remainingQuarantine(const request_identity& request) const
 {
     const std::lock_guard lock { m_mutex };
-    if (m_quarantine.stateOf(request) != quarantine_state::Quarantined || m_served.find(request, m_clock.now()))
+    if (m_quarantine.stateOf(request.content) != quarantine_state::Quarantined || m_served.find(request.variant, m_clock.now()))
         return std::nullopt;
-    return m_quarantine.remaining(request);
+    return m_quarantine.remaining(request.content);
 }
 
 std::vector<crash_record> crash_quarantine::takeNewRecords()
