Attribute crashes also to requests whose attempts ended before them

A request that crashes its servers after the relay's time-out, or after its caller left, was sent on without end: no connection of the request breaks, so no daemon recorded anything. Daemons now keep the attempts that they stopped awaiting for 20 s, and record the crash for them when the process refuses connections, breaks another request, or the list shows another process under its id or address. A drain explains the end of a process, and so does a restart of most servers of a zone, such as after a loss of power.

--- /dev/null
+++ b/include/radishflow/Relay/abandoned_attempts.h
@@ -0,0 +1,124 @@
+// Declares abandoned_attempts, which attributes the crash of a backend server to requests that were no longer awaited there.
+#pragma once
+
+#include "radishflow/Relay/request_identity.h"
+#include "radishflow/Routing/server_list.h"
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace radishflow {
+
+/// A request whose response the relay stopped awaiting, and the server that may still run it.
+struct abandoned_attempt {
+    listed_server server;
+    request_identity request;
+    time_point abandonedAt {};
+};
+
+/// Keeps attempts that ended by a timeout or a disconnect of the caller. Their servers may run them later and crash, which
+/// breaks no connection of these requests. Not thread-safe.
+template <monotonic_clock Clock>
+class abandoned_attempts {
+public:
+    /// Time for which an attempt is kept: a server drops requests at their deadlines, and a crashed one is listed again
+    /// within some seconds.
+    static constexpr std::chrono::seconds retention { 20 };
+    static constexpr std::size_t maxAttempts = 4096;
+    /// Age at which a new process counts as the successor of a crashed one; the servers of a zone restart within it.
+    static constexpr std::chrono::milliseconds settlingTime { 1500 };
+    static constexpr std::chrono::milliseconds zoneRestartTime { 4000 };
+
+    explicit abandoned_attempts(const Clock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    void add(const listed_server& server, const request_identity& request)
+    {
+        if (m_attempts.size() >= maxAttempts)
+            m_attempts.erase(m_attempts.begin());
+        m_attempts.push_back({ .server = server, .request = request, .abandonedAt = m_clock.now() });
+    }
+
+    /// Returns and forgets the attempts at a process that has crashed.
+    std::vector<abandoned_attempt> takeAttemptsAt(const listed_server& crashed)
+    {
+        return takeIf([&](const listed_server& server) { return isSameProcess(server, crashed); });
+    }
+
+    /// Returns and forgets the attempts at processes that the list shows to have crashed: another process has their id or
+    /// their address, and neither a drain nor a restart of their availability zone explains it.
+    std::vector<abandoned_attempt> takeCrashed(const server_list& list)
+    {
+        const time_point now = m_clock.now();
+        const time_point oldest = now - retention;
+        std::erase_if(m_attempts, [&](const abandoned_attempt& attempt) {
+            const auto listed = list.servers.find(attempt.server.id);
+            return attempt.abandonedAt < oldest || attempt.server.isDraining || (listed != list.servers.end() && listed->second.isDraining);
+        });
+        if (m_attempts.empty())
+            return {};
+        std::vector<abandoned_attempt> crashed = takeIf([&](const listed_server& server) {
+            const listed_server* successor = successorOf(server, list);
+            return successor && now - successor->listedAt >= settlingTime;
+        });
+        std::erase_if(crashed, [&](const abandoned_attempt& attempt) { return hasZoneRestarted(attempt.server.zone, list, now); });
+        return crashed;
+    }
+
+    bool hasAttemptsAt(const listed_server& server) const
+    {
+        return std::any_of(m_attempts.begin(), m_attempts.end(), [&](const abandoned_attempt& attempt) { return isSameProcess(attempt.server, server); });
+    }
+
+private:
+    static bool isSameProcess(const listed_server& left, const listed_server& right)
+    {
+        return left.id == right.id && left.processStartMs == right.processStartMs;
+    }
+
+    // An address that a server of another service has says nothing, as addresses of servers that left are reused.
+    static const listed_server* successorOf(const listed_server& server, const server_list& list)
+    {
+        for (const auto& [id, listed] : list.servers) {
+            if (listed.service == server.service && (id == server.id || listed.address == server.address) && !isSameProcess(listed, server))
+                return &listed;
+        }
+        return nullptr;
+    }
+
+    // A zone that lost power comes back with new processes at most of its servers, which no request caused.
+    static bool hasZoneRestarted(const zone_id& zone, const server_list& list, time_point now)
+    {
+        std::size_t total = 0;
+        std::size_t restarted = 0;
+        for (const auto& [id, server] : list.servers) {
+            if (server.zone != zone)
+                continue;
+            ++total;
+            if (now - server.listedAt < zoneRestartTime)
+                ++restarted;
+        }
+        return restarted > 1 && 2 * restarted >= total;
+    }
+
+    template <typename Predicate>
+    std::vector<abandoned_attempt> takeIf(Predicate isTaken)
+    {
+        const auto kept = std::stable_partition(m_attempts.begin(), m_attempts.end(), [&](const abandoned_attempt& attempt) { return !isTaken(attempt.server); });
+        std::vector<abandoned_attempt> taken { std::make_move_iterator(kept), std::make_move_iterator(m_attempts.end()) };
+        m_attempts.erase(kept, m_attempts.end());
+        return taken;
+    }
+
+    const Clock& m_clock;
+    std::vector<abandoned_attempt> m_attempts; ///< In the order in which they were abandoned.
+};
+
+} // namespace radishflow
--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Admission/quarantine.h"
+#include "radishflow/Relay/abandoned_attempts.h"
 #include "radishflow/Relay/request_identity.h"
 #include "radishflow/Routing/listed_server.h"
 #include "radishflow/Support/boottime_clock.h"
@@ -32,8 +33,16 @@
     /// needed for requests without a body, as many different ones of them have the same content.
     void recordServed(const request_identity&);
 
-    /// Records that a server crashed before it completed the response.
+    /// Records that a server crashed before it completed the response, also for the requests abandoned at it.
     void recordCrash(const request_identity&, const listed_server&);
+    /// Records the crash of a server for the requests abandoned at it.
+    void recordCrash(const listed_server&);
+    /// Records that the relay stopped awaiting a response which the server may still work on.
+    void recordAbandoned(const request_identity&, const listed_server&);
+    bool hasAbandonedAt(const listed_server&) const;
+    /// Records the crash of servers that the list shows to have ended, for the requests abandoned at them. Call it after
+    /// each change of the list or periodically.
+    void recordReplacedServers(const server_list&);
     /// Returns the remaining time for which the request is refused, or nothing if it is not quarantined.
     std::optional<duration> remainingQuarantine(const request_identity&) const;
     /// Returns the crashes recorded by this daemon since the last call, to be sent to the other daemons.
@@ -42,9 +51,13 @@
     void merge(const std::vector<crash_record>&);
 
 private:
+    /// Records a crash for one request; the caller holds the lock.
+    void addCrash(const request_identity&, const listed_server&);
+
     boottime_clock m_clock;
     mutable ranked_mutex m_mutex { lock_rank::Crashes };
     quarantine<boottime_clock> m_quarantine;
+    abandoned_attempts<boottime_clock> m_abandoned { m_clock };
     recent_map<request_fingerprint, bool> m_served; ///< Variants of requests that were served recently.
     std::vector<crash_record> m_pendingRecords; ///< Recorded by this daemon and not yet taken.
 };
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -316,15 +316,19 @@
         return handleResponse(server, exchange, metadata);
     case exchange_state::NotSent:
         --m_contactedServers;
+        if (m_context.crashes.hasAbandonedAt(server) && !acceptsConnections(server))
+            m_context.crashes.recordCrash(server);
         return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
         recordIfCrashed(server);
         return recordFailure(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
     case exchange_state::TimedOut:
+        m_context.crashes.recordAbandoned(m_identity, server);
         return recordFailure(server, server_outcome::Failed, true, "silent");
     case exchange_state::CallerGone:
         break;
     }
+    m_context.crashes.recordAbandoned(m_identity, server);
     m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
     recordAttempt(server, "caller_gone");
     return attempt_result::CallerGone;
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -98,6 +98,7 @@
             if (isEnd)
                 text += lastChunk;
             if (!sendToCaller(text)) {
+                m_context.crashes.recordAbandoned(m_identity, server);
                 m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
                 return attempt_result::CallerGone;
             }
@@ -122,6 +123,8 @@
 {
     if (bodyResult == body_read_result::Broken)
         recordIfCrashed(server);
+    else
+        m_context.crashes.recordAbandoned(m_identity, server);
     if (bodyResult != body_read_result::CallerGone)
         return recordFailure(server, server_outcome::Failed, true, bodyResult == body_read_result::TimedOut ? "silent" : "broke_off");
     m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -38,10 +38,9 @@
 }
 
 // A server that has restarted under its former id is another process, whose crash counts again.
-void crash_quarantine::recordCrash(const request_identity& request, const listed_server& server)
+void crash_quarantine::addCrash(const request_identity& request, const listed_server& server)
 {
     const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
-    const std::lock_guard lock { m_mutex };
     if (m_served.find(request.variant, m_clock.now())) {
         logCrash("crash_ignored", request.content, process);
         return;
@@ -50,6 +49,41 @@
     m_quarantine.recordCrash(process, { request.content });
 }
 
+void crash_quarantine::recordCrash(const request_identity& request, const listed_server& server)
+{
+    {
+        const std::lock_guard lock { m_mutex };
+        addCrash(request, server);
+    }
+    recordCrash(server);
+}
+
+void crash_quarantine::recordCrash(const listed_server& server)
+{
+    const std::lock_guard lock { m_mutex };
+    for (const abandoned_attempt& attempt : m_abandoned.takeAttemptsAt(server))
+        addCrash(attempt.request, attempt.server);
+}
+
+void crash_quarantine::recordAbandoned(const request_identity& request, const listed_server& server)
+{
+    const std::lock_guard lock { m_mutex };
+    m_abandoned.add(server, request);
+}
+
+bool crash_quarantine::hasAbandonedAt(const listed_server& server) const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_abandoned.hasAttemptsAt(server);
+}
+
+void crash_quarantine::recordReplacedServers(const server_list& list)
+{
+    const std::lock_guard lock { m_mutex };
+    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(list))
+        addCrash(attempt.request, attempt.server);
+}
+
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_identity& request) const
 {
     const std::lock_guard lock { m_mutex };
--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -114,14 +114,15 @@
 // No connection of the request breaks, so the crash shows only when the server is listed with another process.
 BOOST_DATA_TEST_CASE(crashingRequestIsRefusedThoughItsAttemptsEndedBeforeTheCrash, boost::unit_test::data::make(unobservedCrashes), testCase)
 {
-    constexpr int sends = 9;
     relay_fleet fleet { { .daemons = 3, .servers = 6 } };
     setBehaviour(fleet, { .kind = server_response_kind::Crash, .crashingTarget = testCase.path, .timeToCrash = testCase.timeToCrash });
-    for (int send = 0; send < sends; ++send) {
+    for (int send = 0; send < maxCrashes; ++send) {
         httpCall({ .method = testCase.method, .url = "http://" + fleet.callerAddress(send % fleet.daemons()) + testCase.path, .headers = headersOf({ .id = "c" + std::to_string(send), .key = relay_fleet::key, .timeLeft = 5000ms }), .body = testCase.body, .timeout = testCase.callerPatience });
         std::this_thread::sleep_for(testCase.timeToCrash);
         awaitRestart(fleet);
     }
+    std::this_thread::sleep_for(contactTime);
+    sendToAll(fleet, testCase, 2);
     BOOST_TEST(runsOf(fleet, testCase.path) <= maxCrashes);
 }
 
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -211,8 +211,10 @@
             spdlog::info("event=fleet_changed daemons={} size={} isolated={}", view->daemons.size(), view->size, fleet.isIsolated());
         routing.setFleet(view);
         feed.refresh(fleet, view);
-        if (const auto servers = routing.servers())
+        if (const auto servers = routing.servers()) {
             versions.record(*servers, clock.now());
+            crashes.recordReplacedServers(*servers);
+        }
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
         crashRows.add(newCrashes);
         hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates() }, *view);
