Refuse requests with a prompt part that crashes servers

Only whole requests were suspects, by workspace, target and body, and no two of these requests are alike.

All parts of all requests in flight at a crash are now suspects, except the last part of each prompt. A complete response clears the parts of its request. part_quarantine blames the part with the most crashes since its last response, once they are three separate ones, for all of its crashes, and looks for another part only behind those that remain; so the parts beside it stay in use. Parts that were in flight at the same crashes are refused only together, which lets the next request tell them apart. Crashes within 300 ms count as one, and as none if they took half of the servers of an availability zone. A host that does not respond is no longer taken for a crashed server, only one that refuses connections.

Daemons send evidence of both kinds to all others by datagram, and write crashes to the store's crash table if no response has cleared them within 500 ms, with the time by the store's clock; a cleared crash is removed from it. Responses that end with their connection clear parts only if the server still accepts connections.

--- /dev/null
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -0,0 +1,360 @@
+// Declares part_quarantine, which finds the prompt parts that crash backend servers.
+#pragma once
+
+#include "radishflow/Admission/part_evidence.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <iterator>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace radishflow {
+
+struct part_quarantine_options {
+    duration retention = std::chrono::minutes { 30 }; ///< How long a crash counts.
+    /// Crashes within this time count as one, and as none if half of the servers of an availability zone are among them, as
+    /// when the zone loses power.
+    duration maxSimultaneity = std::chrono::milliseconds { 300 };
+    int minSeparateCrashes = 3; ///< From which a part is quarantined.
+    duration writeDelay = std::chrono::milliseconds { 500 }; ///< Time for a response to clear a part before its crash is written to the store.
+    std::size_t maxSuspects = 4096;
+};
+
+/// Parts that have been in flight at the same crashes; a request that has all of them is refused.
+struct quarantined_parts {
+    std::vector<std::uint64_t> parts; ///< Sorted.
+    std::size_t crashes = 0;
+
+    friend bool operator==(const quarantined_parts&, const quarantined_parts&) = default;
+};
+
+/// Crashes that are to be added to the fleet's table, and those that a response has cleared.
+struct part_table_changes {
+    std::vector<part_evidence> added;
+    std::vector<part_evidence> removed;
+};
+
+/// Decides which prompt parts crash servers. All parts of the requests in flight at a crash are suspects, except the last one
+/// of each prompt, which is its own; a complete response clears the parts of its request. The suspect with the most crashes
+/// since explains these, so parts that were only in flight beside it are not blamed for them. Not thread-safe.
+template <monotonic_clock Clock>
+class part_quarantine {
+public:
+    explicit part_quarantine(const Clock& clock, const part_quarantine_options& options = {})
+        : m_clock(clock)
+        , m_options(options)
+    {
+    }
+
+    /// Records that a process of a server crashed with these parts in flight.
+    void recordCrash(const server_id& process, const zone_id& zone, const std::vector<std::uint64_t>& parts)
+    {
+        for (const std::uint64_t part : parts) {
+            if (addCrash(part, { .process = process, .zone = zone, .at = m_clock.now(), .isOwn = true }))
+                m_newEvidence.push_back({ .part = part, .process = process, .zone = zone });
+        }
+    }
+
+    /// Sets the number of servers in each availability zone.
+    void setZoneSizes(std::map<zone_id, std::size_t> sizes)
+    {
+        if (m_zoneSizes == sizes)
+            return;
+        m_zoneSizes = std::move(sizes);
+        m_hasChanged = true;
+    }
+
+    /// Records a complete response.
+    void recordServed(const std::vector<std::uint64_t>& parts)
+    {
+        const time_point now = m_clock.now();
+        for (const std::uint64_t part : parts) {
+            const auto found = m_suspects.find(part);
+            if (found == m_suspects.end())
+                continue;
+            suspect& cleared = found->second;
+            const bool isNews = std::any_of(cleared.crashes.begin(), cleared.crashes.end(), [&](const crash& recorded) { return recorded.at > cleared.publishedServedAt; });
+            clear(cleared, now, true);
+            if (!isNews)
+                continue;
+            cleared.publishedServedAt = now;
+            m_newEvidence.push_back({ .part = part });
+        }
+    }
+
+    /// Returns whether a part was in flight at a crash and has not been cleared since.
+    bool hasSuspect(const std::vector<std::uint64_t>& parts) const
+    {
+        return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
+            const auto found = m_suspects.find(part);
+            return found != m_suspects.end() && !openCrashes(found->second).empty();
+        });
+    }
+
+    /// Returns whether a request with these parts would crash its server.
+    bool isQuarantined(const std::vector<std::uint64_t>& parts)
+    {
+        if (parts.empty())
+            return false;
+        return std::any_of(quarantined().begin(), quarantined().end(), [&](const quarantined_parts& group) {
+            return std::all_of(group.parts.begin(), group.parts.end(), [&](std::uint64_t part) { return std::find(parts.begin(), parts.end(), part) != parts.end(); });
+        });
+    }
+
+    const std::vector<quarantined_parts>& quarantined()
+    {
+        if (std::exchange(m_hasChanged, false))
+            m_quarantined = decide();
+        return m_quarantined;
+    }
+
+    /// Returns the evidence recorded by this daemon since the last call, to be sent to the other daemons.
+    std::vector<part_evidence> takeNewEvidence() { return std::exchange(m_newEvidence, {}); }
+
+    /// Adds evidence of other daemons.
+    void merge(const std::vector<part_evidence>& received)
+    {
+        for (const part_evidence& evidence : received)
+            mergeOne(evidence, false);
+    }
+
+    /// Adds crashes read from the fleet's table.
+    void mergeTable(const std::vector<part_evidence>& rows)
+    {
+        for (const part_evidence& row : rows)
+            mergeOne(row, true);
+    }
+
+    /// Drops crashes that another daemon removed from the table because a response has cleared them.
+    void removeFromTable(const std::vector<part_evidence>& rows)
+    {
+        for (const part_evidence& row : rows) {
+            const auto found = m_suspects.find(row.part);
+            if (found == m_suspects.end())
+                continue;
+            m_hasChanged |= std::erase_if(found->second.crashes, [&](const crash& recorded) { return recorded.process == row.process; }) > 0;
+            eraseIfUnused(found);
+        }
+    }
+
+    /// Returns the changes of the fleet's table that this daemon has to make. Call it periodically.
+    part_table_changes takeTableChanges()
+    {
+        const time_point now = m_clock.now();
+        part_table_changes changes;
+        for (auto next = m_suspects.begin(); next != m_suspects.end();) {
+            const auto current = next++;
+            suspect& changed = current->second;
+            m_hasChanged |= std::erase_if(changed.crashes, [&](const crash& recorded) { return now - recorded.at >= m_options.retention; }) > 0;
+            for (crash& recorded : changed.crashes) {
+                if (!recorded.isInTable && recorded.isOwn && recorded.at > changed.servedAt && now - recorded.at >= m_options.writeDelay) {
+                    recorded.isInTable = true;
+                    changes.added.push_back({ .part = current->first, .process = recorded.process, .zone = recorded.zone, .age = now - recorded.at });
+                }
+            }
+            std::erase_if(changed.crashes, [&](const crash& recorded) {
+                if (recorded.at > changed.servedAt)
+                    return false;
+                if (recorded.isInTable && changed.isServedHere)
+                    changes.removed.push_back({ .part = current->first, .process = recorded.process, .zone = recorded.zone });
+                return true;
+            });
+            eraseIfUnused(current);
+        }
+        return changes;
+    }
+
+    std::size_t size() const { return m_suspects.size(); }
+
+private:
+    /// Further crashes of a suspect change no decision.
+    static constexpr std::size_t maxCrashesPerSuspect = 64;
+
+    struct crash {
+        server_id process;
+        zone_id zone;
+        time_point at {};
+        bool isOwn = false; ///< Detected by this daemon.
+        bool isInTable = false;
+    };
+
+    struct suspect {
+        std::vector<crash> crashes;
+        time_point servedAt {}; ///< Of the last complete response known; earlier crashes do not count.
+        time_point publishedServedAt {}; ///< Of the last one that this daemon sent or received.
+        bool isServedHere = false; ///< This daemon forwarded the last response, and removes the cleared crashes from the table.
+    };
+
+    using suspect_map = std::unordered_map<std::uint64_t, suspect>;
+
+    struct suspicion {
+        std::uint64_t part = 0;
+        std::vector<crash> crashes; ///< Not cleared and not explained by another part, sorted by process.
+    };
+
+    std::vector<crash> openCrashes(const suspect& candidate) const
+    {
+        std::vector<crash> open;
+        std::copy_if(candidate.crashes.begin(), candidate.crashes.end(), std::back_inserter(open), [&](const crash& recorded) { return recorded.at > candidate.servedAt; });
+        return open;
+    }
+
+    bool addCrash(std::uint64_t part, const crash& added)
+    {
+        if (!m_suspects.contains(part))
+            evictIfFull();
+        suspect& suspected = m_suspects[part];
+        const auto known = std::find_if(suspected.crashes.begin(), suspected.crashes.end(), [&](const crash& recorded) { return recorded.process == added.process; });
+        if (known != suspected.crashes.end()) {
+            known->isInTable |= added.isInTable;
+            return false;
+        }
+        if (suspected.crashes.size() >= maxCrashesPerSuspect)
+            return false;
+        suspected.crashes.push_back(added);
+        m_hasChanged = true;
+        return true;
+    }
+
+    void mergeOne(const part_evidence& evidence, bool isInTable)
+    {
+        const time_point at = m_clock.now() - std::max(evidence.age, duration::zero());
+        if (evidence.isCrash()) {
+            if (evidence.age < m_options.retention)
+                addCrash(evidence.part, { .process = evidence.process, .zone = evidence.zone, .at = at, .isInTable = isInTable });
+            return;
+        }
+        const auto found = m_suspects.find(evidence.part);
+        if (found == m_suspects.end())
+            return;
+        found->second.publishedServedAt = std::max(found->second.publishedServedAt, at);
+        clear(found->second, at, false);
+    }
+
+    void clear(suspect& cleared, time_point at, bool isServedHere)
+    {
+        if (at <= cleared.servedAt)
+            return;
+        cleared.servedAt = at;
+        cleared.isServedHere = isServedHere;
+        m_hasChanged = true;
+    }
+
+    // A cleared suspect is kept while a late record of an earlier crash may arrive.
+    void eraseIfUnused(typename suspect_map::iterator entry)
+    {
+        static constexpr std::chrono::seconds maxRecordDelay { 30 };
+        if (entry->second.crashes.empty() && m_clock.now() - entry->second.servedAt >= maxRecordDelay)
+            m_suspects.erase(entry);
+    }
+
+    void evictIfFull()
+    {
+        if (m_suspects.size() < m_options.maxSuspects)
+            return;
+        m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto& left, const auto& right) { return left.second.crashes.size() < right.second.crashes.size(); }));
+        m_hasChanged = true;
+    }
+
+    int separateCrashes(const std::vector<crash>& crashes) const
+    {
+        std::vector<time_point> times;
+        times.reserve(crashes.size());
+        for (const crash& recorded : crashes)
+            times.push_back(recorded.at);
+        std::sort(times.begin(), times.end());
+        int count = 0;
+        time_point first {};
+        for (const time_point at : times) {
+            if (count > 0 && at - first <= m_options.maxSimultaneity)
+                continue;
+            first = at;
+            ++count;
+        }
+        return count;
+    }
+
+    /// Returns the processes that crashed together with at least half of the servers of their zone.
+    std::set<server_id> processesLostWithZones() const
+    {
+        std::map<zone_id, std::map<server_id, time_point>> zones;
+        for (const auto& [part, suspected] : m_suspects) {
+            for (const crash& recorded : suspected.crashes)
+                zones[recorded.zone].emplace(recorded.process, recorded.at);
+        }
+        std::set<server_id> lost;
+        for (const auto& [zone, crashes] : zones) {
+            const auto size = m_zoneSizes.find(zone);
+            if (size == m_zoneSizes.end())
+                continue;
+            std::vector<time_point> times;
+            times.reserve(crashes.size());
+            for (const auto& [process, at] : crashes)
+                times.push_back(at);
+            std::sort(times.begin(), times.end());
+            for (const auto& [process, at] : crashes) {
+                const auto simultaneous = std::upper_bound(times.begin(), times.end(), at + m_options.maxSimultaneity) - std::lower_bound(times.begin(), times.end(), at - m_options.maxSimultaneity);
+                if (simultaneous > 1 && 2 * static_cast<std::size_t>(simultaneous) >= size->second)
+                    lost.insert(process);
+            }
+        }
+        return lost;
+    }
+
+    static bool hasProcess(const suspicion& suspected, const server_id& process)
+    {
+        return std::any_of(suspected.crashes.begin(), suspected.crashes.end(), [&](const crash& recorded) { return recorded.process == process; });
+    }
+
+    static bool hasSameCrashes(const suspicion& left, const suspicion& right)
+    {
+        return left.crashes.size() == right.crashes.size()
+            && std::all_of(left.crashes.begin(), left.crashes.end(), [&](const crash& recorded) { return hasProcess(right, recorded.process); });
+    }
+
+    // Blames the part with the most crashes for all of them, then the next one for those that remain. Parts with the same
+    // crashes are blamed together: a request with only one of them shows which one it is.
+    std::vector<quarantined_parts> decide() const
+    {
+        const std::set<server_id> lostWithZone = processesLostWithZones();
+        std::vector<suspicion> suspicions;
+        for (const auto& [part, candidate] : m_suspects) {
+            suspicion suspected { .part = part, .crashes = openCrashes(candidate) };
+            std::erase_if(suspected.crashes, [&](const crash& recorded) { return lostWithZone.contains(recorded.process); });
+            if (separateCrashes(suspected.crashes) >= m_options.minSeparateCrashes)
+                suspicions.push_back(std::move(suspected));
+        }
+        std::vector<quarantined_parts> decided;
+        while (true) {
+            std::erase_if(suspicions, [&](const suspicion& suspected) { return separateCrashes(suspected.crashes) < m_options.minSeparateCrashes; });
+            const auto worst = std::max_element(suspicions.begin(), suspicions.end(), [](const suspicion& left, const suspicion& right) { return left.crashes.size() < right.crashes.size(); });
+            if (worst == suspicions.end())
+                return decided;
+            const suspicion blamed = *worst;
+            quarantined_parts group { .crashes = blamed.crashes.size() };
+            for (const suspicion& suspected : suspicions) {
+                if (hasSameCrashes(suspected, blamed))
+                    group.parts.push_back(suspected.part);
+            }
+            std::sort(group.parts.begin(), group.parts.end());
+            decided.push_back(std::move(group));
+            for (suspicion& suspected : suspicions)
+                std::erase_if(suspected.crashes, [&](const crash& recorded) { return hasProcess(blamed, recorded.process); });
+        }
+    }
+
+    const Clock& m_clock;
+    part_quarantine_options m_options;
+    suspect_map m_suspects;
+    std::vector<quarantined_parts> m_quarantined;
+    bool m_hasChanged = false;
+    std::vector<part_evidence> m_newEvidence;
+    std::map<zone_id, std::size_t> m_zoneSizes;
+};
+
+} // namespace radishflow
--- a/include/radishflow/Fleet/server_hints.h
+++ b/include/radishflow/Fleet/server_hints.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "radishflow/Admission/crash_record.h"
+#include "radishflow/Admission/part_evidence.h"
 #include "radishflow/Routing/prompt_holder.h"
 #include "radishflow/Routing/shared_load.h"
 
@@ -13,6 +14,7 @@
     std::vector<shared_load> loads;
     std::vector<crash_record> crashes;
     std::vector<prompt_holder> promptHolders; ///< Servers whose caches hold a prompt.
+    std::vector<part_evidence> parts; ///< On which prompt parts crash servers.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -1,6 +1,7 @@
 // Declares crash_quarantine, which refuses requests that have crashed backend servers.
 #pragma once
 
+#include "radishflow/Admission/part_quarantine.h"
 #include "radishflow/Admission/quarantine.h"
 #include "radishflow/Relay/abandoned_attempts.h"
 #include "radishflow/Relay/request_identity.h"
@@ -16,8 +17,8 @@
 
 namespace radishflow {
 
-/// Keeps a request that is retried after a crash from crashing further servers: once two processes of servers have crashed while running
-/// it, every daemon refuses it for a limited time. Thread-safe; uses one lock of rank Crashes.
+/// Keeps requests from crashing further servers: once two processes of servers have crashed while running a request, or several while
+/// running requests with the same prompt part, every daemon refuses it for a limited time. Thread-safe; uses one lock of rank Crashes.
 class crash_quarantine {
 public:
     /// Time for which a crash counts. The platform sets no time after which a request that has crashed servers may be sent to
@@ -29,9 +30,13 @@
     /// Returns a fingerprint of workspace, target and body.
     static request_fingerprint fingerprint(const workspace_id&, std::string_view target, std::string_view body);
 
-    /// Records that the request was served, which shows for a limited time that this variant does not crash servers. Only
-    /// needed for requests without a body, as many different ones of them have the same content.
+    /// Records that the request was served, which clears the parts of its prompt, and shows for a limited time that this
+    /// variant does not crash servers.
     void recordServed(const request_identity&);
+    /// Returns whether a part of the prompt was in flight at a crash and has not been cleared since.
+    bool hasSuspectParts(const request_identity&) const;
+    /// Returns whether a part of the prompt crashes servers.
+    bool hasQuarantinedParts(const request_identity&) const;
 
     /// Records that a server crashed before it completed the response, also for the requests abandoned at it.
     void recordCrash(const request_identity&, const listed_server&);
@@ -40,25 +45,38 @@
     /// Records that the relay stopped awaiting a response which the server may still work on.
     void recordAbandoned(const request_identity&, const listed_server&);
     bool hasAbandonedAt(const listed_server&) const;
-    /// Records the crash of servers that the list shows to have ended, for the requests abandoned at them. Call it after
-    /// each change of the list or periodically.
-    void recordReplacedServers(const server_list&);
+    /// Records the crash of servers that the list shows to have ended, for the requests abandoned at them. Call it
+    /// periodically.
+    void applyServerList(const server_list&);
     /// Returns the remaining time for which the request is refused, or nothing if it is not quarantined.
     std::optional<duration> remainingQuarantine(const request_identity&) const;
     /// Returns the crashes recorded by this daemon since the last call, to be sent to the other daemons.
     std::vector<crash_record> takeNewRecords();
     /// Adds crashes received from other daemons.
     void merge(const std::vector<crash_record>&);
+    /// Returns the evidence on prompt parts recorded by this daemon since the last call, to be sent to the other daemons.
+    std::vector<part_evidence> takeNewPartEvidence();
+    /// Adds evidence on prompt parts received from other daemons.
+    void mergeParts(const std::vector<part_evidence>&);
+    /// Returns the changes of the fleet's table of crashes that this daemon has to make for prompt parts.
+    part_table_changes takePartTableChanges();
+    /// Apply changes of that table by any daemon.
+    void addPartRows(const std::vector<part_evidence>&);
+    void removePartRows(const std::vector<part_evidence>&);
 
 private:
     /// Records a crash for one request; the caller holds the lock.
     void addCrash(const request_identity&, const listed_server&);
+    /// Logs which parts are quarantined if they have changed; the caller holds the lock.
+    void logPartChanges() const;
 
     boottime_clock m_clock;
     mutable ranked_mutex m_mutex { lock_rank::Crashes };
     quarantine<boottime_clock> m_quarantine;
     abandoned_attempts<boottime_clock> m_abandoned { m_clock };
     recent_map<request_fingerprint, bool> m_served; ///< Variants of requests that were served recently.
+    mutable part_quarantine<boottime_clock> m_parts { m_clock, { .retention = retention } }; ///< Decides when it is asked.
+    mutable std::vector<quarantined_parts> m_loggedParts; ///< As last logged.
     std::vector<crash_record> m_pendingRecords; ///< Recorded by this daemon and not yet taken.
 };
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -46,8 +46,9 @@
 
     bool refuse(const refusal&);
     std::optional<refusal> refusalWhileStopping() const;
-    static bool acceptsConnections(const listed_server&);
-    /// Records a crash if the server, whose connection broke, no longer listens.
+    /// Connects to a server and closes the connection; returns Broken if the host refuses it.
+    static io_outcome probe(const listed_server&);
+    /// Records a crash if the host of the server, whose connection broke, refuses connections.
     void recordIfCrashed(const listed_server&);
     request_identity identify() const;
     std::optional<refusal> refusalForQuarantine() const;
@@ -69,6 +70,8 @@
     body_read_result readWholeBody(server_exchange&, std::string& body);
     attempt_result forwardResponse(const listed_server&, server_exchange&);
     attempt_result forwardEvents(const listed_server&, server_exchange&);
+    /// Records what the end of a response shows about crashes.
+    void recordCompletion(const listed_server&, const server_exchange&);
     attempt_result handleBodyFailure(const listed_server&, body_read_result);
     attempt_result recordFailure(const listed_server&, server_outcome, bool mayHaveRun, const char* result);
     bool sendToCaller(std::string_view);
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -118,7 +118,11 @@
 request_identity relay_call<Protocol>::identify() const
 {
     request_identity identity { .content = crash_quarantine::fingerprint(m_record.workspace, m_message.head.target, m_message.body) };
-    std::string variant = toHex(identity.content) + m_request.key;
+    for (std::size_t part = 0; part + 1 < m_request.prompt.size(); ++part)
+        identity.sharedParts.push_back(m_request.prompt[part].id);
+    if (!m_message.body.empty())
+        return identity;
+    std::string variant = m_request.key;
     for (const prompt_part& part : m_request.prompt)
         variant += ' ' + std::to_string(part.id);
     identity.variant = crash_quarantine::fingerprint(m_record.workspace, m_message.head.target, variant);
@@ -128,28 +132,33 @@
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordIfCrashed(const listed_server& server)
 {
-    if (!acceptsConnections(server))
+    if (probe(server) == io_outcome::Broken)
         m_context.crashes.recordCrash(m_identity, server);
+    else
+        m_context.crashes.recordAbandoned(m_identity, server);
 }
 
-// Distinguishes a crashed server from one whose response was lost in the network.
+// Distinguishes a crashed server, whose host refuses the connection, from one whose response was lost in the network and from a
+// host without power.
 template <relay_protocol Protocol>
-bool relay_call<Protocol>::acceptsConnections(const listed_server& server)
+io_outcome relay_call<Protocol>::probe(const listed_server& server)
 {
-    relay_socket probe;
-    const bool isOpen = relay_socket::connect(server.address, now() + crashProbeTimeout, nullptr, probe) == io_outcome::Done;
-    if (isOpen)
-        probe.close();
-    return isOpen;
+    relay_socket connection;
+    const io_outcome outcome = relay_socket::connect(server.address, now() + crashProbeTimeout, nullptr, connection);
+    if (outcome == io_outcome::Done)
+        connection.close();
+    return outcome;
 }
 
 template <relay_protocol Protocol>
 std::optional<refusal> relay_call<Protocol>::refusalForQuarantine() const
 {
     const auto remaining = m_context.crashes.remainingQuarantine(m_identity);
-    if (!remaining)
+    if (remaining)
+        return refusal { .status = 503, .title = "Request crashes servers", .detail = "two servers broke off when they ran it", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(*remaining) };
+    if (!m_context.crashes.hasQuarantinedParts(m_identity))
         return std::nullopt;
-    return refusal { .status = 503, .title = "Request crashes servers", .detail = "two servers broke off when they ran it", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(*remaining) };
+    return refusal { .status = 503, .title = "Prompt part crashes servers", .detail = "several servers broke off when they ran requests with a part of this prompt", .retryAfter = std::chrono::duration_cast<std::chrono::milliseconds>(crash_quarantine::retention) };
 }
 
 // Events of two versions do not fit together, and servers do not check it.
@@ -316,7 +325,7 @@
         return handleResponse(server, exchange, metadata);
     case exchange_state::NotSent:
         --m_contactedServers;
-        if (m_context.crashes.hasAbandonedAt(server) && !acceptsConnections(server))
+        if (m_context.crashes.hasAbandonedAt(server) && probe(server) == io_outcome::Broken)
             m_context.crashes.recordCrash(server);
         return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -66,18 +66,46 @@
     exchange.releaseConnection();
     m_context.balancer.finishRequest(server.id, server_outcome::Served);
     recordAttempt(server, "served");
-    if (m_message.body.empty())
-        m_context.crashes.recordServed(m_identity);
     std::string text = writeResponseHead(exchange.head(), body.size(), m_keepsOpen);
     if (m_message.head.method != "HEAD")
         text += body;
-    if (!sendToCaller(text))
+    const bool isSent = sendToCaller(text);
+    recordCompletion(server, exchange);
+    if (!isSent)
         return attempt_result::CallerGone;
     recordOutcome(exchange.head().status, "served");
     m_isResponseComplete = true;
     return attempt_result::Finished;
 }
 
+// A body that ends with its connection may also end because the server crashed.
+template <relay_protocol Protocol>
+void relay_call<Protocol>::recordCompletion(const listed_server& server, const server_exchange& exchange)
+{
+    constexpr int firstUnsuccessfulStatus = 300;
+    if (exchange.head().status >= firstUnsuccessfulStatus) {
+        // The server may have refused the request before it read the prompt.
+        m_context.crashes.recordServed({ .content = m_identity.content, .variant = m_identity.variant });
+        return;
+    }
+    if (!exchange.endsWithConnection()) {
+        m_context.crashes.recordServed(m_identity);
+        return;
+    }
+    if (!m_identity.variant && !m_context.crashes.hasSuspectParts(m_identity)) {
+        m_context.crashes.recordAbandoned(m_identity, server);
+        return;
+    }
+    switch (probe(server)) {
+    case io_outcome::Done:
+        return m_context.crashes.recordServed(m_identity);
+    case io_outcome::Broken:
+        return m_context.crashes.recordCrash(m_identity, server);
+    default:
+        return m_context.crashes.recordAbandoned(m_identity, server);
+    }
+}
+
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::forwardEvents(const listed_server& server, server_exchange& exchange)
 {
@@ -107,8 +135,7 @@
             exchange.releaseConnection();
             m_context.balancer.finishRequest(server.id, server_outcome::Served);
             recordAttempt(server, "served");
-            if (m_message.body.empty())
-                m_context.crashes.recordServed(m_identity);
+            recordCompletion(server, exchange);
             recordOutcome(exchange.head().status, "served");
             m_isResponseComplete = true;
             return attempt_result::Finished;
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -45,6 +45,8 @@
     /// received.
     void releaseConnection();
 
+    /// Returns whether the body ends with the connection; call it after start() succeeded.
+    bool endsWithConnection() const { return m_decoder && m_decoder->endsWithConnection(); }
     const response_head& head() const { return m_head; }
     bool isReused() const { return m_isReused; }
 
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -16,6 +16,8 @@
 static constexpr int maxLoadAgeMs = 60000;
 // Daemons of earlier versions publish no ages, and publish each report once, within a few hundred milliseconds.
 static constexpr std::chrono::milliseconds assumedLoadAge { 300 };
+static constexpr int maxPartAgeMs = 3600000; // Longer than crashes count.
+static constexpr std::size_t maxZoneBytes = 64;
 static constexpr std::size_t expectedDatagramBytes = 1200;
 
 std::string encodeHints(const server_hints& hints)
@@ -40,6 +42,16 @@
         wire.prompts.push_back(static_cast<std::int32_t>(hints.promptHolders[index].prompt));
         wire.homes.push_back(static_cast<std::int32_t>(hints.promptHolders[index].server));
     }
+    for (std::size_t index = 0; index < std::min(hints.parts.size(), maxPartHints); ++index) {
+        const part_evidence& evidence = hints.parts[index];
+        hints_wire::PartHint hint;
+        hint.part = static_cast<std::int64_t>(evidence.part);
+        hint.process = evidence.process.value();
+        hint.zone = evidence.zone.value();
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(evidence.age);
+        hint.age_ms = static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxPartAgeMs));
+        wire.parts.push_back(hint);
+    }
     return encodeCompact(wire, expectedDatagramBytes);
 }
 
@@ -49,8 +61,9 @@
     const bool hasValidAges = std::all_of(wire.load_ages_ms.begin(), wire.load_ages_ms.end(), [](int age) { return age >= 0 && age <= maxLoadAgeMs; });
     const bool hasAllAges = wire.load_ages_ms.empty() || wire.load_ages_ms.size() == wire.loads.size();
     const bool hasValidCrashes = std::all_of(wire.crashes.begin(), wire.crashes.end(), [](const hints_wire::CrashHint& crash) { return crash.remaining_ms > 0 && crash.server.size() <= maxServerIdBytes; });
+    const bool hasValidParts = std::all_of(wire.parts.begin(), wire.parts.end(), [](const hints_wire::PartHint& part) { return part.age_ms >= 0 && part.age_ms <= maxPartAgeMs && part.process.size() <= maxServerIdBytes && part.zone.size() <= maxZoneBytes; });
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
-    return hasValidLoads && hasValidAges && hasAllAges && hasValidCrashes && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    return hasValidLoads && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
 }
 
 std::optional<server_hints> decodeHints(std::string_view bytes)
@@ -72,6 +85,14 @@
             .remaining = std::chrono::milliseconds { crash.remaining_ms },
         });
     }
+    for (const hints_wire::PartHint& part : wire.parts) {
+        hints.parts.push_back({
+            .part = static_cast<std::uint64_t>(part.part),
+            .process = server_id { part.process },
+            .zone = zone_id { part.zone },
+            .age = std::chrono::milliseconds { part.age_ms },
+        });
+    }
     return hints;
 }
 
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -21,6 +21,7 @@
 static constexpr std::size_t maxDatagramBytes = 2048;
 // Bounds the traffic after a crash; more requests of one daemon rarely run at a server.
 static constexpr std::size_t maxCrashesPerRound = 128;
+static constexpr std::size_t maxPartsPerRound = 240;
 
 hint_exchange::hint_exchange(hint_exchange_options options)
     : m_options(std::move(options))
@@ -39,6 +40,11 @@
 // Each crash of a server breaks all of its requests at once, so a round may have more crashes than fit into a datagram.
 void hint_exchange::send(const server_hints& hints, const fleet_view& fleet)
 {
+    const std::size_t partEnd = std::min(hints.parts.size(), maxPartsPerRound);
+    for (std::size_t index = 0; index < partEnd; index += maxPartHints) {
+        const auto begin = hints.parts.begin() + static_cast<std::ptrdiff_t>(index);
+        sendDatagram({ .parts = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxPartHints, partEnd - index)) } }, fleet);
+    }
     if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty())
         return;
     const std::size_t first = std::min(hints.crashes.size(), maxCrashHints);
@@ -60,7 +66,7 @@
             peers.push_back(&daemon);
     }
     std::vector<const fleet_daemon*> recipients;
-    std::sample(peers.begin(), peers.end(), std::back_inserter(recipients), hints.crashes.empty() ? m_options.peersPerRound : peers.size(), random);
+    std::sample(peers.begin(), peers.end(), std::back_inserter(recipients), hints.crashes.empty() && hints.parts.empty() ? m_options.peersPerRound : peers.size(), random);
     const std::string datagram = encodeHints(hints);
     const std::string port = m_options.address.substr(m_options.address.find(':'));
     for (const fleet_daemon* peer : recipients) {
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -1,10 +1,13 @@
 // Implements crash_quarantine with the quarantine of the admission library.
 #include "radishflow/Relay/crash_quarantine.h"
 
+#include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
+#include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 
 namespace radishflow {
 
@@ -34,14 +37,17 @@
 void crash_quarantine::recordServed(const request_identity& request)
 {
     const std::lock_guard lock { m_mutex };
-    m_served.set(request.variant, true, m_clock.now());
+    if (request.variant)
+        m_served.set(*request.variant, true, m_clock.now());
+    m_parts.recordServed(request.sharedParts);
 }
 
 // A server that has restarted under its former id is another process, whose crash counts again.
 void crash_quarantine::addCrash(const request_identity& request, const listed_server& server)
 {
     const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
-    if (m_served.find(request.variant, m_clock.now())) {
+    m_parts.recordCrash(process, server.zone, request.sharedParts);
+    if (request.variant && m_served.find(*request.variant, m_clock.now())) {
         logCrash("crash_ignored", request.content, process);
         return;
     }
@@ -77,9 +83,13 @@
     return m_abandoned.hasAttemptsAt(server);
 }
 
-void crash_quarantine::recordReplacedServers(const server_list& list)
+void crash_quarantine::applyServerList(const server_list& list)
 {
+    std::map<zone_id, std::size_t> zoneSizes;
+    for (const auto& [id, server] : list.servers)
+        ++zoneSizes[server.zone];
     const std::lock_guard lock { m_mutex };
+    m_parts.setZoneSizes(std::move(zoneSizes));
     for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(list))
         addCrash(attempt.request, attempt.server);
 }
@@ -87,7 +97,7 @@
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_identity& request) const
 {
     const std::lock_guard lock { m_mutex };
-    if (m_quarantine.stateOf(request.content) != quarantine_state::Quarantined || m_served.find(request.variant, m_clock.now()))
+    if (m_quarantine.stateOf(request.content) != quarantine_state::Quarantined || (request.variant && m_served.find(*request.variant, m_clock.now())))
         return std::nullopt;
     return m_quarantine.remaining(request.content);
 }
@@ -112,4 +122,60 @@
     m_pendingRecords.insert(m_pendingRecords.end(), own.begin(), own.end());
 }
 
+bool crash_quarantine::hasSuspectParts(const request_identity& request) const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_parts.hasSuspect(request.sharedParts);
+}
+
+bool crash_quarantine::hasQuarantinedParts(const request_identity& request) const
+{
+    const std::lock_guard lock { m_mutex };
+    const bool isQuarantined = m_parts.isQuarantined(request.sharedParts);
+    logPartChanges();
+    return isQuarantined;
+}
+
+void crash_quarantine::logPartChanges() const
+{
+    const auto& quarantined = m_parts.quarantined();
+    if (quarantined == m_loggedParts)
+        return;
+    m_loggedParts = quarantined;
+    if (quarantined.empty())
+        spdlog::info("event=parts_released");
+    for (const quarantined_parts& group : quarantined)
+        spdlog::warn("event=parts_quarantined parts=\"{:x}\" crashes={}", fmt::join(group.parts, " "), group.crashes);
+}
+
+std::vector<part_evidence> crash_quarantine::takeNewPartEvidence()
+{
+    const std::lock_guard lock { m_mutex };
+    return m_parts.takeNewEvidence();
+}
+
+void crash_quarantine::mergeParts(const std::vector<part_evidence>& received)
+{
+    const std::lock_guard lock { m_mutex };
+    m_parts.merge(received);
+}
+
+part_table_changes crash_quarantine::takePartTableChanges()
+{
+    const std::lock_guard lock { m_mutex };
+    return m_parts.takeTableChanges();
+}
+
+void crash_quarantine::addPartRows(const std::vector<part_evidence>& rows)
+{
+    const std::lock_guard lock { m_mutex };
+    m_parts.mergeTable(rows);
+}
+
+void crash_quarantine::removePartRows(const std::vector<part_evidence>& rows)
+{
+    const std::lock_guard lock { m_mutex };
+    m_parts.removeFromTable(rows);
+}
+
 } // namespace radishflow
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -9,6 +9,15 @@
   4: i32 remaining_ms
 }
 
+// A prompt part was in flight when a backend server crashed, or, with an empty process, a response to it is complete. Clocks
+// differ, so the age is sent.
+struct PartHint {
+  1: i64 part
+  2: string process
+  3: string zone
+  4: i32 age_ms
+}
+
 struct Hints {
   // Parallel lists: the hash of a server's id, the number of its running and waiting requests, and the age of that report.
   // Daemons of earlier versions send no ages.
@@ -19,4 +28,5 @@
   // Parallel lists: the hash of a prompt, and the hash of the id of the server whose cache holds it.
   4: list<i32> prompts
   5: list<i32> homes
+  7: list<PartHint> parts
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -98,8 +98,9 @@
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received) {
                       balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
                       balancer.mergePromptUpdates(received.promptHolders);
-                      crashes.merge(received.crashes); } })
-        , crashRows({ .storeAddress = options.platform.storeAddress, .retention = crash_quarantine::retention, .onRead = [this](const std::vector<crash_record>& records) { crashes.merge(records); } })
+                      crashes.merge(received.crashes);
+                      crashes.mergeParts(received.parts); } })
+        , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
@@ -121,6 +122,19 @@
         return versions.soleVersion(service, clock.now());
     }
 
+    crash_table_options crashTableOptions()
+    {
+        return {
+            .storeAddress = options.platform.storeAddress,
+            .retention = crash_quarantine::retention,
+            .onRead = [this](const std::vector<crash_record>& records) { crashes.merge(records); },
+            .onPartsRead = [this](const std::vector<part_evidence>& added) { crashes.addPartRows(added); },
+            .onPartsRemoved = [this](const std::vector<part_evidence>& removed) { crashes.removePartRows(removed); },
+            .toStoreTime = [this](time_point time) { return feed.toStoreTime(time); },
+            .toLocalTime = [this](std::chrono::milliseconds storeTime) { return feed.toLocalTime(storeTime); },
+        };
+    }
+
     std::string peerAddress() const { return withPort(options.platform.ip, options.platform.firstPeerPort); }
 
     // All daemons use the same gossip port, so the port of a listed address is replaced.
@@ -213,11 +227,12 @@
         feed.refresh(fleet, view);
         if (const auto servers = routing.servers()) {
             versions.record(*servers, clock.now());
-            crashes.recordReplacedServers(*servers);
+            crashes.applyServerList(*servers);
         }
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
         crashRows.add(newCrashes);
-        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates() }, *view);
+        crashRows.change(crashes.takePartTableChanges(), clock.now());
+        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .parts = crashes.takeNewPartEvidence() }, *view);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
         if (isReady.exchange(ready) != ready) {
             spdlog::info("event=readiness_changed ready={} config_age_ms={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count());
--- /dev/null
+++ b/unittests/Admission/part_quarantine_test.cpp
@@ -0,0 +1,252 @@
+// Tests that the prompt part which crashes servers is quarantined, and neither the parts beside it nor those of a zone that lost power.
+#include "radishflow/Admission/part_quarantine.h"
+#include "radishflow/Support/manual_clock.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <ostream>
+#include <random>
+#include <string>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+using part_list = std::vector<std::uint64_t>;
+using daemon_parts = part_quarantine<manual_clock>;
+
+constexpr std::size_t serversPerZone = 6;
+constexpr std::uint64_t shared = 1; ///< First part of all requests.
+constexpr std::uint64_t crashing = 2;
+constexpr std::uint64_t beside = 3; ///< In some of the crashing requests.
+
+server_id process(int number)
+{
+    return server_id { "i-" + std::to_string(number) };
+}
+
+/// One crash, and the parts in flight.
+struct crash_event {
+    std::chrono::milliseconds at;
+    part_list parts;
+    bool isSharedServedAfter = false;
+};
+
+struct decision_case {
+    const char* name;
+    std::vector<crash_event> crashes;
+    part_list request;
+    bool isRefused;
+};
+
+std::ostream& operator<<(std::ostream& out, const decision_case& testCase) { return out << testCase.name; }
+
+const decision_case decisions[] {
+    { "two crashes", { { 0s, { crashing } }, { 1s, { crashing } } }, { crashing }, false },
+    { "three crashes", { { 0s, { crashing } }, { 1s, { crashing } }, { 2s, { crashing } } }, { 7, crashing }, true },
+    { "three at once", { { 0ms, { crashing } }, { 100ms, { crashing } }, { 200ms, { crashing } } }, { crashing }, false },
+    { "part that is cleared in between", { { 0s, { shared, crashing } }, { 1s, { shared, crashing }, true }, { 2s, { shared, crashing } } }, { shared }, false },
+    { "part beside a cleared one", { { 0s, { shared, crashing } }, { 1s, { shared, crashing }, true }, { 2s, { shared, crashing } } }, { shared, crashing }, true },
+    { "part beside the crashing one", { { 0s, { crashing, beside } }, { 1s, { crashing, beside } }, { 2s, { crashing, beside } }, { 3s, { crashing } } }, { beside }, false },
+    { "one of two that cannot be told apart", { { 0s, { crashing, beside } }, { 1s, { crashing, beside } }, { 2s, { crashing, beside } } }, { beside }, false },
+    { "both of two that cannot be told apart", { { 0s, { crashing, beside } }, { 1s, { crashing, beside } }, { 2s, { crashing, beside } } }, { crashing, beside }, true },
+    { "two crashing parts", { { 0s, { 8 } }, { 1s, { 9 } }, { 2s, { 8 } }, { 3s, { 9 } }, { 4s, { 8 } }, { 5s, { 9 } } }, { 9 }, true },
+    { "request without parts", { { 0s, { crashing } }, { 1s, { crashing } }, { 2s, { crashing } } }, {}, false },
+};
+
+/// Daemons that exchange evidence by messages, of which some are lost, and by a table.
+class fleet {
+public:
+    explicit fleet(int size)
+    {
+        for (int number = 0; number < size; ++number)
+            m_daemons.push_back(makeDaemon());
+    }
+
+    daemon_parts& daemon(int number) { return *m_daemons.at(static_cast<std::size_t>(number)); }
+    int size() const { return static_cast<int>(m_daemons.size()); }
+
+    void restart(int number)
+    {
+        m_daemons.at(static_cast<std::size_t>(number)) = makeDaemon();
+        std::vector<part_evidence> rows = m_table;
+        for (std::size_t row = 0; row < rows.size(); ++row)
+            rows[row].age = clock.now() - m_writtenFor[row];
+        daemon(number).mergeTable(rows);
+    }
+
+    /// Delivers what the daemons have published; messages from and to a cut-off daemon are lost.
+    void exchange(int cutOff = -1)
+    {
+        for (int sender = 0; sender < size(); ++sender) {
+            const auto evidence = daemon(sender).takeNewEvidence();
+            for (int receiver = 0; receiver < size(); ++receiver) {
+                if (receiver != sender && sender != cutOff && receiver != cutOff)
+                    daemon(receiver).merge(evidence);
+            }
+            const part_table_changes changes = daemon(sender).takeTableChanges();
+            for (const part_evidence& row : changes.added) {
+                m_table.push_back(row);
+                m_writtenFor.push_back(clock.now() - row.age);
+            }
+            for (const part_evidence& row : changes.removed) {
+                for (std::size_t index = m_table.size(); index-- > 0;) {
+                    if (m_table[index].part == row.part && m_table[index].process == row.process) {
+                        m_table.erase(m_table.begin() + static_cast<std::ptrdiff_t>(index));
+                        m_writtenFor.erase(m_writtenFor.begin() + static_cast<std::ptrdiff_t>(index));
+                    }
+                }
+            }
+            for (int receiver = 0; receiver < size(); ++receiver) {
+                if (receiver == sender)
+                    continue;
+                daemon(receiver).mergeTable(changes.added);
+                daemon(receiver).removeFromTable(changes.removed);
+            }
+        }
+    }
+
+    std::size_t rows() const { return m_table.size(); }
+
+    manual_clock clock;
+
+private:
+    std::unique_ptr<daemon_parts> makeDaemon()
+    {
+        auto daemon = std::make_unique<daemon_parts>(clock);
+        daemon->setZoneSizes({ { zone_id { "z" }, serversPerZone } });
+        return daemon;
+    }
+
+    std::vector<std::unique_ptr<daemon_parts>> m_daemons;
+    std::vector<part_evidence> m_table;
+    std::vector<time_point> m_writtenFor; ///< Time of the crash of each row.
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(requestIsRefusedIfItHasThePartThatExplainsTheCrashes, boost::unit_test::data::make(decisions), testCase)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    const time_point start = clock.now();
+    daemon_parts parts { clock };
+    int crashes = 0;
+    for (const crash_event& crash : testCase.crashes) {
+        clock.advance(start + crash.at - clock.now());
+        parts.recordCrash(process(crashes++), zone_id { "z" }, crash.parts);
+        clock.advance(10ms);
+        if (crash.isSharedServedAfter)
+            parts.recordServed({ shared });
+    }
+    BOOST_TEST(parts.isQuarantined(testCase.request) == testCase.isRefused);
+}
+
+BOOST_AUTO_TEST_CASE(zoneThatLosesPowerBlamesNoPartAtAnyDaemon)
+{
+    fleet daemons { 7 };
+    daemons.clock.advance(1h);
+    for (int round = 0; round < 3; ++round) {
+        for (int server = 0; server < static_cast<int>(serversPerZone); ++server) {
+            daemons.daemon(server).recordCrash(process(10 * round + server), zone_id { "z" }, { shared, 100 + static_cast<std::uint64_t>(server) });
+            daemons.clock.advance(20ms);
+        }
+        daemons.exchange();
+        daemons.clock.advance(600ms);
+        daemons.exchange();
+        daemons.daemon(round).recordServed({ shared });
+        daemons.exchange();
+        daemons.clock.advance(5s);
+    }
+    for (int daemon = 0; daemon < daemons.size(); ++daemon)
+        BOOST_TEST(daemons.daemon(daemon).quarantined().empty());
+}
+
+// Sound requests share the first part and one of eight others with the crashing ones.
+BOOST_DATA_TEST_CASE(crashingPartIsFoundAndSoundOnesAreServedAtAllDaemons, boost::unit_test::data::make({ 7, 350 }), size)
+{
+    fleet daemons { size };
+    daemons.clock.advance(1h);
+    std::mt19937 random { 7 };
+    const auto drawDaemon = [&] { return static_cast<int>(random() % static_cast<unsigned>(size)); };
+    const auto drawPart = [&] { return std::uint64_t { 10 } + random() % 8; };
+    int crashes = 0;
+    int refused = 0;
+    int lateSends = 0;
+    int soundRefused = 0;
+    int sound = 0;
+    for (int step = 0; step < 200; ++step) {
+        const int cutOff = step >= 40 && step < 80 ? 2 : -1;
+        for (int request = 0; request < 4; ++request) {
+            const part_list parts { shared, drawPart() };
+            daemon_parts& daemon = daemons.daemon(drawDaemon());
+            ++sound;
+            soundRefused += daemon.isQuarantined(parts) ? 1 : 0;
+            if (!daemon.isQuarantined(parts))
+                daemon.recordServed(parts);
+        }
+        if (step % 4 == 0) {
+            const part_list parts { shared, crashing, drawPart() };
+            daemon_parts& daemon = daemons.daemon(drawDaemon());
+            if (daemon.isQuarantined(parts)) {
+                ++refused;
+            } else {
+                lateSends += crashes >= 5 ? 1 : 0;
+                const server_id crashed = process(crashes++);
+                daemon.recordCrash(crashed, zone_id { "z" }, parts);
+                daemons.daemon(drawDaemon()).recordCrash(crashed, zone_id { "z" }, { shared, drawPart() });
+            }
+        }
+        daemons.exchange(cutOff);
+        daemons.clock.advance(100ms);
+        if (step == 60) {
+            for (int daemon = 0; daemon < size; ++daemon)
+                daemons.restart(daemon);
+        }
+    }
+    BOOST_TEST(lateSends <= 3);
+    BOOST_TEST(refused >= 40);
+    BOOST_TEST(soundRefused * 50 <= sound);
+    for (int daemon = 0; daemon < size; ++daemon)
+        BOOST_TEST(daemons.daemon(daemon).isQuarantined({ shared, crashing }));
+}
+
+BOOST_AUTO_TEST_CASE(clearedCrashesLeaveTheTable)
+{
+    fleet daemons { 3 };
+    daemons.clock.advance(1h);
+    daemons.daemon(0).recordCrash(process(1), zone_id { "z" }, { shared, crashing });
+    daemons.exchange();
+    BOOST_TEST(daemons.rows() == 0U); // A response may clear the parts first.
+    daemons.clock.advance(600ms);
+    daemons.exchange();
+    BOOST_TEST(daemons.rows() == 2U);
+    daemons.daemon(1).recordServed({ shared });
+    daemons.exchange();
+    BOOST_TEST(daemons.rows() == 1U);
+    BOOST_TEST(!daemons.daemon(2).hasSuspect({ shared }));
+    BOOST_TEST(daemons.daemon(2).hasSuspect({ crashing }));
+}
+
+BOOST_AUTO_TEST_CASE(memoryIsBoundedAndRecordsExpire)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    daemon_parts parts { clock, { .retention = 10min, .maxSuspects = 100 } };
+    for (int crash = 0; crash < 3; ++crash) {
+        parts.recordCrash(process(crash), zone_id { "z" }, { crashing });
+        clock.advance(1s);
+    }
+    for (std::uint64_t part = 1000; part < 3000; ++part)
+        parts.recordCrash(process(9), zone_id { "z" }, { part });
+    BOOST_TEST(parts.size() <= 100U);
+    BOOST_TEST(parts.isQuarantined({ crashing }));
+    clock.advance(10min);
+    parts.takeTableChanges();
+    BOOST_TEST(!parts.isQuarantined({ crashing }));
+    BOOST_TEST(parts.size() == 0U);
+}
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -53,6 +53,26 @@
     }
 }
 
+// Evidence on prompt parts travels in datagrams of its own.
+BOOST_DATA_TEST_CASE(partHintsAreDecodedUnchangedUpToTheMaximumOfADatagram, boost::unit_test::data::make({ 1, 11, 12, 40 }), count)
+{
+    std::vector<part_evidence> parts;
+    parts.reserve(static_cast<std::size_t>(count));
+    for (int number = 0; number < count; ++number)
+        parts.push_back({ .part = ~std::uint64_t { 0 } - static_cast<std::uint64_t>(number), .process = server_id { number % 2 == 0 ? "i-0123456789@1767225600000" : "" }, .zone = zone_id { "la-nicoliere-zone" }, .age = 10ms * number });
+    const std::string datagram = encodeHints({ .parts = parts });
+    BOOST_TEST(datagram.size() <= 1200U);
+    const auto decoded = decodeHints(datagram);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_REQUIRE(decoded->parts.size() == std::min(parts.size(), maxPartHints));
+    for (std::size_t index = 0; index < decoded->parts.size(); ++index) {
+        BOOST_TEST(decoded->parts[index].part == parts[index].part);
+        BOOST_TEST(decoded->parts[index].process.value() == parts[index].process.value());
+        BOOST_TEST(decoded->parts[index].zone.value() == parts[index].zone.value());
+        BOOST_TEST((decoded->parts[index].age == parts[index].age));
+    }
+}
+
 // A daemon that was suspended publishes old reports; its datagram must stay readable, since it may also hold crashes.
 BOOST_AUTO_TEST_CASE(agesBeyondTheMaximumAreReduced)
 {
