Index the server list when crashes are attributed to abandoned attempts

Each attempt was compared with each listed server four times a second, which with hundreds of attempts and 1,300 servers is a large part of a quarter core. The number of servers in each zone is counted only when the list changes. crashing_prompt_parts also plays a daemon that is paused during the crashes; it and RelayTests pass.

--- a/include/radishflow/Relay/abandoned_attempts.h
+++ b/include/radishflow/Relay/abandoned_attempts.h
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <cstddef>
 #include <iterator>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -64,8 +66,11 @@
         });
         if (m_attempts.empty())
             return {};
+        std::unordered_map<std::string_view, const listed_server*> byAddress;
+        for (const auto& [id, server] : list.servers)
+            byAddress.emplace(server.address, &server);
         std::vector<abandoned_attempt> crashed = takeIf([&](const listed_server& server) {
-            const listed_server* successor = successorOf(server, list);
+            const listed_server* successor = successorOf(server, list, byAddress);
             return successor && now - successor->listedAt >= settlingTime;
         });
         std::erase_if(crashed, [&](const abandoned_attempt& attempt) { return hasZoneRestarted(attempt.server.zone, list, now); });
@@ -84,13 +89,13 @@
     }
 
     // An address that a server of another service has says nothing, as addresses of servers that left are reused.
-    static const listed_server* successorOf(const listed_server& server, const server_list& list)
+    static const listed_server* successorOf(const listed_server& server, const server_list& list, const std::unordered_map<std::string_view, const listed_server*>& byAddress)
     {
-        for (const auto& [id, listed] : list.servers) {
-            if (listed.service == server.service && (id == server.id || listed.address == server.address) && !isSameProcess(listed, server))
-                return &listed;
-        }
-        return nullptr;
+        const auto sameId = list.servers.find(server.id);
+        if (sameId != list.servers.end())
+            return isSameProcess(sameId->second, server) ? nullptr : &sameId->second;
+        const auto sameAddress = byAddress.find(server.address);
+        return sameAddress != byAddress.end() && sameAddress->second->service == server.service ? sameAddress->second : nullptr;
     }
 
     // A zone that lost power comes back with new processes at most of its servers, which no request caused.
--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -11,6 +11,7 @@
 #include "radishflow/Support/recent_map.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -47,7 +48,7 @@
     bool hasAbandonedAt(const listed_server&) const;
     /// Records the crash of servers that the list shows to have ended, for the requests abandoned at them. Call it
     /// periodically.
-    void applyServerList(const server_list&);
+    void applyServerList(const std::shared_ptr<const server_list>&);
     /// Returns the remaining time for which the request is refused, or nothing if it is not quarantined.
     std::optional<duration> remainingQuarantine(const request_identity&) const;
     /// Returns the crashes recorded by this daemon since the last call, to be sent to the other daemons.
@@ -77,6 +78,7 @@
     recent_map<request_fingerprint, bool> m_served; ///< Variants of requests that were served recently.
     mutable part_quarantine<boottime_clock> m_parts { m_clock, { .retention = retention } }; ///< Decides when it is asked.
     mutable std::vector<quarantined_parts> m_loggedParts; ///< As last logged.
+    std::shared_ptr<const server_list> m_servers; ///< As last applied.
     std::vector<crash_record> m_pendingRecords; ///< Recorded by this daemon and not yet taken.
 };
 
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -83,14 +83,16 @@
     return m_abandoned.hasAttemptsAt(server);
 }
 
-void crash_quarantine::applyServerList(const server_list& list)
+void crash_quarantine::applyServerList(const std::shared_ptr<const server_list>& list)
 {
-    std::map<zone_id, std::size_t> zoneSizes;
-    for (const auto& [id, server] : list.servers)
-        ++zoneSizes[server.zone];
     const std::lock_guard lock { m_mutex };
-    m_parts.setZoneSizes(std::move(zoneSizes));
-    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(list))
+    if (std::exchange(m_servers, list) != list) {
+        std::map<zone_id, std::size_t> zoneSizes;
+        for (const auto& [id, server] : list->servers)
+            ++zoneSizes[server.zone];
+        m_parts.setZoneSizes(std::move(zoneSizes));
+    }
+    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list))
         addCrash(attempt.request, attempt.server);
 }
 
--- a/test/Relay/crashing_prompt_parts_test.cpp
+++ b/test/Relay/crashing_prompt_parts_test.cpp
@@ -35,6 +35,7 @@
     const char* path;
     bool isUnframed;
     std::function<void(relay_fleet&)> disturb;
+    bool isPaused = false; ///< Whether the last daemon is paused during the crashes.
 };
 
 std::ostream& operator<<(std::ostream& out, const disturbance_case& testCase) { return out << testCase.name; }
@@ -59,6 +60,7 @@
     { "streams that end with their connections", 3, "/stream/a", true, nothing },
     { "many daemons", 20, "/stream/a", false, nothing },
     { "all daemons restarted", 3, "/stream/a", false, restartAll },
+    { "last daemon paused", 3, "/stream/a", false, [](relay_fleet& fleet) { fleet.daemon(fleet.daemons() - 1).signal(SIGCONT); }, true },
 };
 
 /// Lists the processes of servers that have restarted, as the servers themselves do, until it is destroyed.
@@ -142,11 +144,11 @@
 }
 
 // No two requests are alike, in their targets and in their other parts.
-void sendCrashing(relay_fleet& fleet, const char* path, int number)
+void sendCrashing(relay_fleet& fleet, const char* path, int number, int daemons)
 {
     const std::string id = crashingIdPrefix + std::to_string(number);
     const std::string subject = std::to_string(20 + number % 4);
-    fleet.stream(number % fleet.daemons(), path + id, { .id = id, .key = relay_fleet::key, .timeLeft = 5000ms, .prompt = std::string { sharedPart } + ":100," + subject + ":50," + crashingPart + ":70," + std::to_string(9000 + number) + ":10" });
+    fleet.stream(number % daemons, path + id, { .id = id, .key = relay_fleet::key, .timeLeft = 5000ms, .prompt = std::string { sharedPart } + ":100," + subject + ":50," + crashingPart + ":70," + std::to_string(9000 + number) + ":10" });
 }
 
 } // namespace
@@ -161,9 +163,11 @@
     const server_lister lister { fleet };
     sound_callers callers { fleet, testCase.path };
     std::this_thread::sleep_for(1s);
+    if (testCase.isPaused)
+        fleet.daemon(fleet.daemons() - 1).signal(SIGSTOP);
     int sends = 0;
     while (sends < maxSends && crashingRuns(fleet) < crashesBeforeContactTime) {
-        sendCrashing(fleet, testCase.path, sends++);
+        sendCrashing(fleet, testCase.path, sends++, fleet.daemons() - (testCase.isPaused ? 1 : 0));
         std::this_thread::sleep_for(crashInterval);
     }
     testCase.disturb(fleet);
@@ -171,7 +175,7 @@
     const int runsBefore = crashingRuns(fleet);
     callers.reset();
     for (int send = 0; send < laterSends; ++send) {
-        sendCrashing(fleet, testCase.path, sends++);
+        sendCrashing(fleet, testCase.path, sends++, fleet.daemons());
         std::this_thread::sleep_for(100ms);
     }
     BOOST_TEST(crashingRuns(fleet) - runsBefore <= maxLaterSends);
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -227,7 +227,7 @@
         feed.refresh(fleet, view);
         if (const auto servers = routing.servers()) {
             versions.record(*servers, clock.now());
-            crashes.applyServerList(*servers);
+            crashes.applyServerList(servers);
         }
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
         crashRows.add(newCrashes);
