Send evidence on a prompt part once if several daemons have it

Many daemons of a large fleet see the same crash, and serve a popular part right after it; each sent the same evidence to all others. What another daemon has sent meanwhile is now dropped, unless a response precedes a crash that it does not clear.

--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -90,10 +90,7 @@
     /// Returns whether a part was in flight at a crash and has not been cleared since.
     bool hasSuspect(const std::vector<std::uint64_t>& parts) const
     {
-        return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
-            const auto found = m_suspects.find(part);
-            return found != m_suspects.end() && !openCrashes(found->second).empty();
-        });
+        return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) { return hasOpenCrash(part); });
     }
 
     /// Returns whether a request with these parts would crash its server.
@@ -116,11 +113,13 @@
     /// Returns the evidence recorded by this daemon since the last call, to be sent to the other daemons.
     std::vector<part_evidence> takeNewEvidence() { return std::exchange(m_newEvidence, {}); }
 
-    /// Adds evidence of other daemons.
+    /// Adds evidence of other daemons. They send it to all, so this daemon does not send the same.
     void merge(const std::vector<part_evidence>& received)
     {
-        for (const part_evidence& evidence : received)
+        for (const part_evidence& evidence : received) {
             mergeOne(evidence, false);
+            std::erase_if(m_newEvidence, [&](const part_evidence& own) { return own.part == evidence.part && own.process == evidence.process && (own.isCrash() || clearsAllCrashes(evidence)); });
+        }
     }
 
     /// Adds crashes read from the fleet's table.
@@ -197,6 +196,19 @@
         std::vector<crash> crashes; ///< Not cleared and not explained by another part, sorted by process.
     };
 
+    bool hasOpenCrash(std::uint64_t part) const
+    {
+        const auto found = m_suspects.find(part);
+        return found != m_suspects.end() && !openCrashes(found->second).empty();
+    }
+
+    bool clearsAllCrashes(const part_evidence& response) const
+    {
+        const auto found = m_suspects.find(response.part);
+        const time_point at = m_clock.now() - response.age;
+        return found == m_suspects.end() || std::none_of(found->second.crashes.begin(), found->second.crashes.end(), [&](const crash& recorded) { return recorded.at > at; });
+    }
+
     std::vector<crash> openCrashes(const suspect& candidate) const
     {
         std::vector<crash> open;
--- a/unittests/Admission/part_quarantine_test.cpp
+++ b/unittests/Admission/part_quarantine_test.cpp
@@ -215,6 +215,33 @@
         BOOST_TEST(daemons.daemon(daemon).isQuarantined({ shared, crashing }));
 }
 
+// In a large fleet many daemons see the same crash, and serve the same part right after it.
+BOOST_AUTO_TEST_CASE(evidenceThatAnotherDaemonHasSentIsNotSentAgain)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    daemon_parts one { clock };
+    daemon_parts other { clock };
+    one.recordCrash(process(1), zone_id { "z" }, { shared });
+    other.recordCrash(process(1), zone_id { "z" }, { shared });
+    other.merge(one.takeNewEvidence());
+    BOOST_TEST(other.takeNewEvidence().empty());
+    clock.advance(100ms);
+    one.recordServed({ shared });
+    const auto response = one.takeNewEvidence();
+    clock.advance(100ms);
+    other.recordCrash(process(2), zone_id { "z" }, { shared });
+    BOOST_TEST(other.takeNewEvidence().size() == 1U);
+    clock.advance(100ms);
+    other.recordServed({ shared });
+    std::vector<part_evidence> delayed = response;
+    delayed.front().age = 200ms;
+    other.merge(delayed); // Precedes the second crash, so it does not clear the part of it.
+    BOOST_TEST(other.takeNewEvidence().size() == 1U);
+    one.recordServed({ shared });
+    BOOST_TEST(one.takeNewEvidence().empty()); // Published since the last crash that it knows.
+}
+
 BOOST_AUTO_TEST_CASE(clearedCrashesLeaveTheTable)
 {
     fleet daemons { 3 };
