Let callers of a test wait while their daemon restarts

crashing_prompt_parts aborted once, in the case that restarts all daemons: relay_fleet::stream() throws if the daemon accepts no connection, and the exception left a caller's thread. The callers now open the connection themselves and count the request as not served.

--- a/test/Relay/crashing_prompt_parts_test.cpp
+++ b/test/Relay/crashing_prompt_parts_test.cpp
@@ -27,6 +27,7 @@
 constexpr const char* crashingPart = "bad";
 constexpr const char* crashingIdPrefix = "crash";
 constexpr int servers = 12;
+constexpr auto responseTimeout = 60s; ///< Only ends a test that would hang.
 
 /// What happens between the crashes and the later sends.
 struct disturbance_case {
@@ -121,7 +122,13 @@
             const std::string id = "sound" + std::to_string(daemon) + "x" + std::to_string(number);
             const std::string subject = std::to_string(20 + number % 4);
             const int sentBefore = ++m_sent;
-            const auto response = fleet.stream(daemon, path + id, { .id = id, .key = relay_fleet::key, .timeLeft = 5000ms, .prompt = std::string { sharedPart } + ":100," + subject + ":50," + std::to_string(1000 + sentBefore) + ":10" });
+            caller_connection connection;
+            if (!connection.open(fleet.callerAddress(daemon))) { // The daemon is being restarted.
+                std::this_thread::sleep_for(30ms);
+                continue;
+            }
+            const std::string head = writeRequestHead(std::string { "GET " } + path + id + " HTTP/1.1", { .id = id, .key = relay_fleet::key, .timeLeft = 5000ms, .prompt = std::string { sharedPart } + ":100," + subject + ":50," + std::to_string(1000 + sentBefore) + ":10" }, false);
+            const received_response response = connection.run(head, responseTimeout);
             m_served += response.status == 200 && response.isComplete ? 1 : 0;
             std::this_thread::sleep_for(30ms);
         }
