State the age of evidence on prompt parts when it is sent

Evidence is sent up to 250 ms after a crash, but with the age 0, so a receiver dated crashes of one moment up to 250 ms apart; a zone that lost power could look like separate crashes (more than 300 ms apart), and a response like one after a crash that it preceded. evidenceStatesTheAgeOfTheCrash fails without the change.

--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -56,7 +56,7 @@
     {
         for (const std::uint64_t part : parts) {
             if (addCrash(part, { .process = process, .zone = zone, .at = m_clock.now(), .isOwn = true }))
-                m_newEvidence.push_back({ .part = part, .process = process, .zone = zone });
+                m_unsent.push_back({ .evidence = { .part = part, .process = process, .zone = zone }, .at = m_clock.now() });
         }
     }
 
@@ -83,7 +83,7 @@
             if (!isNews)
                 continue;
             cleared.publishedServedAt = now;
-            m_newEvidence.push_back({ .part = part });
+            m_unsent.push_back({ .evidence = { .part = part }, .at = now });
         }
     }
 
@@ -111,14 +111,22 @@
     }
 
     /// Returns the evidence recorded by this daemon since the last call, to be sent to the other daemons.
-    std::vector<part_evidence> takeNewEvidence() { return std::exchange(m_newEvidence, {}); }
+    std::vector<part_evidence> takeNewEvidence()
+    {
+        std::vector<part_evidence> taken;
+        taken.reserve(m_unsent.size());
+        for (const auto& [evidence, at] : m_unsent)
+            taken.push_back({ .part = evidence.part, .process = evidence.process, .zone = evidence.zone, .age = m_clock.now() - at });
+        m_unsent.clear();
+        return taken;
+    }
 
     /// Adds evidence of other daemons. They send it to all, so this daemon does not send the same.
     void merge(const std::vector<part_evidence>& received)
     {
         for (const part_evidence& evidence : received) {
             mergeOne(evidence, false);
-            std::erase_if(m_newEvidence, [&](const part_evidence& own) { return own.part == evidence.part && own.process == evidence.process && (own.isCrash() || clearsAllCrashes(evidence)); });
+            std::erase_if(m_unsent, [&](const unsent_evidence& own) { return own.evidence.part == evidence.part && own.evidence.process == evidence.process && (evidence.isCrash() || clearsAllCrashes(evidence)); });
         }
     }
 
@@ -189,6 +197,11 @@
         bool isServedHere = false; ///< This daemon forwarded the last response, and removes the cleared crashes from the table.
     };
 
+    struct unsent_evidence {
+        part_evidence evidence; ///< Without its age.
+        time_point at {}; ///< Of the crash or the response.
+    };
+
     using suspect_map = std::unordered_map<std::uint64_t, suspect>;
 
     struct suspicion {
@@ -365,7 +378,7 @@
     suspect_map m_suspects;
     std::vector<quarantined_parts> m_quarantined;
     bool m_hasChanged = false;
-    std::vector<part_evidence> m_newEvidence;
+    std::vector<unsent_evidence> m_unsent;
     std::map<zone_id, std::size_t> m_zoneSizes;
 };
 
--- a/unittests/Admission/part_quarantine_test.cpp
+++ b/unittests/Admission/part_quarantine_test.cpp
@@ -215,6 +215,23 @@
         BOOST_TEST(daemons.daemon(daemon).isQuarantined({ shared, crashing }));
 }
 
+// Daemons send their evidence at different times after a crash; a zone's loss of power must look the same to all.
+BOOST_AUTO_TEST_CASE(evidenceStatesTheAgeOfTheCrash)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    daemon_parts parts { clock };
+    parts.recordCrash(process(1), zone_id { "z" }, { shared });
+    clock.advance(200ms);
+    parts.recordServed({ shared });
+    clock.advance(40ms);
+    const auto evidence = parts.takeNewEvidence();
+    BOOST_REQUIRE(evidence.size() == 2U);
+    BOOST_TEST((evidence[0].age == 240ms));
+    BOOST_TEST((evidence[1].age == 40ms));
+    BOOST_TEST(parts.takeNewEvidence().empty());
+}
+
 // In a large fleet many daemons see the same crash, and serve the same part right after it.
 BOOST_AUTO_TEST_CASE(evidenceThatAnotherDaemonHasSentIsNotSentAgain)
 {
