Let callers come back whose resumption died with its owner

A caller that resumed a stream got 502 'Owner of the server failed ... reply lost ... No more data to read' if the daemon that it had lost was still accepting connections: the second daemon, which forwards a resumption to the owner of the engine, lost the reply when the owner ended, and reported that the request may have run. A resumption starts no generation: an engine that no longer holds it answers 404. It is now refused with 503 and Retry-After, still with execution 'unknown', and the caller resumes at the next owner.

--- a/include/radishflow/Daemon/request_route.h
+++ b/include/radishflow/Daemon/request_route.h
@@ -53,6 +53,7 @@
     int reportedLoadExcept(const server_id&) const;
     std::optional<refusal> submitTo(const placement_attempt&);
     std::optional<refusal> offer(const known_server&);
+    refusal refusalFor(const failure& ownerFailure, bool wasAccepted) const;
 
     owner_client& m_ownerClient;
     shared_retry_budget& m_retries;
--- a/lib/Daemon/request_route.cpp
+++ b/lib/Daemon/request_route.cpp
@@ -56,6 +56,21 @@
     return reason;
 }
 
+// A resumption continues a generation and starts none, so its caller can come back even if the attempt reached the server.
+refusal request_route::refusalFor(const failure& ownerFailure, bool wasAccepted) const
+{
+    const bool isNotRun = !wasAccepted && ownerFailure.code == failure_code::Unreachable;
+    const bool isResumption = m_submission.resumeAfter > 0;
+    return {
+        .status = isNotRun || isResumption ? 503 : 502,
+        .title = "Owner of the server failed",
+        .detail = describe(ownerFailure),
+        .execution = isNotRun ? execution_state::NotRun : execution_state::Unknown,
+        .retryAfter = milliseconds { 1000 },
+        .tryNextServer = isNotRun,
+    };
+}
+
 std::optional<refusal> request_route::offer(const known_server& server)
 {
     m_submission.server = server.id;
@@ -65,17 +80,7 @@
         return refusal { .status = 504, .title = "Deadline passed", .detail = "no server took the request in its time", .execution = execution_state::NotRun, .retryAfter = milliseconds { 1000 } };
     const submit_outcome outcome = valueOr(
         [&] { return m_ownerClient.submit(server.ownerPeer, m_submission); },
-        [&](const failure& error) {
-            const bool isNotRun = error.code == failure_code::Unreachable;
-            return submit_outcome { .refused = refusal {
-                                        .status = isNotRun ? 503 : 502,
-                                        .title = "Owner of the server failed",
-                                        .detail = describe(error),
-                                        .execution = isNotRun ? execution_state::NotRun : execution_state::Unknown,
-                                        .retryAfter = milliseconds { 1000 },
-                                        .tryNextServer = isNotRun,
-                                    } };
-        });
+        [&](const failure& error) { return submit_outcome { .refused = refusalFor(error, false) }; });
     if (outcome.refused)
         return outcome.refused;
     m_peer = server.ownerPeer;
@@ -154,7 +159,7 @@
             [&] { return m_ownerClient.read(m_peer, m_streamId, offset, wait); },
             [&](const failure& error) {
                 hasFailed = true;
-                return answer_part { .offset = offset, .broken = true, .refused = refusal { .status = 502, .title = "Owner of the server failed", .detail = describe(error), .execution = execution_state::Unknown } };
+                return answer_part { .offset = offset, .broken = true, .refused = refusalFor(error, true) };
             });
         if (!hasFailed)
             break;
--- a/test/answers_test.cpp
+++ b/test/answers_test.cpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <functional>
 #include <thread>
 #include <vector>
 
@@ -22,11 +23,11 @@
     std::string text;
 };
 
-static streamed_response streamWithoutRetry(const std::string& address, const std::string& chat, const std::string& prompt, int tokens, std::map<std::string, std::string> headers)
+static streamed_response streamWithoutRetry(const std::string& address, const std::string& chat, const std::string& prompt, int tokens, std::map<std::string, std::string> headers, milliseconds timeout = milliseconds { 8000 })
 {
     headers.insert({ { "X-Workspace", "desk" }, { "X-Chat", chat } });
     streamed_response response;
-    response.reply = httpStream({ .method = "POST", .url = "http://" + address + "/v1/chat/completions", .headers = headers, .body = chatBody(prompt, tokens, true), .timeout = milliseconds { 8000 } },
+    response.reply = httpStream({ .method = "POST", .url = "http://" + address + "/v1/chat/completions", .headers = headers, .body = chatBody(prompt, tokens, true), .timeout = timeout },
         [&](std::string_view line) {
             response.text.append(line).append("\n");
             return true;
@@ -108,6 +109,51 @@
     BOOST_TEST(contentOf(first.text.substr(0, lastEventEnd + 2) + second.text) == expectedAnswer("hydro-large", "sluice", 60));
 }
 
+// The second daemon sends resumed requests to the first, which accepts them and ends without a reply.
+BOOST_AUTO_TEST_CASE(callersResumeWhileTheirDaemonIsDying)
+{
+    constexpr int chats = 8; // Enough for one at an engine that the first daemon owns.
+    constexpr milliseconds pauseTimeout { 300 };
+    test_fleet fleet { streamFleet };
+    BOOST_REQUIRE(fleet.isReady());
+    for (int chat = 0; chat < chats; ++chat)
+        stream(fleet.daemons()[1].http, "moved-" + std::to_string(chat), "warm up", 2);
+    child_process& dying = *fleet.daemons()[0].process;
+    std::vector<streamed_response> first(chats);
+    const auto runAll = [&](const std::function<void(std::size_t)>& run) {
+        std::vector<std::thread> callers;
+        callers.reserve(chats);
+        for (std::size_t chat = 0; chat < chats; ++chat)
+            callers.emplace_back(run, chat);
+        return callers;
+    };
+    std::vector<std::thread> callers = runAll([&](std::size_t chat) { first[chat] = streamWithoutRetry(fleet.daemons()[0].http, "moved-" + std::to_string(chat), "sluice", 60, {}, pauseTimeout); });
+    std::this_thread::sleep_for(milliseconds { 500 });
+    dying.signal(SIGSTOP);
+    for (std::thread& caller : callers)
+        caller.join();
+    std::vector<std::string> joined(chats);
+    std::vector<streamed_response> second(chats);
+    callers = runAll([&](std::size_t chat) {
+        joined[chat] = first[chat].text.substr(0, first[chat].text.rfind("\n\n") + 2);
+        second[chat] = stream(fleet.daemons()[1].http, "moved-" + std::to_string(chat), "sluice", 60, { { "X-Request-Id", first[chat].reply.headers["x-request-id"] }, { "Last-Event-ID", lastEventId(joined[chat]) } });
+        joined[chat] += second[chat].text;
+    });
+    std::this_thread::sleep_for(milliseconds { 700 });
+    dying.signal(SIGKILL);
+    for (std::thread& caller : callers)
+        caller.join();
+    int resumed = 0;
+    for (std::size_t chat = 0; chat < chats; ++chat) {
+        if (first[chat].reply.status != 200 || first[chat].text.find("id: ") == std::string::npos)
+            continue; // Refused by a cold engine.
+        ++resumed;
+        BOOST_TEST(second[chat].reply.status == 200, second[chat].reply.status << " " << second[chat].text);
+        BOOST_TEST(contentOf(joined[chat]) == expectedAnswer("hydro-large", "sluice", 60));
+    }
+    BOOST_TEST(resumed >= chats / 2);
+}
+
 // Reads the raw bytes, since POCO's client accepts a chunked body without its last chunk as complete.
 static std::string rawResponse(const std::string& address, const std::string& body)
 {
