Count the servers of a zone also while crashed ones are not listed

part_quarantine counts crashes of half of a zone's servers at one moment for nothing. Rows of crashed servers vanish after some seconds, so while a part crashes servers the zones look smaller, and two crashes in a row could release the part. AdmissionTests and crashing_prompt_parts pass.

--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -60,13 +60,14 @@
         }
     }
 
-    /// Sets the number of servers in each availability zone.
-    void setZoneSizes(std::map<zone_id, std::size_t> sizes)
+    /// Updates the number of servers in each availability zone. The largest one counts, as crashed servers are not listed.
+    void updateZoneSizes(const std::map<zone_id, std::size_t>& sizes)
     {
-        if (m_zoneSizes == sizes)
-            return;
-        m_zoneSizes = std::move(sizes);
-        m_hasChanged = true;
+        for (const auto& [zone, size] : sizes) {
+            std::size_t& largest = m_zoneSizes[zone];
+            m_hasChanged |= size > largest;
+            largest = std::max(largest, size);
+        }
     }
 
     /// Records a complete response.
@@ -78,9 +79,9 @@
             if (found == m_suspects.end())
                 continue;
             suspect& cleared = found->second;
-            const bool isNews = std::any_of(cleared.crashes.begin(), cleared.crashes.end(), [&](const crash& recorded) { return recorded.at > cleared.publishedServedAt; });
+            const bool isUnpublished = std::any_of(cleared.crashes.begin(), cleared.crashes.end(), [&](const crash& recorded) { return recorded.at > cleared.publishedServedAt; });
             clear(cleared, now, true);
-            if (!isNews)
+            if (!isUnpublished)
                 continue;
             cleared.publishedServedAt = now;
             m_unsent.push_back({ .evidence = { .part = part }, .at = now });
@@ -93,7 +94,7 @@
         return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) { return hasOpenCrash(part); });
     }
 
-    /// Returns whether a request with these parts would crash its server.
+    /// Returns whether a request with these parts is to be refused, as it would crash its server.
     bool isQuarantined(const std::vector<std::uint64_t>& parts)
     {
         if (parts.empty())
@@ -103,6 +104,7 @@
         });
     }
 
+    /// Returns the present decision; each entry alone is a reason to refuse a request.
     const std::vector<quarantined_parts>& quarantined()
     {
         if (std::exchange(m_hasChanged, false))
@@ -206,7 +208,7 @@
 
     struct suspicion {
         std::uint64_t part = 0;
-        std::vector<crash> crashes; ///< Not cleared and not explained by another part, sorted by process.
+        std::vector<crash> crashes; ///< Not cleared and not explained by another part.
     };
 
     bool hasOpenCrash(std::uint64_t part) const
@@ -379,7 +381,7 @@
     std::vector<quarantined_parts> m_quarantined;
     bool m_hasChanged = false;
     std::vector<unsent_evidence> m_unsent;
-    std::map<zone_id, std::size_t> m_zoneSizes;
+    std::map<zone_id, std::size_t> m_zoneSizes; ///< Largest number of servers listed at one time.
 };
 
 } // namespace radishflow
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -90,7 +90,7 @@
         std::map<zone_id, std::size_t> zoneSizes;
         for (const auto& [id, server] : list->servers)
             ++zoneSizes[server.zone];
-        m_parts.setZoneSizes(std::move(zoneSizes));
+        m_parts.updateZoneSizes(zoneSizes);
     }
     for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list))
         addCrash(attempt.request, attempt.server);
--- a/unittests/Admission/part_quarantine_load_test.cpp
+++ b/unittests/Admission/part_quarantine_load_test.cpp
@@ -84,7 +84,7 @@
             ++zoneSizes[zoneOf(server)];
         for (int daemon = 0; daemon < m_case.daemons; ++daemon) {
             m_daemons.push_back(std::make_unique<daemon_parts>(m_clock));
-            m_daemons.back()->setZoneSizes(zoneSizes);
+            m_daemons.back()->updateZoneSizes(zoneSizes);
             m_nextExchange.push_back(m_start + draw(25) * step);
         }
     }
--- a/unittests/Admission/part_quarantine_test.cpp
+++ b/unittests/Admission/part_quarantine_test.cpp
@@ -118,7 +118,7 @@
     std::unique_ptr<daemon_parts> makeDaemon()
     {
         auto daemon = std::make_unique<daemon_parts>(clock);
-        daemon->setZoneSizes({ { zone_id { "z" }, serversPerZone } });
+        daemon->updateZoneSizes({ { zone_id { "z" }, serversPerZone } });
         return daemon;
     }
 
