Date crashes by the table when their datagrams waited

A daemon that was paused reads the datagrams of the meantime at once, and took separate crashes for one moment, which blames no part. The rows of the store's table state the time of each crash; the earlier time counts now. crashesThatArriveTogetherAreSeparateByTheTable failed before; AdmissionTests pass.

--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -239,6 +239,11 @@
         const auto known = std::find_if(suspected.crashes.begin(), suspected.crashes.end(), [&](const crash& recorded) { return recorded.process == added.process; });
         if (known != suspected.crashes.end()) {
             known->isInTable |= added.isInTable;
+            // A datagram that waited while this daemon was paused makes a crash look later than it was.
+            if (added.at < known->at) {
+                known->at = added.at;
+                m_hasChanged = true;
+            }
             return false;
         }
         if (suspected.crashes.size() >= maxCrashesPerSuspect)
--- a/unittests/Admission/part_quarantine_test.cpp
+++ b/unittests/Admission/part_quarantine_test.cpp
@@ -232,6 +232,20 @@
     BOOST_TEST(parts.takeNewEvidence().empty());
 }
 
+// A daemon that was paused reads all datagrams at once, and then the table.
+BOOST_AUTO_TEST_CASE(crashesThatArriveTogetherAreSeparateByTheTable)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    daemon_parts parts { clock };
+    for (int crash = 0; crash < 3; ++crash)
+        parts.merge({ { .part = crashing, .process = process(crash), .zone = zone_id { "z" } } });
+    BOOST_TEST(!parts.isQuarantined({ crashing }));
+    for (int crash = 0; crash < 3; ++crash)
+        parts.mergeTable({ { .part = crashing, .process = process(crash), .zone = zone_id { "z" }, .age = 1s * (4 - crash) } });
+    BOOST_TEST(parts.isQuarantined({ crashing }));
+}
+
 // In a large fleet many daemons see the same crash, and serve the same part right after it.
 BOOST_AUTO_TEST_CASE(evidenceThatAnotherDaemonHasSentIsNotSentAgain)
 {
