--- a/include/radishflow/Relay/abandoned_attempts.h
+++ b/include/radishflow/Relay/abandoned_attempts.h
@@ -32,8 +32,9 @@
     /// within some seconds.
     static constexpr std::chrono::seconds retention { 20 };
     static constexpr std::size_t maxAttempts = 4096;
-    /// Age at which a new process counts as the successor of a crashed one; the servers of a zone restart within it.
+    /// Time since the listing of a successor after which a crash is reported; until then other servers of the zone may follow.
     static constexpr std::chrono::milliseconds settlingTime { 1500 };
+    /// Servers of a zone that were listed within this time have restarted together.
     static constexpr std::chrono::milliseconds zoneRestartTime { 4000 };
 
     explicit abandoned_attempts(const Clock& clock)
--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -46,8 +46,8 @@
     /// Records that the relay stopped awaiting a response which the server may still work on.
     void recordAbandoned(const request_identity&, const listed_server&);
     bool hasAbandonedAt(const listed_server&) const;
-    /// Records the crash of servers that the list shows to have ended, for the requests abandoned at them. Call it
-    /// periodically.
+    /// Updates the sizes of the availability zones, and records the crashes of servers whose successors are listed, for the
+    /// requests abandoned at them. Call it periodically.
     void applyServerList(const std::shared_ptr<const server_list>&);
     /// Returns the remaining time for which the request is refused, or nothing if it is not quarantined.
     std::optional<duration> remainingQuarantine(const request_identity&) const;
