Log when the removal of a server takes effect, and when it is deferred

server_removed was logged on receipt of a removal, also when the server stayed in use because the store counted as unreachable, and removals by a whole table left no line, so the log of a daemon that used a removed server showed it to be right. No decision changes.

--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -20,6 +20,13 @@
     duration recoveryGrace = std::chrono::milliseconds { 2000 }; ///< Time in which servers renew their entries after an outage of the platform; set by the platform.
 };
 
+/// A removal that took effect, or that is deferred because servers may have been unable to renew their entries.
+struct removal_event {
+    server_id server;
+    bool isDeferred = false;
+    duration deferredFor {}; ///< How long the removal was deferred before it took effect.
+};
+
 /// Applies additions and removals of backend servers. Servers cannot renew their entries while the platform is
 /// unreachable, so entries that are removed during an outage are kept until the recovery grace has passed after the
 /// platform is reachable again. Not thread-safe.
@@ -56,8 +63,8 @@
             return;
         if (canApplyRemovals())
             erase(id);
-        else
-            m_pendingRemovals.insert(id);
+        else if (m_pendingRemovals.try_emplace(id, m_clock.now()).second)
+            m_events.push_back({ .server = id, .isDeferred = true });
     }
 
     /// Replaces the whole list; servers that are not in the new list are removed as by remove(). An old copy, from which the
@@ -96,9 +103,8 @@
     std::shared_ptr<const server_list> list()
     {
         if (canApplyRemovals()) {
-            for (const server_id& id : m_pendingRemovals)
-                erase(id);
-            m_pendingRemovals.clear();
+            for (const auto& [id, removedAt] : std::exchange(m_pendingRemovals, {}))
+                erase(id, removedAt);
         }
         std::vector<listed_server> alive;
         for (const auto& [id, withheld] : m_withheld) {
@@ -113,6 +119,9 @@
         return snapshot;
     }
 
+    /// Returns the removals since the last call.
+    std::vector<removal_event> takeRemovalEvents() { return std::exchange(m_events, {}); }
+
     /// Returns whether servers are kept that the platform no longer lists, or withheld although it lists them.
     bool hasPendingChanges() const { return !m_pendingRemovals.empty() || !m_withheld.empty(); }
 
@@ -133,12 +142,15 @@
         return removal != m_removals.end() && removal->second.processStartMs == server.processStartMs && m_clock.now() - removal->second.at < m_options.removalMemory;
     }
 
-    void erase(const server_id& id)
+    void erase(const server_id& id) { erase(id, m_clock.now()); }
+
+    void erase(const server_id& id, time_point removedAt)
     {
         const auto server = m_servers.find(id);
         if (server == m_servers.end())
             return;
         const time_point now = m_clock.now();
+        m_events.push_back({ .server = id, .deferredFor = now - removedAt });
         std::erase_if(m_removals, [&](const auto& entry) { return now - entry.second.at >= m_options.removalMemory; });
         m_removals.insert_or_assign(id, removed_process { .processStartMs = server->second.processStartMs, .at = now });
         m_servers.erase(server);
@@ -149,7 +161,8 @@
     const Clock& m_clock;
     server_registry_options m_options;
     std::map<server_id, listed_server> m_servers;
-    std::set<server_id> m_pendingRemovals;
+    std::map<server_id, time_point> m_pendingRemovals; ///< With the time of the removal.
+    std::vector<removal_event> m_events;
     std::map<server_id, removed_process> m_removals; ///< Recent ones.
     std::map<server_id, withheld_server> m_withheld; ///< Listed by an old copy only.
     std::set<zone_id> m_zonesOutOfService;
