Defer removals of servers only by outages of the store for the whole fleet

Callers' requests reached a server up to 13 s after it had left (DRAIN), from daemons that could not reach the store themselves. Cause: server_registry kept a removed server listed while this daemon's own calls to the store failed and for 2 s after they succeeded again. A daemon whose own path is cut fetches changes from the fleet; each one ended the outage until its next own call failed, for each of two tables, so the 2 s began again and again.

store_availability now keeps the store's clock readings in responses to all daemons. The fleet's register carries those of the last seconds, so a daemon that was cut off, paused or restarted sees them as well. Only a time without any reading is an outage, and the grace period begins at the first reading after it, whoever received it and whenever this daemon learns of it: it cannot restart. The deferral is a time, not a flag. A daemon's own failed calls affect only how it reads the store.

--- /dev/null
+++ b/include/radishflow/Fleet/store_availability.h
@@ -0,0 +1,51 @@
+// Declares store_availability, which derives from the responses to all daemons when the platform's store was unavailable to the fleet.
+#pragma once
+
+#include "radishflow/Support/monotonic_clock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace radishflow {
+
+struct store_availability_options {
+    std::chrono::milliseconds maxSilence { 2500 }; ///< Longest time between two responses to the fleet that does not count as an outage.
+    std::chrono::milliseconds recoveryGrace { 2000 }; ///< Time in which servers renew their entries after an outage; set by the platform.
+};
+
+/// Keeps the readings of the store's clock in recent responses to this daemon and to others. A time without a reading is an outage
+/// for the fleet; this daemon's own failed calls do not make one, since the others may still reach the store. Not thread-safe.
+class store_availability {
+public:
+    explicit store_availability(const store_availability_options& options = {})
+        : m_options(options)
+    {
+    }
+
+    /// Records a reading in a response to this or another daemon and the local time of the reading. A new era of the store
+    /// counts as the end of an outage; readings of an earlier era are ignored.
+    void recordReading(std::chrono::milliseconds reading, time_point at, std::uint64_t era);
+
+    /// Returns the time until which entries may be missing because their servers could not renew them; time_point::max() during
+    /// an outage. It depends on when the store was available, not on when this daemon learned of it.
+    time_point lapsesPossibleUntil(time_point now) const;
+
+    /// Returns the readings from which other daemons see the recent outages, the newest one first.
+    std::vector<std::chrono::milliseconds> recentReadings() const;
+    std::uint64_t era() const { return m_era.value_or(0); }
+
+private:
+    time_point toLocalTime(std::chrono::milliseconds reading) const { return m_newestAt - (*m_readings.rbegin() - reading); }
+    void dropExpired();
+
+    store_availability_options m_options;
+    std::set<std::chrono::milliseconds> m_readings; ///< Of one era.
+    time_point m_newestAt {}; ///< Local time of the newest reading.
+    std::optional<std::uint64_t> m_era;
+    std::optional<time_point> m_eraBeganAt; ///< Begin of an era that this process has seen begin.
+};
+
+} // namespace radishflow
--- a/include/radishflow/Fleet/table_update_monitor.h
+++ b/include/radishflow/Fleet/table_update_monitor.h
@@ -57,7 +57,7 @@
         if (!isBehind && isNewEra)
             decision.publish = own.update;
         else if (!isBehind && (hasChange || hasConfirmation))
-            decision.publish = table_update { .storeTime = std::max(own.update.storeTime, fleet.storeTime), .lastChangeRevision = std::max(own.update.lastChangeRevision, fleet.lastChangeRevision), .era = own.update.era };
+            decision.publish = table_update { .storeTime = std::max(own.update.storeTime, fleet.storeTime), .lastChangeRevision = std::max(own.update.lastChangeRevision, fleet.lastChangeRevision), .era = own.update.era, .recentReadings = {} };
         return decision;
     }
 
--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -17,7 +16,6 @@
 struct server_registry_options {
     duration removalMemory = std::chrono::seconds { 60 }; ///< How long a removal holds against an old copy of the list.
     duration rewriteTime = std::chrono::seconds { 5 }; ///< Time in which servers that are alive renew their entries in an old copy, or lose them.
-    duration recoveryGrace = std::chrono::milliseconds { 2000 }; ///< Time in which servers renew their entries after an outage of the platform; set by the platform.
 };
 
 /// A removal that took effect, or that is deferred because servers may have been unable to renew their entries.
@@ -27,9 +25,8 @@
     duration deferredFor {}; ///< How long the removal was deferred before it took effect.
 };
 
-/// Applies additions and removals of backend servers. Servers cannot renew their entries while the platform is
-/// unreachable, so entries that are removed during an outage are kept until the recovery grace has passed after the
-/// platform is reachable again. Not thread-safe.
+/// Applies additions and removals of backend servers. Servers cannot renew their entries during an outage of the platform, so
+/// the caller defers removals until they have been able to. Not thread-safe.
 template <monotonic_clock Clock>
 class server_registry {
 public:
@@ -91,12 +88,8 @@
 
     void setZonesOutOfService(std::set<zone_id> zones) { m_zonesOutOfService = std::move(zones); }
 
-    void setPlatformUnreachable() { m_isPlatformUnreachable = true; }
-    void setPlatformReachable()
-    {
-        if (std::exchange(m_isPlatformUnreachable, false))
-            m_platformRecoveredAt = m_clock.now();
-    }
+    /// Keeps servers that are removed, or whose removal is deferred already, until a time; replaces an earlier one.
+    void deferRemovalsUntil(time_point end) { m_removalsDeferredUntil = end; }
 
     /// Returns a snapshot of the current list. While hasPendingChanges() is true, the list can change by the passage of
     /// time alone.
@@ -156,7 +149,7 @@
         m_servers.erase(server);
     }
 
-    bool canApplyRemovals() const { return !m_isPlatformUnreachable && (!m_platformRecoveredAt || m_clock.now() - *m_platformRecoveredAt >= m_options.recoveryGrace); }
+    bool canApplyRemovals() const { return m_clock.now() >= m_removalsDeferredUntil; }
 
     const Clock& m_clock;
     server_registry_options m_options;
@@ -166,8 +159,7 @@
     std::map<server_id, removed_process> m_removals; ///< Recent ones.
     std::map<server_id, withheld_server> m_withheld; ///< Listed by an old copy only.
     std::set<zone_id> m_zonesOutOfService;
-    bool m_isPlatformUnreachable = false;
-    std::optional<time_point> m_platformRecoveredAt;
+    time_point m_removalsDeferredUntil {};
 };
 
 } // namespace radishflow
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -4,7 +4,6 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <random>
 
@@ -98,9 +97,7 @@
 table_update fleet_membership::tableUpdateOf(const std::string& table) const
 {
     const fleet_register current = m_gossip->registerOf(tableUpdatePrefix + table);
-    table_update update { .storeTime = std::chrono::milliseconds { current.version & ((1ULL << storeTimeBits) - 1) }, .era = current.version >> storeTimeBits };
-    std::from_chars(current.bytes.data(), current.bytes.data() + current.bytes.size(), update.lastChangeRevision);
-    return update;
+    return table_update::decode(current.bytes, std::chrono::milliseconds { current.version & ((1ULL << storeTimeBits) - 1) }, current.version >> storeTimeBits);
 }
 
 std::size_t fleet_membership::sizeFor(std::size_t aliveCount, time_point now)
--- /dev/null
+++ b/lib/Fleet/store_availability.cpp
@@ -0,0 +1,61 @@
+// Implements the derivation of outages of the platform's store from the responses to all daemons.
+#include "radishflow/Fleet/store_availability.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace radishflow {
+
+// Readings closer together than this add nothing; a register of the gossip carries all that are passed on.
+static constexpr std::chrono::milliseconds minPublishedSpacing { 500 };
+static constexpr std::size_t maxPublishedReadings = 10;
+
+void store_availability::recordReading(std::chrono::milliseconds reading, time_point at, std::uint64_t era)
+{
+    if (m_era && era < *m_era)
+        return;
+    if (m_era && era > *m_era) {
+        m_readings.clear();
+        m_eraBeganAt = at;
+    }
+    m_era = era;
+    if (m_readings.empty() || reading > *m_readings.rbegin())
+        m_newestAt = at;
+    m_readings.insert(reading);
+    dropExpired();
+}
+
+// Keeps the last reading before the retention, as it is where the first gap begins.
+void store_availability::dropExpired()
+{
+    const auto retention = m_options.maxSilence + m_options.recoveryGrace;
+    const auto firstRecent = m_readings.lower_bound(*m_readings.rbegin() - retention);
+    if (firstRecent != m_readings.begin())
+        m_readings.erase(m_readings.begin(), std::prev(firstRecent));
+}
+
+time_point store_availability::lapsesPossibleUntil(time_point now) const
+{
+    if (m_readings.empty())
+        return {};
+    if (now - m_newestAt >= m_options.maxSilence)
+        return time_point::max();
+    time_point end = m_eraBeganAt ? *m_eraBeganAt + m_options.recoveryGrace : time_point {};
+    for (auto reading = std::next(m_readings.begin()); reading != m_readings.end(); ++reading) {
+        if (*reading - *std::prev(reading) >= m_options.maxSilence)
+            end = std::max(end, toLocalTime(*reading) + m_options.recoveryGrace);
+    }
+    return end;
+}
+
+std::vector<std::chrono::milliseconds> store_availability::recentReadings() const
+{
+    std::vector<std::chrono::milliseconds> recent;
+    for (auto reading = m_readings.rbegin(); reading != m_readings.rend() && recent.size() < maxPublishedReadings; ++reading) {
+        if (recent.empty() || recent.back() - *reading >= minPublishedSpacing)
+            recent.push_back(*reading);
+    }
+    return recent;
+}
+
+} // namespace radishflow
--- a/unittests/Routing/server_registry_test.cpp
+++ b/unittests/Routing/server_registry_test.cpp
@@ -1,4 +1,4 @@
-// Tests which servers are listed while the platform's store is unreachable and after it has recovered.
+// Tests which servers are listed while removals are deferred, and after the platform's store came back from an old copy.
 #include "radishflow/Routing/server_registry.h"
 #include "radishflow/Support/manual_clock.h"
 
@@ -39,10 +39,10 @@
 
 BOOST_AUTO_TEST_CASE(entriesRemovedInAnOutageAreKeptUntilTheRecoveryGraceEnds)
 {
-    registry.setPlatformUnreachable();
+    registry.deferRemovalsUntil(time_point::max());
     clock.advance(20s);
     BOOST_TEST(count() == 3U);
-    registry.setPlatformReachable();
+    registry.deferRemovalsUntil(clock.now() + 2s);
     registry.replaceAll({ testServer(0) });
     BOOST_TEST(count() == 3U);
     registry.put(testServer(1));
@@ -53,6 +53,24 @@
     BOOST_TEST(!registry.list()->servers.contains(server_id { "s2" }));
 }
 
+BOOST_AUTO_TEST_CASE(removalsAreReportedWhenTheyTakeEffect)
+{
+    registry.remove(server_id { "s0" });
+    registry.deferRemovalsUntil(clock.now() + 2s);
+    registry.remove(server_id { "s1" });
+    registry.remove(server_id { "s1" });
+    std::vector<removal_event> events = registry.takeRemovalEvents();
+    BOOST_REQUIRE(events.size() == 2U);
+    BOOST_TEST(!events[0].isDeferred);
+    BOOST_TEST(events[1].isDeferred);
+    clock.advance(2s);
+    BOOST_TEST(count() == 1U);
+    events = registry.takeRemovalEvents();
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST(!events[0].isDeferred);
+    BOOST_TEST((events[0].deferredFor == 2s));
+}
+
 BOOST_AUTO_TEST_CASE(oldCopyOfTheListBringsNoLeavingServersBack)
 {
     listed_server draining = testServer(1);
@@ -78,8 +96,7 @@
 
 BOOST_AUTO_TEST_CASE(drainingIsAppliedWithinTheRecoveryGrace)
 {
-    registry.setPlatformUnreachable();
-    registry.setPlatformReachable();
+    registry.deferRemovalsUntil(clock.now() + 2s);
     listed_server draining = testServer(1);
     draining.isDraining = true;
     registry.put(draining);
