Fetch changes from the fleet while calls to the store get no response

Requests reached servers up to 0.7 s after the drain time, from daemons whose calls to the store hang (DRAIN). Cause: a daemon that follows the store fetched changes from the others only once its own poll had failed, which takes the hold time and a second, and one thread both fetched and called the store, so a call without a response delayed the fetch of every table.

The unit test on followers failed before: needsFetch was never set.

--- a/include/radishflow/Fleet/table_update_monitor.h
+++ b/include/radishflow/Fleet/table_update_monitor.h
@@ -14,13 +14,14 @@
     bool publishesConfirmations = false; ///< Whether to publish also that the table has not changed.
     std::chrono::milliseconds confirmationInterval { 700 }; ///< Minimum time between two confirmations, by the store's clock.
     double fetchTimeFactor = 1.5; ///< Factor on maxLag if other daemons have to pass the changes on first.
+    double followerFetchFactor = 0.6; ///< Factor on maxLag after which a follower reads the changes from another daemon; longer than the pause after a poll with changes.
     duration maxLag = std::chrono::milliseconds { 500 }; ///< How long this daemon's copy may lag behind the fleet; longer than the pause after a call to the store that returned changes.
 };
 
 struct table_update_decision {
     std::optional<table_update> publish; ///< Update to publish to the other daemons.
     bool isConfirmed = false; ///< This daemon's copy is complete as of the fleet's update.
-    bool needsFetch = false; ///< The copy lags behind the fleet and this daemon does not follow the table itself, so another daemon has to pass the changes on.
+    bool needsFetch = false; ///< The copy lags behind the fleet and this daemon's own polls do not bring the changes, so another daemon has to pass them on.
     bool needsCatchUp = false; ///< The copy has lagged behind the fleet for longer than allowed, so neither a pending call nor another daemon has delivered a change.
 };
 
@@ -46,7 +47,7 @@
             m_behindSince.reset();
         else if (!m_behindSince)
             m_behindSince = now;
-        decision.needsFetch = isBehind && !isFollowing;
+        decision.needsFetch = isBehind && (!isFollowing || now - *m_behindSince >= m_options.maxLag * m_options.followerFetchFactor);
         const duration maxLag = isFollowing ? m_options.maxLag : std::chrono::duration_cast<duration>(m_options.maxLag * m_options.fetchTimeFactor);
         decision.needsCatchUp = isBehind && now - *m_behindSince >= maxLag;
         decision.isConfirmed = !isBehind && !isNewEra && fleet.storeTime.count() > 0;
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -83,6 +83,7 @@
     std::unique_ptr<caller_listener> listener;
     std::unique_ptr<periodic_task> refreshTask;
     std::unique_ptr<periodic_task> announceTask;
+    std::unique_ptr<periodic_task> fetchTask;
     std::unique_ptr<periodic_task> catchUpTask;
     std::unique_ptr<periodic_task> crashTask;
 
@@ -110,6 +111,7 @@
         listener = std::make_unique<caller_listener>(endpoints(), listenerOptions());
         refreshTask = std::make_unique<periodic_task>(refreshInterval, [this] { refresh(); });
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetryInterval }, [this] { announce(); });
+        fetchTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.fetchFromFleet(); });
         catchUpTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.catchUp(); });
         crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
     }
--- a/unittests/Fleet/table_update_monitor_test.cpp
+++ b/unittests/Fleet/table_update_monitor_test.cpp
@@ -83,6 +83,19 @@
     BOOST_TEST(!monitor.evaluate({ { 6500ms, 12 }, 13 }, fleet, startTime + 800ms, false).needsFetch);
 }
 
+// A poll of its own that gets no response must not delay changes which other daemons have.
+BOOST_AUTO_TEST_CASE(followerWhosePollsBringNothingFetchesChangesBeforeItAsksTheStore)
+{
+    table_update_monitor monitor { {} };
+    const table_progress own { { 5000ms, 3 }, 9 };
+    const table_update fleet { 6000ms, 12 };
+    BOOST_TEST(!monitor.evaluate(own, fleet, startTime).needsFetch);
+    BOOST_TEST(!monitor.evaluate(own, fleet, startTime + 250ms).needsFetch);
+    const table_update_decision lagging = monitor.evaluate(own, fleet, startTime + 300ms);
+    BOOST_TEST(lagging.needsFetch);
+    BOOST_TEST(!lagging.needsCatchUp);
+}
+
 BOOST_AUTO_TEST_CASE(withoutConfirmationsOnlyChangesArePublished)
 {
     table_update_monitor monitor { {} };
