Order announcements of changes by revision in the fleet's register

Cause: the register of a table keeps the value with the later store time, and of two with the same time the one with the greater bytes, which were the revision in decimal digits: 8 replaced 18. A daemon that has just read the whole table has seen no removal, so it announces an earlier last change at a later time; the daemon that had announced the removal repeats it with the same time and lost the tie until its next poll ended, up to 2.4 s later. Evidence: log of removed_servers, case of the restart: the daemons without a path received the removal 2.35 and 2.5 s late, and the register showed no change until a new configuration. With a fixed number of digits the greater bytes are the later change.

--- a/lib/Fleet/table_update.cpp
+++ b/lib/Fleet/table_update.cpp
@@ -7,11 +7,13 @@
 namespace radishflow {
 
 static constexpr char separator = ' ';
+static constexpr std::size_t revisionDigits = 20; // Of the largest 64-bit number.
 
-// The readings follow the revision as their distances from storeTime, so earlier versions read the revision alone.
+// Of two values with the same store time the register keeps the greater bytes, which must be those of the later change. The readings follow the revision as their distances from storeTime, so earlier versions read the revision alone.
 std::string table_update::encode() const
 {
     std::string bytes = std::to_string(lastChangeRevision);
+    bytes.insert(0, revisionDigits - bytes.size(), '0');
     for (const std::chrono::milliseconds reading : recentReadings) {
         if (reading <= storeTime)
             bytes += separator + std::to_string((storeTime - reading).count());
--- a/test/Relay/removed_servers_test.cpp
+++ b/test/Relay/removed_servers_test.cpp
@@ -80,7 +80,7 @@
 
 BOOST_DATA_TEST_CASE(daemonsWithoutTheirOwnPathToTheStoreStopUsingServersThatTheFleetSawLeave, boost::unit_test::data::make(partitions), testCase)
 {
-    relay_fleet fleet { { .daemons = daemons, .isProxied = true, .logFolder = std::getenv("RS_LOG") ? std::getenv("RS_LOG") : "", .revocationDelay = revocationDelay } };
+    relay_fleet fleet { { .daemons = daemons, .isProxied = true, .revocationDelay = revocationDelay } };
     waitForFleet(fleet);
     setLinks(fleet, testCase.cutDaemons, testCase.rules);
     std::this_thread::sleep_for(500ms);
@@ -111,7 +111,7 @@
 
 BOOST_DATA_TEST_CASE(entriesThatLapseWhileNoDaemonReachesTheStoreAreKeptUntilTheyCanBeRenewed, boost::unit_test::data::make(outages), testCase)
 {
-    relay_fleet fleet { { .daemons = daemons, .isProxied = true, .logFolder = std::getenv("RS_LOG") ? std::getenv("RS_LOG") : "", .revocationDelay = revocationDelay } };
+    relay_fleet fleet { { .daemons = daemons, .isProxied = true, .revocationDelay = revocationDelay } };
     waitForFleet(fleet);
     setLinks(fleet, daemons, testCase.rules);
     std::this_thread::sleep_for(3600ms);
--- a/unittests/Fleet/table_update_test.cpp
+++ b/unittests/Fleet/table_update_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
 #include <ostream>
 
 using namespace radishflow;
@@ -42,6 +43,27 @@
     BOOST_TEST(update.era == 3U);
 }
 
+namespace {
+
+struct tie_case {
+    std::uint64_t earlier;
+    std::uint64_t later;
+};
+
+std::ostream& operator<<(std::ostream& out, const tie_case& test) { return out << test.earlier << ' ' << test.later; }
+
+const tie_case ties[] { { 0, 8 }, { 8, 18 }, { 99, 100 }, { 999, 1000 }, { 9, std::numeric_limits<std::uint64_t>::max() } };
+
+} // namespace
+
+// A daemon that has just read a whole table does not know of the removals in it.
+BOOST_DATA_TEST_CASE(startedDaemonDoesNotOverwriteALaterChangeOfTheSameStoreTime, boost::unit_test::data::make(ties), test)
+{
+    const table_update started { .storeTime = 9000ms, .lastChangeRevision = test.earlier, .recentReadings = { 9000ms } };
+    const table_update later { .storeTime = 9000ms, .lastChangeRevision = test.later };
+    BOOST_TEST((later.encode() > started.encode()));
+}
+
 BOOST_AUTO_TEST_CASE(registerKeepsRevisionAndReadings)
 {
     const table_update update { .storeTime = 9000ms, .lastChangeRevision = 7, .recentReadings = { 9000ms, 8400ms, 4000ms } };
