--- a/test/Relay/store_eras_test.cpp
+++ b/test/Relay/store_eras_test.cpp
@@ -65,3 +65,28 @@
     fleet.configure(8, "newest-key");
     BOOST_TEST(waitUntil(2s, [&] { return allAnswer(fleet, "newest-key", 200); }));
 }
+
+BOOST_AUTO_TEST_CASE(zoneEvacuatedAfterTheCopyWasMadeStaysOutOfService)
+{
+    relay_fleet fleet { { .daemons = 2, .revocationDelay = revocationDelay } };
+    fleet.store().takeBackup();
+    fleet.store().setZoneOutOfService("za", true);
+    std::this_thread::sleep_for(1s);
+    const int runsBefore = fleet.server(0).runs();
+    BOOST_TEST(allAnswer(fleet, relay_fleet::key, 200));
+    BOOST_TEST(fleet.server(0).runs() == runsBefore);
+    fleet.store().setUnreachable(true);
+    std::this_thread::sleep_for(300ms);
+    fleet.store().restoreBackup();
+    fleet.store().setUnreachable(false);
+    const auto returnedAt = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() < returnedAt + 2s) {
+        fleet.call(0, "/read/a");
+        fleet.call(1, "/read/a");
+        std::this_thread::sleep_for(50ms);
+    }
+    BOOST_TEST(fleet.server(0).runs() == runsBefore);
+    fleet.store().setZoneOutOfService("za", true);
+    fleet.store().setZoneOutOfService("za", false);
+    BOOST_TEST(waitUntil(3s, [&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > runsBefore; }));
+}
