Count the grace of a new era of the store from its first reading in the fleet

It now begins at the first reading of the era that any daemon received. Found by review of store_availability; the new unit test failed before (deferral until 11 s instead of before 9 s).

--- a/include/radishflow/Fleet/store_availability.h
+++ b/include/radishflow/Fleet/store_availability.h
@@ -45,7 +45,7 @@
     std::set<std::chrono::milliseconds> m_readings; ///< Of one era.
     time_point m_newestAt {}; ///< Local time of the newest reading.
     std::optional<std::uint64_t> m_era;
-    std::optional<time_point> m_eraBeganAt; ///< Begin of an era that this process has seen begin.
+    bool m_hasEraChanged = false; ///< The era began after this process.
 };
 
 } // namespace radishflow
--- a/lib/Fleet/store_availability.cpp
+++ b/lib/Fleet/store_availability.cpp
@@ -16,7 +16,7 @@
         return;
     if (m_era && era > *m_era) {
         m_readings.clear();
-        m_eraBeganAt = at;
+        m_hasEraChanged = true;
     }
     m_era = era;
     if (m_readings.empty() || reading > *m_readings.rbegin())
@@ -40,7 +40,8 @@
         return {};
     if (now - m_newestAt >= m_options.maxSilence)
         return time_point::max();
-    time_point end = m_eraBeganAt ? *m_eraBeganAt + m_options.recoveryGrace : time_point {};
+    // The first reading of an era is the end of an outage. It may be one of another daemon, which arrives later.
+    time_point end = m_hasEraChanged ? toLocalTime(*m_readings.begin()) + m_options.recoveryGrace : time_point {};
     for (auto reading = std::next(m_readings.begin()); reading != m_readings.end(); ++reading) {
         if (*reading - *std::prev(reading) >= m_options.maxSilence)
             end = std::max(end, toLocalTime(*reading) + m_options.recoveryGrace);
--- a/unittests/Fleet/store_availability_test.cpp
+++ b/unittests/Fleet/store_availability_test.cpp
@@ -68,6 +68,17 @@
     BOOST_TEST((availability.lapsesPossibleUntil(startTime + 3s) == startTime + 3s));
 }
 
+BOOST_AUTO_TEST_CASE(daemonThatLearnsOfANewEraLateDoesNotRestartItsGrace)
+{
+    store_availability availability;
+    availability.recordReading(20s, startTime, 1);
+    availability.recordReading(29s, startTime + 9s, 2);
+    BOOST_TEST((availability.lapsesPossibleUntil(startTime + 9s) == startTime + 11s));
+    for (const milliseconds reading : { 28500ms, 27500ms, 26500ms })
+        availability.recordReading(reading, startTime + reading - 20s, 2);
+    BOOST_TEST((availability.lapsesPossibleUntil(startTime + 9s) < startTime + 9s));
+}
+
 namespace {
 
 constexpr auto step = 50ms;
