Apply a deferred removal although an old copy of the store lists the server

A removal that had taken effect was remembered already. Both count now; a server that is still listed after the rewrite time of 5 s is alive.

--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -77,7 +77,7 @@
             const listed_server* known = find(server.id);
             if (isOldCopy && known && known->isDraining && known->processStartMs == server.processStartMs)
                 server.isDraining = true;
-            if (isOldCopy && wasRemoved(server))
+            if (isOldCopy && (wasRemoved(server) || isRemovalDeferred(server)))
                 m_withheld[server.id] = { .server = server, .until = m_clock.now() + m_options.rewriteTime };
             else
                 put(std::move(server));
@@ -135,6 +135,12 @@
         return removal != m_removals.end() && removal->second.processStartMs == server.processStartMs && m_clock.now() - removal->second.at < m_options.removalMemory;
     }
 
+    bool isRemovalDeferred(const listed_server& server) const
+    {
+        const listed_server* known = find(server.id);
+        return known && known->processStartMs == server.processStartMs && m_pendingRemovals.contains(server.id);
+    }
+
     void erase(const server_id& id) { erase(id, m_clock.now()); }
 
     void erase(const server_id& id, time_point removedAt)
--- a/unittests/Routing/server_registry_test.cpp
+++ b/unittests/Routing/server_registry_test.cpp
@@ -94,6 +94,19 @@
     BOOST_TEST(count() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(oldCopyOfTheListDoesNotCancelADeferredRemoval)
+{
+    registry.deferRemovalsUntil(clock.now() + 2s);
+    registry.remove(server_id { "s2" });
+    registry.replaceAll({ testServer(0), testServer(1), testServer(2) }, true);
+    BOOST_TEST(count() == 3U);
+    clock.advance(2s);
+    BOOST_TEST(count() == 2U);
+    clock.advance(3s);
+    BOOST_TEST(count() == 3U); // Still listed after the rewrite time, so it is alive.
+    BOOST_TEST(!registry.hasPendingChanges());
+}
+
 BOOST_AUTO_TEST_CASE(drainingIsAppliedWithinTheRecoveryGrace)
 {
     registry.deferRemovalsUntil(clock.now() + 2s);
