Keep servers whose entries lapse in an outage of the store of less than 2.5 s

Callers got 503 for up to 2 s after a short outage in which entries of live servers lapsed: since removals are deferred by the fleet's readings, a time without readings of less than 2.5 s counted as none.

A shorter time without readings, of one renewal interval at least, now counts if this daemon's own path was lost within it and came back with the readings; until the path has had 1 s to come back that is undecided and removals wait. A path lost earlier indicates nothing, so a daemon that alone is cut off does not defer. Open: a short outage in which calls hang, or seen by a daemon that does not poll, counts as none.

--- a/lib/Fleet/store_availability.cpp
+++ b/lib/Fleet/store_availability.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace radishflow {
 
@@ -34,18 +35,39 @@
         m_readings.erase(m_readings.begin(), std::prev(firstRecent));
 }
 
+void store_availability::recordPathLost(time_point at)
+{
+    if (!std::exchange(m_isPathLost, true))
+        m_pathLostAt = at;
+}
+
+// A path that was lost before indicates nothing about the other daemons.
+bool store_availability::isPathLostWithin(time_point begin, time_point end) const
+{
+    return end - begin >= m_options.minOutage && m_pathLostAt && *m_pathLostAt > begin && *m_pathLostAt <= end;
+}
+
+// The time between two polls of the fleet may be as long as a short outage. It was one if this daemon's path was lost in it and
+// came back with the readings; until the path has had the time to come back, that is undecided.
+time_point store_availability::deferralBy(time_point begin, time_point end) const
+{
+    if (end - begin >= m_options.maxSilence)
+        return end + m_options.recoveryGrace;
+    if (isPathLostWithin(begin, end))
+        return end + (m_isPathLost ? m_options.pathRecoveryTime : m_options.recoveryGrace);
+    return {};
+}
+
 time_point store_availability::lapsesPossibleUntil(time_point now) const
 {
     if (m_readings.empty())
         return {};
-    if (now - m_newestAt >= m_options.maxSilence)
+    if (now - m_newestAt >= m_options.maxSilence || isPathLostWithin(m_newestAt, now))
         return time_point::max();
     // The first reading of an era is the end of an outage. It may be one of another daemon, which arrives later.
     time_point end = m_hasEraChanged ? toLocalTime(*m_readings.begin()) + m_options.recoveryGrace : time_point {};
-    for (auto reading = std::next(m_readings.begin()); reading != m_readings.end(); ++reading) {
-        if (*reading - *std::prev(reading) >= m_options.maxSilence)
-            end = std::max(end, toLocalTime(*reading) + m_options.recoveryGrace);
-    }
+    for (auto reading = std::next(m_readings.begin()); reading != m_readings.end(); ++reading)
+        end = std::max(end, deferralBy(toLocalTime(*std::prev(reading)), toLocalTime(*reading)));
     return end;
 }
 
