--- a/include/radishflow/Fleet/store_availability.h
+++ b/include/radishflow/Fleet/store_availability.h
@@ -19,7 +19,7 @@
 };
 
 /// Keeps the readings of the store's clock in recent responses to this daemon and to others. A time without a reading is an outage
-/// for the fleet; this daemon's own failed calls alone do not make one, since the others may still reach the store. Not thread-safe.
+/// for the fleet; this daemon's own failed calls alone are none, since the others may still reach the store. Not thread-safe.
 class store_availability {
 public:
     explicit store_availability(const store_availability_options& options = {})
@@ -31,12 +31,12 @@
     /// counts as the end of an outage; readings of an earlier era are ignored.
     void recordReading(std::chrono::milliseconds reading, time_point at, std::uint64_t era);
 
-    /// Record that this daemon's own calls begin to fail, or succeed.
+    /// Record that this daemon's own calls begin to fail, or succeed again.
     void recordPathLost(time_point at);
     void recordPathRegained() { m_isPathLost = false; }
 
     /// Returns the time until which entries may be missing because their servers could not renew them; time_point::max() during
-    /// an outage. It depends on when the store was available, not on when this daemon learned of it.
+    /// an outage. The deferral after an outage begins at its end, also if this daemon learns of the outage later.
     time_point lapsesPossibleUntil(time_point now) const;
 
     /// Returns the readings from which other daemons see the recent outages, the newest one first.
@@ -45,8 +45,9 @@
 
 private:
     time_point toLocalTime(std::chrono::milliseconds reading) const { return m_newestAt - (*m_readings.rbegin() - reading); }
-    /// Returns the end of the deferral by a time without readings that ended; an earlier time than now if it was no outage.
-    time_point deferralBy(time_point begin, time_point end) const;
+    /// Returns until when entries may be missing because of the time between two successive readings; a time in the past if that
+    /// was no outage.
+    time_point deferralEnd(time_point begin, time_point end) const;
     /// Returns whether this daemon's own calls began to fail within a time without readings of at least minOutage.
     bool isPathLostWithin(time_point begin, time_point end) const;
     void dropExpired();
--- a/lib/Fleet/store_availability.cpp
+++ b/lib/Fleet/store_availability.cpp
@@ -7,7 +7,7 @@
 
 namespace radishflow {
 
-// Readings closer together than this add nothing; a register of the gossip carries all that are passed on.
+// Readings that are closer together reveal no further outage. Bounds the size of the register.
 static constexpr std::chrono::milliseconds minPublishedSpacing { 500 };
 static constexpr std::size_t maxPublishedReadings = 10;
 
@@ -41,15 +41,15 @@
         m_pathLostAt = at;
 }
 
-// A path that was lost before indicates nothing about the other daemons.
+// Only a path that was lost while no daemon received a reading indicates that the others lost theirs as well.
 bool store_availability::isPathLostWithin(time_point begin, time_point end) const
 {
     return end - begin >= m_options.minOutage && m_pathLostAt && *m_pathLostAt > begin && *m_pathLostAt <= end;
 }
 
-// The time between two polls of the fleet may be as long as a short outage. It was one if this daemon's path was lost in it and
-// came back with the readings; until the path has had the time to come back, that is undecided.
-time_point store_availability::deferralBy(time_point begin, time_point end) const
+// Two polls of the fleet may be as far apart as a short outage lasts. It was an outage if this daemon's path was lost in between
+// and returned together with the readings. While the path may still return, removals wait.
+time_point store_availability::deferralEnd(time_point begin, time_point end) const
 {
     if (end - begin >= m_options.maxSilence)
         return end + m_options.recoveryGrace;
@@ -67,7 +67,7 @@
     // The first reading of an era is the end of an outage. It may be one of another daemon, which arrives later.
     time_point end = m_hasEraChanged ? toLocalTime(*m_readings.begin()) + m_options.recoveryGrace : time_point {};
     for (auto reading = std::next(m_readings.begin()); reading != m_readings.end(); ++reading)
-        end = std::max(end, deferralBy(toLocalTime(*std::prev(reading)), toLocalTime(*reading)));
+        end = std::max(end, deferralEnd(toLocalTime(*std::prev(reading)), toLocalTime(*reading)));
     return end;
 }
 
--- a/lib/Fleet/table_update.cpp
+++ b/lib/Fleet/table_update.cpp
@@ -9,7 +9,8 @@
 static constexpr char separator = ' ';
 static constexpr std::size_t revisionDigits = 20; // Of the largest 64-bit number.
 
-// Of two values with the same store time the register keeps the greater bytes, which must be those of the later change. The readings follow the revision as their distances from storeTime, so earlier versions read the revision alone.
+// Of two values with the same store time the register keeps the greater bytes, which must be those of the later change. The
+// readings follow as their distances from storeTime; earlier versions of the daemon ignore them.
 std::string table_update::encode() const
 {
     std::string bytes = std::to_string(lastChangeRevision);
