review: case 5, streams of a split route that can't go on

The service of a split route is selected by the id of the attempt, also for a stream that is taken up again. After a change of the weights most of these attempts select the other service, and are refused, as the origin of the stream is a version of the first one.

Change: the script of the case; the stand-ins end what they started also when a run takes too long. No code of the project changes.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -348,7 +348,7 @@
             try:
                 head = f"X-Request-Id: {request_id}\r\nX-Response-Seal: seal.{self.id}\r\nX-Load-Report: {self.running},{self.waiting},{self.slots}\r\n{self.extra_fields}"
                 if "stream" in target:
-                    self.send_events(connection, process, version, request_id, head, int(fields.get("last-event-id", "0")))
+                    self.send_events(connection, process, version, request_id, head, fields)
                 else:
                     self.send_answer(connection, process, request_id, head, fields)
             finally:
@@ -404,7 +404,8 @@
         connection.sendall(f"HTTP/1.1 200 OK\r\n{head}Content-Length: {len(text)}\r\n\r\n".encode() + text)
         self.record(f"server {self.id} answers {request_id}")
 
-    def send_events(self, connection, process, version, request_id, head, after):
+    def send_events(self, connection, process, version, request_id, head, fields):
+        after = int(fields.get("last-event-id", "0"))
         connection.sendall(f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
         for number in range(after + 1, self.events + 1):
             if self.is_gone(connection, process, self.event_s):
@@ -604,12 +605,18 @@
 def run_case(folder, case):
     """Runs case(record) and exits with 1 if it returns False (the rule was broken), 0 if True, 2 if it couldn't run."""
     record = Record(folder)
-    signal.alarm(118)
+    signal.signal(signal.SIGALRM, raise_timeout)
+    signal.signal(signal.SIGTERM, raise_timeout)
+    signal.alarm(115)
     try:
-        held = case(record)
+        status = 0 if case(record) else 1
+        record.result("the rule was broken" if status else "the rule held")
     except Exception as error:  # pylint: disable=broad-except
+        status = 2
         record.result(f"the case could not run: {type(error).__name__}: {error}")
-        sys.exit(2)
-    record.result("the rule held" if held else "the rule was broken")
     sys.stdout.flush()
-    os._exit(0 if held else 1)
+    os._exit(status)  # Threads of the stand-ins may still wait.
+
+
+def raise_timeout(number, _):
+    raise RuntimeError(f"ended by {signal.Signals(number).name}")
