--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,12 +23,12 @@
 
     crashes = []
 
-    def send_events(self, connection, process, version, request_id, head, after):
-        if has_bad_part(request_id):
+    def send_events(self, connection, process, version, request_id, head, fields):
+        if BAD_PART in fields.get("x-prompt-prefix", ""):
             if not self.is_gone(connection, process, 0.05):
                 self.crash_once(process, request_id)
             raise EOFError
-        super().send_events(connection, process, version, request_id, head, after)
+        super().send_events(connection, process, version, request_id, head, fields)
 
     def crash_once(self, process, request_id):
         with self.state_lock:
