--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -158,8 +158,7 @@
             except OSError:
                 pass
 
-    def crash(self):
-        """Refuses new connections and resets the open ones, like a process that was killed."""
+    def close_listener(self):
         listener, self.listener = self.listener, None
         if listener:
             try:
@@ -167,6 +166,8 @@
             except OSError:
                 pass
             listener.close()
+
+    def reset_connections(self):
         with self.lock:
             connections = list(self.connections)
         for connection in connections:
@@ -308,13 +309,18 @@
         self.seq += 1
         return {"service": self.service, "addr": f"{self.address}:{self.port}", "zone": self.zone, "version": self.version, "slots": self.slots, "state": state, "cold_left_ms": 0, "seq": self.seq, "born": self.born}
 
-    def end_process(self):
-        self.process += 1
-        self.crash()
+    def end_process(self, process=None):
+        """Refuses new connections, and then resets the open ones. Returns False if the given process has ended already."""
         with self.state_lock:
+            if process is not None and process != self.process:
+                return False
+            self.close_listener()
+            self.process += 1
             self.rejections = []
             self.slot_free.notify_all()
+        self.reset_connections()
         self.record(f"server {self.id} ({self.version}) ends")
+        return True
 
     def start_process(self, version=None):
         self.version = version or self.version
