review: case 5, a key that was taken away works again at a daemon that starts

Cause: CONFIG. The store comes back from a copy that is some seconds old. A daemon that starts in that moment reads a configuration in which the key still stands, and confirms its keys with it.

No code of the project changes.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -187,6 +187,7 @@
         self.ver = 0
         self.changed = threading.Condition()
         self.is_silent = False
+        self.era = 1
         self.started = time.monotonic()
         super().__init__(address)
 
@@ -204,6 +205,23 @@
                     self.history.append((self.ver, table, part, key, None))
             self.changed.notify_all()
 
+    def copy(self):
+        with self.changed:
+            return dict(self.rows), list(self.history), self.ver
+
+    def go_away(self):
+        self.is_silent = True
+        with self.changed:
+            self.changed.notify_all()
+
+    def come_back(self, copy):
+        """Serves again from an earlier copy; versions go back, and the era rises."""
+        with self.changed:
+            self.rows, self.history, self.ver = dict(copy[0]), list(copy[1]), copy[2]
+            self.era += 1
+            self.is_silent = False
+        self.reset_connections()
+
     def put(self, table, key, value):
         self.change([(table, "", key, base64.b64encode(json.dumps(value).encode()).decode())], [])
 
@@ -224,7 +242,7 @@
                 self.wait_silently(connection)
                 return
             text = json.dumps(answer).encode()
-            connection.sendall(f"HTTP/1.1 {status} X\r\nStore-Era: 1\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+            connection.sendall(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
 
     # A connection on which a response was lost delivers nothing further.
     def wait_silently(self, connection):
@@ -261,6 +279,8 @@
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
             while True:
+                if after > self.ver:
+                    return 410, {}
                 last = {}
                 for ver, of, part, key, value in self.history:
                     if of == table and ver > after:
