--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -54,6 +54,8 @@
         }
         list(number);
     }
+    for (int number = 0; options.hasServerPaths && number < options.daemons; ++number)
+        addServerPaths(number);
     m_daemons.resize(static_cast<std::size_t>(options.daemons));
     for (int number = 0; number < options.daemons; ++number) {
         if (options.isProxied) {
@@ -78,8 +80,39 @@
     return "127.0.0." + std::to_string(10 + daemon);
 }
 
+void relay_fleet::addServerPaths(int daemon)
+{
+    auto& paths = m_serverPaths.emplace_back();
+    for (int number = 0; number < servers(); ++number)
+        paths.push_back(std::make_unique<server_path>("127.0." + std::to_string(1 + daemon) + '.' + std::to_string(1 + number), server(number).port()));
+    m_storeViews.push_back(m_store.addView([this, daemon](const std::string& id, const std::string& value) {
+        std::string rewritten = value;
+        for (int number = 0; number < servers(); ++number) {
+            const std::string direct = "127.0.0.1:" + std::to_string(server(number).port());
+            if (const auto at = value.find(direct); server(number).id() == id && at != std::string::npos)
+                rewritten.replace(at, direct.size(), m_serverPaths.at(static_cast<std::size_t>(daemon)).at(static_cast<std::size_t>(number))->address());
+        }
+        return rewritten; }));
+}
+
+void relay_fleet::setServerPaths(int daemon, path_state state)
+{
+    for (const auto& path : m_serverPaths.at(static_cast<std::size_t>(daemon)))
+        path->set(state);
+}
+
+int relay_fleet::connectionsToServers(int daemon) const
+{
+    int count = 0;
+    for (const auto& path : m_serverPaths.at(static_cast<std::size_t>(daemon)))
+        count += path->connections();
+    return count;
+}
+
 std::string relay_fleet::storeAddress(int daemon) const
 {
+    if (!m_storeViews.empty())
+        return m_storeViews.at(static_cast<std::size_t>(daemon));
     return m_storeLinks.empty() ? m_store.address() : "127.0.0.1:" + std::to_string(m_storeLinks.at(static_cast<std::size_t>(daemon))->port());
 }
 
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -6,6 +6,7 @@
 #include "Support/wait_until.h"
 #include "caller_connection.h"
 #include "faulty_link.h"
+#include "server_path.h"
 #include "server_standin.h"
 #include "standin_config.h"
 #include "store_standin.h"
@@ -24,6 +25,7 @@
     int servers = 3;
     std::vector<std::string> versions { "v1" }; ///< Software versions of the servers, in turn.
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
+    bool hasServerPaths = false; ///< Whether each daemon reaches each server by a server_path of its own.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
     std::chrono::milliseconds revocationDelay { 2500 }; ///< Bound within which a revoked key must stop working.
@@ -49,6 +51,10 @@
     faulty_link& storeLink(int daemon) { return *m_storeLinks.at(static_cast<std::size_t>(daemon)); }
     faulty_link& callerLink(int daemon) { return *m_callerLinks.at(static_cast<std::size_t>(daemon)); }
     faulty_link& serverLink(int number) { return *m_serverLinks.at(static_cast<std::size_t>(number)); }
+    /// Sets the state of all paths from a daemon to the servers.
+    void setServerPaths(int daemon, path_state);
+    /// Returns the number of connections that a daemon has established to servers.
+    int connectionsToServers(int daemon) const;
     child_process& daemon(int number) { return *m_daemons.at(static_cast<std::size_t>(number)); }
 
     /// Starts a daemon whose process has ended.
@@ -76,6 +82,7 @@
     std::string ipOf(int daemon) const;
     std::uint16_t portOf(int offset) const { return static_cast<std::uint16_t>(m_port + offset); }
     std::string storeAddress(int daemon) const;
+    void addServerPaths(int daemon);
     void start(int number);
 
     relay_fleet_options m_options;
@@ -86,6 +93,8 @@
     std::vector<std::unique_ptr<faulty_link>> m_storeLinks;
     std::vector<std::unique_ptr<faulty_link>> m_callerLinks;
     std::vector<std::unique_ptr<faulty_link>> m_serverLinks;
+    std::vector<std::string> m_storeViews; ///< Addresses of the store with the server addresses of each daemon.
+    std::vector<std::vector<std::unique_ptr<server_path>>> m_serverPaths; ///< By daemon and server.
     std::vector<std::unique_ptr<child_process>> m_daemons;
     int m_requests = 0;
 };
