--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -24,6 +24,9 @@
     void seed(const std::vector<std::string>& peers);
     /// Publishes whether callers may be directed to this daemon.
     void publishReadiness(bool acceptsCallers);
+    /// Publishes whether this daemon reaches backend servers, with its token for forwarded requests.
+    void publishServerAccess(bool reachesServers);
+    const std::string& forwardingToken() const { return m_forwardingToken; }
     /// Announces that this daemon leaves the fleet; the others stop directing callers to it.
     void leave();
     /// Returns the current fleet.
@@ -40,6 +43,7 @@
     std::size_t sizeFor(std::size_t aliveCount, time_point now);
 
     fleet_options m_options;
+    std::string m_forwardingToken; ///< New with each process.
     std::unique_ptr<gossip_transport> m_gossip;
     std::atomic<std::size_t> m_listedDaemons = 0; ///< Until the next view(); 0 if no count was recorded since.
     bool m_isSizeKnown = false;
--- a/include/radishflow/Fleet/hint_codec.h
+++ b/include/radishflow/Fleet/hint_codec.h
@@ -14,6 +14,7 @@
 inline constexpr std::size_t maxLoadHints = 80;
 inline constexpr std::size_t maxCrashHints = 8;
 inline constexpr std::size_t maxPartHints = 12; ///< In a datagram without other hints.
+inline constexpr std::size_t maxContactHints = 16;
 inline constexpr std::size_t maxLimitHints = 60; ///< In a datagram without other hints.
 inline constexpr std::size_t maxPromptHints = 24;
 
--- a/include/radishflow/Fleet/hint_exchange.h
+++ b/include/radishflow/Fleet/hint_exchange.h
@@ -18,7 +18,7 @@
 struct hint_exchange_options {
     std::string address; ///< "IP:port"; all daemons use the same port.
     std::size_t peersPerRound = 6; ///< Daemons that receive the hints of a round without crashes; bounds the traffic in a large fleet.
-    std::function<void(const server_hints&)> onReceive; ///< Called on the exchange's thread.
+    std::function<void(const server_hints&, const std::string& host)> onReceive; ///< Called on the exchange's thread with the sender's host.
 };
 
 /// Sends hints to other daemons by UDP and receives theirs.
@@ -37,11 +37,14 @@
     /// Sends hints to a random sample of the fleet, or to the whole fleet if they include crashes or evidence on prompt
     /// parts, which are rare. These are sent in as many datagrams as they need.
     void send(const server_hints&, const fleet_view&);
+    /// Sends hints to the daemon on a host at once.
+    void sendTo(const server_hints&, const std::string& host);
     /// Returns whether the hints of one round reach all daemons of the fleet.
     bool reachesAll(const fleet_view&) const;
 
 private:
     void sendDatagram(const server_hints&, const fleet_view&);
+    void sendBytes(const std::string& datagram, const std::string& host);
     void receive();
 
     hint_exchange_options m_options;
--- a/include/radishflow/Fleet/server_hints.h
+++ b/include/radishflow/Fleet/server_hints.h
@@ -4,9 +4,11 @@
 #include "radishflow/Admission/crash_record.h"
 #include "radishflow/Admission/part_evidence.h"
 #include "radishflow/Routing/prompt_holder.h"
+#include "radishflow/Routing/service_contact.h"
 #include "radishflow/Routing/shared_limit.h"
 #include "radishflow/Routing/shared_load.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace radishflow {
@@ -17,6 +19,8 @@
     std::vector<prompt_holder> promptHolders; ///< Servers whose caches hold a prompt.
     std::vector<shared_limit> limits; ///< Request limits that servers state.
     std::vector<part_evidence> parts; ///< On which prompt parts crash servers.
+    std::vector<service_contact> contacts; ///< Services whose servers the sender reaches.
+    std::vector<std::uint32_t> askedServices; ///< Hashes of the services whose servers the sender does not reach; it asks whether the receiver does.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Relay/attempt_history.h
+++ b/include/radishflow/Relay/attempt_history.h
@@ -16,6 +16,9 @@
     int notRun = 0; ///< Number of attempts after which the server certainly did not run the request.
 };
 
+/// Returns whether a further server may run the request.
+bool mayRunAgain(const route&, const attempt_history&);
+
 /// Returns whether the request may be sent to another server. Attempts that certainly did not run it do not count
 /// towards the route's attempts; they have a small limit of their own.
 bool canResend(const route&, const attempt_history&);
--- a/include/radishflow/Relay/caller_listener.h
+++ b/include/radishflow/Relay/caller_listener.h
@@ -18,6 +18,7 @@
 struct listen_endpoint {
     std::string address; ///< "IP:port"
     session_handler serve;
+    std::string overloadResponse; ///< Response sent when all workers are busy; if empty, that of the options.
 };
 
 struct caller_listener_options {
--- a/include/radishflow/Relay/event_splitter.h
+++ b/include/radishflow/Relay/event_splitter.h
@@ -14,6 +14,13 @@
     /// previous id plus one; the stream must not be forwarded further then.
     bool feed(std::string& input, std::string& output);
 
+    /// Sets the id of the last event of a stream whose first events were sent by another server.
+    void resumeAfter(std::uint64_t id)
+    {
+        m_lastId = id;
+        m_hasIds = true;
+    }
+
     /// Returns the id of the last event moved to the output.
     std::uint64_t lastId() const { return m_lastId; }
     /// Returns whether any event so far had an id.
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -4,6 +4,7 @@
 
 #include "radishflow/Relay/attempt_history.h"
 #include "radishflow/Relay/event_splitter.h"
+#include "radishflow/Relay/forwarding_fields.h"
 #include "radishflow/Relay/relay_context.h"
 #include "radishflow/Relay/relay_log.h"
 #include "radishflow/Relay/relay_protocol.h"
@@ -16,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace radishflow {
 
@@ -23,7 +25,8 @@
 template <relay_protocol Protocol>
 class relay_call {
 public:
-    relay_call(const Protocol&, const relay_context&, relay_socket& caller, const caller_message&, bool keepsOpen);
+    /// `forwarded` is what the daemon states that forwarded the request to this one; null for a request of a caller.
+    relay_call(const Protocol&, const relay_context&, relay_socket& caller, const caller_message&, bool keepsOpen, const forwarded_request* forwarded = nullptr);
 
     ~relay_call() { m_context.bufferedResponses.remove(m_bufferedBytes); }
     relay_call(const relay_call&) = delete;
@@ -42,14 +45,23 @@
     struct server_error_response {
         response_head head;
         std::string body;
+        const char* outcome = "server_error"; ///< As recorded if the response is forwarded.
     };
 
-    bool refuse(const refusal&);
+    bool refuse(const refusal&, refusal_scope = refusal_scope::Request);
+    /// Refuses a forwarded request that this daemon can't serve now; returns nothing if it can.
+    std::optional<bool> refuseForwarded();
+    /// Returns the fields that a response to a forwarded request needs.
+    std::string forwardedFields() const;
     std::optional<refusal> refusalWhileStopping() const;
     /// Connects to a server and closes the connection; returns Broken if the host refuses it.
     static io_outcome probe(const listed_server&);
     /// Records a crash if the host of the server, whose connection broke, refuses connections.
     void recordIfCrashed(const listed_server&);
+    /// Returns whether the host of the server, whose connection broke, refuses connections while other servers accept them.
+    bool hasCrashed(const listed_server&);
+    void recordAbandoned(const listed_server&);
+    void finishAttempt(const listed_server&, server_outcome);
     request_identity identify() const;
     std::optional<refusal> refusalForQuarantine() const;
     bool resumesStream() const { return !m_request.resumes.empty() || m_request.resumeAfter; }
@@ -64,6 +76,16 @@
     duration responseTimeout() const;
     std::size_t maxIdleConnectionsToServer() const;
     bool tryReserveResend();
+    /// Returns whether the request may be forwarded; waits for a decision whether access to the servers is lost.
+    bool canForward();
+    bool isAccessLost() { return !m_forwarded && m_context.access.isLost(m_admitted.service); }
+    /// Forwards the request to another daemon; returns nothing if none takes requests.
+    std::optional<attempt_result> attemptAtPeer();
+    attempt_result handlePeerState(const fleet_daemon&, const listed_server&, server_exchange&, exchange_state);
+    attempt_result handlePeerResponse(const fleet_daemon&, const listed_server&, server_exchange&);
+    attempt_result recordPeerFailure(const fleet_daemon&, peer_outcome, bool mayHaveRun, const char* result);
+    /// Applies what the server, which responded to another daemon, states about itself.
+    void applyServerStatements(const server_id&, const response_metadata&);
     attempt_result handleExchangeState(const listed_server&, server_exchange&, exchange_state, const response_metadata&);
     attempt_result handleResponse(const listed_server&, server_exchange&, const response_metadata&);
     /// Reads a body into memory; returns Broken if it is too large.
@@ -83,6 +105,7 @@
 
     const Protocol& m_protocol;
     const relay_context& m_context;
+    const forwarded_request* m_forwarded;
     relay_socket& m_caller;
     const caller_message& m_message;
     bool m_keepsOpen;
@@ -101,10 +124,17 @@
     bool m_isResponseComplete = false;
     std::size_t m_bufferedBytes = 0; ///< Counted in the daemon's bufferedResponses.
     int m_contactedServers = 0; ///< Number of attempts that sent the request to a server.
+    int m_attempts = 0; ///< Number of attempts at servers and other daemons.
+    std::vector<daemon_id> m_triedPeers;
+    std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
+    server_id m_respondingServer; ///< Server that sent the response to this or another daemon.
+    std::optional<std::chrono::milliseconds> m_peerRetryAfter; ///< Of the last daemon that refused the request.
+    bool m_isFinal = false; ///< No further attempt is made.
     request_record m_record;
 };
 
 } // namespace radishflow
 
 #include "radishflow/Relay/relay_call_dispatch.h"
+#include "radishflow/Relay/relay_call_forwarding.h"
 #include "radishflow/Relay/relay_call_responses.h"
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -38,9 +38,10 @@
 inline constexpr std::chrono::milliseconds unknownOriginRetryAfter { 250 };
 
 template <relay_protocol Protocol>
-relay_call<Protocol>::relay_call(const Protocol& protocol, const relay_context& context, relay_socket& caller, const caller_message& message, bool keepsOpen)
+relay_call<Protocol>::relay_call(const Protocol& protocol, const relay_context& context, relay_socket& caller, const caller_message& message, bool keepsOpen, const forwarded_request* forwarded)
     : m_protocol(protocol)
     , m_context(context)
+    , m_forwarded(forwarded)
     , m_caller(caller)
     , m_message(message)
     , m_keepsOpen(keepsOpen)
@@ -65,6 +66,14 @@
         m_deadline = message.receivedAt + m_admitted.target->timeout;
     if (m_request.timeLeft)
         m_deadline = std::min<time_point>(m_deadline, message.receivedAt + *m_request.timeLeft - responseTransitAllowance);
+    if (!m_forwarded)
+        return;
+    m_record.forwardedFrom = m_forwarded->from;
+    m_deadline = std::min<time_point>(m_deadline, message.receivedAt + m_forwarded->timeLeft - responseTransitAllowance);
+    m_history.mayHaveRun = m_forwarded->mayHaveRun;
+    m_history.servers = m_forwarded->triedServers;
+    if (m_forwarded->resumeAfter)
+        m_eventSplitter.resumeAfter(*m_forwarded->resumeAfter);
 }
 
 template <relay_protocol Protocol>
@@ -73,7 +82,9 @@
     if (m_admitted.problem)
         return refuse(*m_admitted.problem);
     if (const auto problem = refusalWhileStopping())
-        return refuse(*problem);
+        return refuse(*problem, refusal_scope::Capacity);
+    if (const auto isSent = m_forwarded ? refuseForwarded() : std::nullopt)
+        return *isSent;
     if (m_admitted.target->kind == work_kind::Stream && m_message.head.minorVersion == 0)
         return refuse({ .status = 505, .title = "Streams need HTTP/1.1", .detail = "without chunks a stream that breaks looks like one that ends" });
     m_identity = identify();
@@ -84,15 +95,32 @@
         return refuse(refusalForAttempts(m_history, false));
     if (const auto problem = refusalForUnknownOrigin())
         return refuse(*problem);
-    m_context.retries.countRequest(m_admitted.service);
+    // The daemon that forwarded a request has counted it.
+    if (!m_forwarded)
+        m_context.retries.countRequest(m_admitted.service);
     while (true) {
-        const bool isResend = m_record.sends > 0;
+        const bool isResend = m_attempts++ > 0;
         if (const auto problem = isResend ? refusalForQuarantine() : std::nullopt) {
             m_record.reason = problem->title;
             return sendFailure();
         }
         if (isResend && !std::exchange(m_isResendReserved, false) && !tryReserveResend())
             return sendFailure();
+        if (const bool isLost = isAccessLost(); isLost || !canResend(*m_admitted.target, m_history)) {
+            const auto result = isLost ? attemptAtPeer() : std::nullopt;
+            if (result == attempt_result::Finished)
+                return m_isResponseComplete;
+            if (result == attempt_result::CallerGone) {
+                recordOutcome(0, "caller_gone");
+                return false;
+            }
+            if (m_isFinal || (!result && !m_context.access.monitorOf(m_admitted.service).hasLiveConnections()))
+                return sendFailure();
+            if (result)
+                continue;
+        }
+        if (!canResend(*m_admitted.target, m_history))
+            return sendFailure();
         const auto server = chooseServer();
         if (m_caller.hasPeerDisconnected()) {
             if (server)
@@ -132,12 +160,27 @@
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordIfCrashed(const listed_server& server)
 {
-    if (probe(server) == io_outcome::Broken)
+    if (m_peer)
+        return;
+    if (hasCrashed(server))
         m_context.crashes.recordCrash(m_identity, server);
     else
         m_context.crashes.recordAbandoned(m_identity, server);
 }
 
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::hasCrashed(const listed_server& server)
+{
+    return probe(server) == io_outcome::Broken;
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::recordAbandoned(const listed_server& server)
+{
+    if (!m_peer)
+        m_context.crashes.recordAbandoned(m_identity, server);
+}
+
 // Distinguishes a crashed server, whose host refuses the connection, from one whose response was lost in the network and from a
 // host without power.
 template <relay_protocol Protocol>
@@ -167,7 +210,7 @@
 {
     if (!m_admitted.target->isResumable || !resumesStream())
         return std::nullopt;
-    m_version = m_context.origins.find(m_admitted.service, m_request.resumes);
+    m_version = m_forwarded && m_forwarded->version ? m_forwarded->version : m_context.origins.find(m_admitted.service, m_request.resumes);
     if (m_version)
         return std::nullopt;
     return refusal { .status = 503, .title = "Origin of the stream is unknown", .detail = "no daemon in reach knows which version of the backend servers began the stream", .retryAfter = unknownOriginRetryAfter };
@@ -176,7 +219,8 @@
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordOrigin(const listed_server& server)
 {
-    if (!m_admitted.target->isResumable)
+    // The daemon that sent the request to the server publishes the origin.
+    if (!m_admitted.target->isResumable || m_peer)
         return;
     if (!m_version)
         m_version = versionKeyOf(server.service, server.version);
@@ -198,7 +242,7 @@
 template <relay_protocol Protocol>
 bool relay_call<Protocol>::tryReserveResend()
 {
-    if (!canResend(*m_admitted.target, m_history) || now() >= m_deadline)
+    if (now() >= m_deadline || (!canResend(*m_admitted.target, m_history) && !canForward()))
         return false;
     // Only requests that reach a server add load, so a resend is free as long as none was reached.
     return m_contactedServers == 0 || m_context.retries.tryConsume(m_admitted.service, m_fleet->knownSize());
@@ -269,10 +313,28 @@
     }
 }
 
+/// Counts a request at a server for the time of its life.
+class exchange_counter {
+public:
+    explicit exchange_counter(server_access_monitor<boottime_clock>& monitor)
+        : m_monitor(monitor)
+    {
+        m_monitor.startExchange();
+    }
+    ~exchange_counter() { m_monitor.finishExchange(); }
+    exchange_counter(const exchange_counter&) = delete;
+    exchange_counter& operator=(const exchange_counter&) = delete;
+
+private:
+    server_access_monitor<boottime_clock>& m_monitor;
+};
+
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::attempt(const chosen_server& chosen)
 {
     const listed_server& server = chosen.server;
+    m_peer.reset();
+    m_respondingServer = server.id;
     ++m_record.sends;
     m_record.prompt = nameOf(chosen.prompt);
     m_record.serverLoad = chosen.basis.load;
@@ -304,7 +366,9 @@
             .connectTimeout = connectTimeout,
             .maxIdleTime = isRepeatable(*m_admitted.target) ? duration { maxIdleTime } : duration { maxIdleTimeForNonRepeatable },
             .maxIdleConnections = maxIdleConnectionsToServer(),
+            .access = &m_context.access.monitorOf(m_admitted.service),
             .isHeadOnly = m_message.head.method == "HEAD" } };
+    const exchange_counter counter { m_context.access.monitorOf(m_admitted.service) };
     const std::string head = m_protocol.writeRequest(m_message.head, dispatch, m_message.body.size());
     response_metadata metadata; // Of the last response head received.
     const auto belongsToRequest = [&](const response_head& responseHead) {
@@ -331,20 +395,22 @@
         return handleResponse(server, exchange, metadata);
     case exchange_state::NotSent:
         --m_contactedServers;
-        if (m_context.crashes.hasAbandonedAt(server) && probe(server) == io_outcome::Broken)
+        if (now() < m_deadline)
+            m_context.access.recordConnectFailure(server);
+        if (m_context.crashes.hasAbandonedAt(server) && hasCrashed(server))
             m_context.crashes.recordCrash(server);
         return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
         recordIfCrashed(server);
         return recordFailure(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
     case exchange_state::TimedOut:
-        m_context.crashes.recordAbandoned(m_identity, server);
+        recordAbandoned(server);
         return recordFailure(server, server_outcome::Failed, true, "silent");
     case exchange_state::CallerGone:
         break;
     }
-    m_context.crashes.recordAbandoned(m_identity, server);
-    m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
+    recordAbandoned(server);
+    finishAttempt(server, server_outcome::Abandoned);
     recordAttempt(server, "caller_gone");
     return attempt_result::CallerGone;
 }
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -66,9 +66,9 @@
     if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
     exchange.releaseConnection();
-    m_context.balancer.finishRequest(server.id, server_outcome::Served);
+    finishAttempt(server, server_outcome::Served);
     recordAttempt(server, "served");
-    std::string text = writeResponseHead(exchange.head(), body.size(), m_keepsOpen);
+    std::string text = writeResponseHead(exchange.head(), body.size(), m_keepsOpen, forwardedFields());
     if (m_message.head.method != "HEAD")
         text += body;
     const bool isSent = sendToCaller(text);
@@ -84,6 +84,8 @@
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordCompletion(const listed_server& server, const server_exchange& exchange)
 {
+    if (m_peer)
+        return;
     constexpr int firstUnsuccessfulStatus = 300;
     if (exchange.head().status >= firstUnsuccessfulStatus) {
         // The server may have refused the request before it read the prompt.
@@ -95,7 +97,7 @@
         return;
     }
     if (!m_identity.variant && !m_context.crashes.hasSuspectParts(m_identity)) {
-        m_context.crashes.recordAbandoned(m_identity, server);
+        recordAbandoned(server);
         return;
     }
     switch (probe(server)) {
@@ -104,7 +106,7 @@
     case io_outcome::Broken:
         return m_context.crashes.recordCrash(m_identity, server);
     default:
-        return m_context.crashes.recordAbandoned(m_identity, server);
+        return recordAbandoned(server);
     }
 }
 
@@ -121,21 +123,21 @@
             std::string text;
             if (!std::exchange(m_hasResponseStarted, true)) {
                 recordOrigin(server);
-                text = writeResponseHead(exchange.head(), std::nullopt, m_keepsOpen);
+                text = writeResponseHead(exchange.head(), std::nullopt, m_keepsOpen, forwardedFields());
             }
             if (!events.empty())
                 appendChunk(text, events);
             if (isEnd)
                 text += lastChunk;
             if (!sendToCaller(text)) {
-                m_context.crashes.recordAbandoned(m_identity, server);
-                m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
+                recordAbandoned(server);
+                finishAttempt(server, server_outcome::Abandoned);
                 return attempt_result::CallerGone;
             }
         }
         if (isEnd) {
             exchange.releaseConnection();
-            m_context.balancer.finishRequest(server.id, server_outcome::Served);
+            finishAttempt(server, server_outcome::Served);
             recordAttempt(server, "served");
             recordCompletion(server, exchange);
             recordOutcome(exchange.head().status, "served");
@@ -153,10 +155,10 @@
     if (bodyResult == body_read_result::Broken)
         recordIfCrashed(server);
     else
-        m_context.crashes.recordAbandoned(m_identity, server);
+        recordAbandoned(server);
     if (bodyResult != body_read_result::CallerGone)
         return recordFailure(server, server_outcome::Failed, true, bodyResult == body_read_result::TimedOut ? "silent" : "broke_off");
-    m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
+    finishAttempt(server, server_outcome::Abandoned);
     recordAttempt(server, "caller_gone");
     return attempt_result::CallerGone;
 }
@@ -164,7 +166,7 @@
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::recordFailure(const listed_server& server, server_outcome outcome, bool mayHaveRun, const char* result)
 {
-    m_context.balancer.finishRequest(server.id, outcome);
+    finishAttempt(server, outcome);
     recordAttempt(server, result);
     ++(mayHaveRun ? m_history.mayHaveRun : m_history.notRun);
     return attempt_result::Failed;
@@ -185,17 +187,20 @@
         const auto pause = m_servers && reason.execution == execution_state::NotRun ? m_context.balancer.timeToFirstServer(*m_servers, queryFor(*m_fleet)) : std::nullopt;
         if (pause)
             reason.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*pause);
-        return refuse(reason);
+        if (m_peerRetryAfter && reason.execution == execution_state::NotRun)
+            reason.retryAfter = *m_peerRetryAfter;
+        return refuse(reason, reason.execution == execution_state::NotRun ? refusal_scope::Capacity : refusal_scope::Request);
     }
-    const bool isSent = sendToCaller(writeResponseHead(m_serverError->head, m_serverError->body.size(), m_keepsOpen) + m_serverError->body);
-    recordOutcome(m_serverError->head.status, "server_error");
+    const bool isSent = sendToCaller(writeResponseHead(m_serverError->head, m_serverError->body.size(), m_keepsOpen, forwardedFields()) + m_serverError->body);
+    recordOutcome(m_serverError->head.status, m_serverError->outcome);
     return isSent;
 }
 
 template <relay_protocol Protocol>
-bool relay_call<Protocol>::refuse(const refusal& reason)
+bool relay_call<Protocol>::refuse(const refusal& reason, refusal_scope scope)
 {
-    const bool isSent = sendToCaller(writeRefusal(reason, m_request.id, m_keepsOpen));
+    const std::string fields = m_forwarded ? writeForwardedFields({ .request = m_request.id, .execution = reason.execution, .scope = scope }) : std::string {};
+    const bool isSent = sendToCaller(writeRefusal(reason, m_request.id, m_keepsOpen, fields));
     m_record.reason = reason.title;
     recordOutcome(reason.status, reason.execution == execution_state::NotRun ? "refused" : "failed");
     return isSent;
@@ -212,9 +217,13 @@
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordAttempt(const listed_server& server, const char* result)
 {
-    m_history.servers.push_back(server.id);
     if (!m_record.servers.empty())
         m_record.servers += ' ';
+    if (m_peer) {
+        m_record.servers += "via-" + m_peer->id.value() + ':' + m_respondingServer.value() + ':' + result;
+        return;
+    }
+    m_history.servers.push_back(server.id);
     m_record.servers += server.id.value() + ':' + server.version.value() + ':' + result;
 }
 
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -3,8 +3,10 @@
 
 #include "radishflow/Metrics/relay_metrics.h"
 #include "radishflow/Relay/crash_quarantine.h"
+#include "radishflow/Relay/forwarding_settings.h"
 #include "radishflow/Relay/response_memory.h"
 #include "radishflow/Relay/retry_shares.h"
+#include "radishflow/Relay/server_access.h"
 #include "radishflow/Relay/server_connection_pool.h"
 #include "radishflow/Relay/stop_state.h"
 #include "radishflow/Relay/stream_origins.h"
@@ -23,7 +25,9 @@
     retry_shares<boottime_clock>& retries;
     const key_freshness& freshness;
     crash_quarantine& crashes;
-    server_connection_pool& connections;
+    server_connection_pool& connections; ///< To servers, and to the daemons to which requests are forwarded.
+    server_access& access;
+    const forwarding_settings& forwarding;
     const stream_origins& origins;
     response_memory& bufferedResponses;
     const stop_state& stop;
--- a/include/radishflow/Relay/response_text.h
+++ b/include/radishflow/Relay/response_text.h
@@ -13,10 +13,11 @@
 namespace radishflow {
 
 /// Returns the head for forwarding a backend server's response. Without a body length, the body is to follow in chunks.
-std::string writeResponseHead(const response_head&, std::optional<std::size_t> bodyBytes, bool keepsOpen);
+/// Fields between daemons are left out; the lines of `extraFields` are added.
+std::string writeResponseHead(const response_head&, std::optional<std::size_t> bodyBytes, bool keepsOpen, std::string_view extraFields = {});
 
 /// Returns a complete response that refuses a request.
-std::string writeRefusal(const refusal&, const request_id&, bool keepsOpen);
+std::string writeRefusal(const refusal&, const request_id&, bool keepsOpen, std::string_view extraFields = {});
 
 /// Returns a complete response with a document of the daemon itself.
 std::string writeDocument(int status, std::string_view contentType, std::string_view body, bool keepsOpen);
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -6,6 +6,8 @@
 #include "radishflow/Relay/exchange_state.h"
 #include "radishflow/Relay/server_connection_pool.h"
 #include "radishflow/Routing/listed_server.h"
+#include "radishflow/Routing/server_access_monitor.h"
+#include "radishflow/Support/boottime_clock.h"
 
 #include <cstddef>
 #include <functional>
@@ -23,6 +25,7 @@
     duration connectTimeout {};
     duration maxIdleTime {}; ///< Maximum idle time of a pooled connection that is reused.
     std::size_t maxIdleConnections = 16; ///< Maximum number of pooled connections to the server.
+    server_access_monitor<boottime_clock>* access = nullptr; ///< Records connections and received bytes; null if the peer is not a backend server.
     bool isHeadOnly = false; ///< HEAD request, whose response has no body.
 };
 
@@ -52,6 +55,7 @@
 
 private:
     exchange_state open();
+    io_outcome receive(time_point deadline);
     exchange_state readHead();
     exchange_state readMatchingHead();
     exchange_state discardResponse();
--- a/include/radishflow/Requests/request_record.h
+++ b/include/radishflow/Requests/request_record.h
@@ -16,6 +16,8 @@
     workspace_id workspace;
     std::string fingerprint; ///< In hexadecimal, as in the log lines of crashes; empty if the request was refused before it was computed.
     service_id service;
+    daemon_id forwardedFrom; ///< Daemon that forwarded the request to this one; empty for a request of a caller.
+    daemon_id forwardedTo; ///< Last daemon to which this one forwarded it; empty if none.
     std::string servers; ///< Those tried, in order, each with how the attempt ended.
     std::string prompt = "none"; ///< Where the last server had the shared prompt from, in one word.
     double serverLoad = 0; ///< Estimated requests at the last server when it was chosen, without this one.
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -2,10 +2,12 @@
 #include "radishflow/Fleet/fleet_membership.h"
 
 #include <Poco/Exception.h>
+#include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
 #include <chrono>
 #include <random>
+#include <string_view>
 
 namespace radishflow {
 
@@ -16,6 +18,10 @@
 static constexpr int storeTimeBits = 44;
 static const std::string readinessKey = "callers";
 static const std::string takesCallersValue = "yes";
+// The value is a word for the access to backend servers and the token of the daemon.
+static const std::string forwardingKey = "forwarding";
+static constexpr std::string_view reachesServersWord = "direct";
+static constexpr std::string_view lostServersWord = "lost";
 static const std::string tableUpdatePrefix = "news/";
 
 static gossip_transport_options transportOptions(const fleet_options& options)
@@ -36,8 +42,15 @@
     };
 }
 
+static std::string newToken()
+{
+    std::random_device random;
+    return fmt::format("{:08x}{:08x}{:08x}", random(), random(), random());
+}
+
 fleet_membership::fleet_membership(const fleet_options& options)
     : m_options(options)
+    , m_forwardingToken(newToken())
     , m_gossip(valueOr([&] { return gossip_transport::start(transportOptions(options)); },
           [](const failure& error) -> std::unique_ptr<gossip_transport> { throw Poco::RuntimeException { describe(error) }; }))
 {
@@ -57,6 +70,11 @@
     m_gossip->publish(readinessKey, acceptsCallers ? takesCallersValue : "no");
 }
 
+void fleet_membership::publishServerAccess(bool reachesServers)
+{
+    m_gossip->publish(forwardingKey, fmt::format("{} {}", reachesServers ? reachesServersWord : lostServersWord, m_forwardingToken));
+}
+
 void fleet_membership::leave()
 {
     m_gossip->leave();
@@ -70,10 +88,15 @@
         if (daemon.state == member_state::Dead || daemon.state == member_state::Left)
             continue;
         const auto record = daemon.records.find(readinessKey);
+        const auto forwarding = daemon.records.find(forwardingKey);
+        const std::string forwardingValue = forwarding == daemon.records.end() ? std::string {} : forwarding->second.bytes;
+        const auto separator = std::min(forwardingValue.find(' '), forwardingValue.size());
         snapshot->daemons.push_back({
             .id = daemon.id,
             .zone = daemon.zone,
             .callerAddress = daemon.http,
+            .forwardingToken = separator < forwardingValue.size() ? forwardingValue.substr(separator + 1) : std::string {},
+            .reachesServers = forwardingValue.substr(0, separator) != lostServersWord,
             .acceptsCallers = record != daemon.records.end() && record->second.bytes == takesCallersValue,
         });
     }
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -20,6 +20,7 @@
 static constexpr int maxPartAgeMs = 3600000; // Longer than crashes count.
 static constexpr double maxRequestsPerSecond = 1e6; // Higher limits never bind.
 static constexpr int maxLimitAgeMs = 3600000; // Longer than limits are published.
+static constexpr int maxContactAgeMs = 60000; // Older contacts show nothing.
 static constexpr std::size_t maxZoneBytes = 64;
 static constexpr std::size_t expectedDatagramBytes = 1200;
 
@@ -65,6 +66,13 @@
         hint.age_ms = static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxLimitAgeMs));
         wire.limits.push_back(hint);
     }
+    for (std::size_t index = 0; index < std::min(hints.contacts.size(), maxContactHints); ++index) {
+        wire.contact_services.push_back(static_cast<std::int32_t>(hints.contacts[index].service));
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(hints.contacts[index].age);
+        wire.contact_ages_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxContactAgeMs)));
+    }
+    for (std::size_t index = 0; index < std::min(hints.askedServices.size(), maxContactHints); ++index)
+        wire.asked_services.push_back(static_cast<std::int32_t>(hints.askedServices[index]));
     return encodeCompact(wire, expectedDatagramBytes);
 }
 
@@ -77,7 +85,8 @@
     const bool hasValidParts = std::all_of(wire.parts.begin(), wire.parts.end(), [](const hints_wire::PartHint& part) { return part.age_ms >= 0 && part.age_ms <= maxPartAgeMs && part.process.size() <= maxServerIdBytes && part.zone.size() <= maxZoneBytes; });
     const bool hasValidLimits = std::all_of(wire.limits.begin(), wire.limits.end(), [](const hints_wire::LimitHint& limit) { return limit.age_ms >= 0 && limit.age_ms <= maxLimitAgeMs && (!limit.__isset.milli_requests_per_second || limit.milli_requests_per_second >= 0); });
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
-    return hasValidLoads && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    const bool hasValidContacts = wire.contact_services.size() == wire.contact_ages_ms.size() && wire.contact_services.size() <= maxContactHints && wire.asked_services.size() <= maxContactHints && std::all_of(wire.contact_ages_ms.begin(), wire.contact_ages_ms.end(), [](int age) { return age >= 0 && age <= maxContactAgeMs; });
+    return hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
 }
 
 std::optional<server_hints> decodeHints(std::string_view bytes)
@@ -86,6 +95,10 @@
     if (!decodeCompact(bytes, static_cast<int>(bytes.size()), wire) || !isValid(wire))
         return std::nullopt;
     server_hints hints;
+    for (std::size_t index = 0; index < wire.contact_services.size(); ++index)
+        hints.contacts.push_back({ .service = static_cast<std::uint32_t>(wire.contact_services[index]), .age = std::chrono::milliseconds { wire.contact_ages_ms[index] } });
+    for (const std::int32_t service : wire.asked_services)
+        hints.askedServices.push_back(static_cast<std::uint32_t>(service));
     for (std::size_t index = 0; index < wire.servers.size(); ++index) {
         const std::chrono::milliseconds age = wire.load_ages_ms.empty() ? assumedLoadAge : std::chrono::milliseconds { wire.load_ages_ms[index] };
         hints.loads.push_back({ .server = static_cast<std::uint32_t>(wire.servers[index]), .requests = wire.loads[index], .age = age });
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -51,10 +51,10 @@
         const auto begin = hints.limits.begin() + static_cast<std::ptrdiff_t>(index);
         sendDatagram({ .limits = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxLimitHints, limitEnd - index)) } }, fleet);
     }
-    if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty())
+    if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty() && hints.askedServices.empty())
         return;
     const std::size_t first = std::min(hints.crashes.size(), maxCrashHints);
-    sendDatagram({ .loads = hints.loads, .crashes = { hints.crashes.begin(), hints.crashes.begin() + static_cast<std::ptrdiff_t>(first) }, .promptHolders = hints.promptHolders }, fleet);
+    sendDatagram({ .loads = hints.loads, .crashes = { hints.crashes.begin(), hints.crashes.begin() + static_cast<std::ptrdiff_t>(first) }, .promptHolders = hints.promptHolders, .contacts = hints.contacts, .askedServices = hints.askedServices }, fleet);
     const std::size_t end = std::min(hints.crashes.size(), maxCrashesPerRound);
     for (std::size_t index = first; index < end; index += maxCrashHints) {
         const auto begin = hints.crashes.begin() + static_cast<std::ptrdiff_t>(index);
@@ -74,15 +74,23 @@
     std::vector<const fleet_daemon*> recipients;
     std::sample(peers.begin(), peers.end(), std::back_inserter(recipients), hints.crashes.empty() && hints.parts.empty() ? m_options.peersPerRound : peers.size(), random);
     const std::string datagram = encodeHints(hints);
+    for (const fleet_daemon* peer : recipients)
+        sendBytes(datagram, peer->callerAddress.substr(0, peer->callerAddress.find(':')));
+}
+
+void hint_exchange::sendTo(const server_hints& hints, const std::string& host)
+{
+    sendBytes(encodeHints(hints), host);
+}
+
+void hint_exchange::sendBytes(const std::string& datagram, const std::string& host)
+{
     const std::string port = m_options.address.substr(m_options.address.find(':'));
-    for (const fleet_daemon* peer : recipients) {
-        const std::string host = peer->callerAddress.substr(0, peer->callerAddress.find(':'));
-        try {
-            m_socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), Poco::Net::SocketAddress { host + port });
-        } catch (const Poco::Exception& error) {
-            // Delivery is best effort: the next round sends newer hints.
-            spdlog::debug("event=hint_not_sent peer={} error=\"{}\"", host, error.displayText());
-        }
+    try {
+        m_socket.sendTo(datagram.data(), static_cast<int>(datagram.size()), Poco::Net::SocketAddress { host + port });
+    } catch (const Poco::Exception& error) {
+        // Delivery is best effort: the next round sends newer hints.
+        spdlog::debug("event=hint_not_sent peer={} error=\"{}\"", host, error.displayText());
     }
 }
 
@@ -100,7 +108,7 @@
             const int count = m_socket.receiveFrom(datagram.data(), datagram.size(), sender);
             const auto hints = decodeHints({ datagram.data(), static_cast<std::size_t>(std::max(count, 0)) });
             if (hints)
-                m_options.onReceive(*hints);
+                m_options.onReceive(*hints, sender.host().toString());
             else
                 spdlog::debug("event=hint_not_read peer={} bytes={}", sender.toString(), count);
         } catch (const Poco::TimeoutException&) {
--- a/lib/Metrics/relay_metrics.cpp
+++ b/lib/Metrics/relay_metrics.cpp
@@ -17,6 +17,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter().Name("radishflow_requests_total").Help("Requests by service and outcome.").Register(registry);
     prometheus::Family<prometheus::Counter>& sends = prometheus::BuildCounter().Name("radishflow_sends_total").Help("Sends to backend servers by service.").Register(registry);
+    prometheus::Family<prometheus::Counter>& forwarded = prometheus::BuildCounter().Name("radishflow_forwarded_total").Help("Requests forwarded between daemons by direction and outcome; received ones also count as requests.").Register(registry);
     prometheus::Family<prometheus::Counter>& prompts = prometheus::BuildCounter().Name("radishflow_prompts_total").Help("Sent requests with a shared prompt by service and where the server has it from.").Register(registry);
     prometheus::Family<prometheus::Histogram>& firstBytes = prometheus::BuildHistogram().Name("radishflow_first_bytes_seconds").Help("From the request to the first bytes of its answer.").Register(registry);
     prometheus::Family<prometheus::Histogram>& total = prometheus::BuildHistogram().Name("radishflow_request_seconds").Help("From the request to the end of its answer.").Register(registry);
@@ -39,6 +40,10 @@
 {
     const std::string& service = record.service.value();
     m_state->requests.Add({ { "service", service }, { "outcome", record.outcome } }).Increment();
+    if (!record.forwardedTo.empty())
+        m_state->forwarded.Add({ { "direction", "sent" }, { "outcome", record.outcome } }).Increment();
+    if (!record.forwardedFrom.empty())
+        m_state->forwarded.Add({ { "direction", "received" }, { "outcome", record.outcome } }).Increment();
     if (record.sends > 0)
         m_state->sends.Add({ { "service", service } }).Increment(record.sends);
     if (record.sends > 0 && record.prompt != "none")
--- a/lib/Relay/attempt_history.cpp
+++ b/lib/Relay/attempt_history.cpp
@@ -10,11 +10,16 @@
 // Time after which a server is likely to have capacity again, or a new server to be listed.
 static constexpr std::chrono::milliseconds noServerRetryAfter { 250 };
 
-bool canResend(const route& route, const attempt_history& history)
+bool mayRunAgain(const route& route, const attempt_history& history)
 {
     if (history.mayHaveRun > 0 && !isRepeatable(route))
         return false;
-    return history.mayHaveRun < route.attempts && history.notRun < maxNotRun;
+    return history.mayHaveRun < route.attempts;
+}
+
+bool canResend(const route& route, const attempt_history& history)
+{
+    return mayRunAgain(route, history) && history.notRun < maxNotRun;
 }
 
 refusal refusalForAttempts(const attempt_history& history, bool isDeadlineOver)
--- a/lib/Relay/caller_listener.cpp
+++ b/lib/Relay/caller_listener.cpp
@@ -136,7 +136,8 @@
             return;
         // No worker has read the request, so the response may state that it was not run. The send does not wait.
         std::size_t sent = 0;
-        sharedConnection->socket.send(options.overloadResponse, boottime_clock {}.now(), nullptr, &sent);
+        const std::string& own = endpoints[sharedConnection->endpoint].overloadResponse;
+        sharedConnection->socket.send(own.empty() ? options.overloadResponse : own, boottime_clock {}.now(), nullptr, &sent);
         sharedConnection->socket.shutdownSend();
         close(*sharedConnection);
     }
--- a/lib/Relay/relay_log.cpp
+++ b/lib/Relay/relay_log.cpp
@@ -93,8 +93,8 @@
             return;
     }
     const auto level = record.isServed() ? spdlog::level::info : spdlog::level::warn;
-    spdlog::log(level, "event=request request={} resumes={} route={} workspace={} service={} fingerprint={} outcome={} reason=\"{}\" status={} sends={} servers=\"{}\" prompt={} load={:.1f} mean_load={:.1f} load_age_ms={:.0f} reports={}/{} eligible={} config={} config_age_ms={:.0f} fleet={} first_ms={:.1f} total_ms={:.1f} left_out={}",
-        record.request.value(), record.resumes.value(), record.route, record.workspace.value(), record.service.value(), record.fingerprint, record.outcome, record.reason, record.status, record.sends, record.servers, record.prompt,
+    spdlog::log(level, "event=request request={} resumes={} route={} workspace={} service={} fingerprint={} outcome={} reason=\"{}\" status={} from={} via={} sends={} servers=\"{}\" prompt={} load={:.1f} mean_load={:.1f} load_age_ms={:.0f} reports={}/{} eligible={} config={} config_age_ms={:.0f} fleet={} first_ms={:.1f} total_ms={:.1f} left_out={}",
+        record.request.value(), record.resumes.value(), record.route, record.workspace.value(), record.service.value(), record.fingerprint, record.outcome, record.reason, record.status, record.forwardedFrom.value(), record.forwardedTo.value(), record.sends, record.servers, record.prompt,
         record.serverLoad, record.meanLoad, record.loadReportAge ? milliseconds(*record.loadReportAge) : -1, record.reportedCandidates, record.candidates, record.eligibleServers, record.config.value(), milliseconds(record.configAge), record.fleetSize, record.firstBytes ? milliseconds(*record.firstBytes) : -1, milliseconds(record.total), suppressedLines);
 }
 
--- a/lib/Relay/response_text.cpp
+++ b/lib/Relay/response_text.cpp
@@ -2,6 +2,7 @@
 #include "radishflow/Relay/response_text.h"
 
 #include "radishflow/Edge/problem_details.h"
+#include "radishflow/Relay/forwarding_fields.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <spdlog/fmt/fmt.h>
@@ -27,20 +28,21 @@
         text += "Connection: close\r\n";
 }
 
-std::string writeResponseHead(const response_head& head, std::optional<std::size_t> bodyBytes, bool keepsOpen)
+std::string writeResponseHead(const response_head& head, std::optional<std::size_t> bodyBytes, bool keepsOpen, std::string_view extraFields)
 {
     std::string text = statusLine(head.status, head.reason);
     for (const header_field& field : head.fields.all) {
-        if (isHopByHop(head.fields, field.name) || equalsIgnoringCase(field.name, "Content-Length"))
+        if (isHopByHop(head.fields, field.name) || isForwardingField(field.name) || equalsIgnoringCase(field.name, "Content-Length"))
             continue;
         text.append(field.name).append(": ").append(field.value).append("\r\n");
     }
     text += bodyBytes ? fmt::format("Content-Length: {}\r\n", *bodyBytes) : "Transfer-Encoding: chunked\r\n";
+    text += extraFields;
     appendConnection(text, keepsOpen);
     return text += "\r\n";
 }
 
-std::string writeRefusal(const refusal& reason, const request_id& request, bool keepsOpen)
+std::string writeRefusal(const refusal& reason, const request_id& request, bool keepsOpen, std::string_view extraFields)
 {
     const std::string body = problemDetails(reason, request);
     std::string text = statusLine(reason.status, reasonOf(reason.status));
@@ -48,6 +50,7 @@
     // Retry-After carries fractions of a second, so that callers can retry as soon as there is capacity.
     if (reason.retryAfter.count() > 0)
         text += fmt::format("Retry-After: {:.3f}\r\n", std::chrono::duration<double>(reason.retryAfter).count());
+    text += extraFields;
     appendConnection(text, keepsOpen);
     return text += "\r\n" + body;
 }
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -66,9 +66,19 @@
     const io_outcome outcome = relay_socket::connect(m_options.server.address, deadline, &m_options.caller, m_socket);
     if (outcome == io_outcome::CallerGone)
         return exchange_state::CallerGone;
+    if (outcome == io_outcome::Done && m_options.access)
+        m_options.access->recordConnected();
     return outcome == io_outcome::Done ? exchange_state::Succeeded : exchange_state::NotSent;
 }
 
+io_outcome server_exchange::receive(time_point deadline)
+{
+    const io_outcome outcome = m_socket.receive(deadline, &m_options.caller);
+    if (outcome == io_outcome::Done && m_options.access)
+        m_options.access->recordContact();
+    return outcome;
+}
+
 exchange_state server_exchange::start(std::string_view head, std::string_view body, std::function<bool(const response_head&)> belongsToRequest)
 {
     m_belongsToRequest = std::move(belongsToRequest);
@@ -122,7 +132,7 @@
         }
         if (parsed != parse_state::Incomplete)
             return exchange_state::MayHaveRun;
-        const io_outcome outcome = m_socket.receive(m_options.headDeadline, &m_options.caller);
+        const io_outcome outcome = receive(m_options.headDeadline);
         if (outcome != io_outcome::Done)
             return exchangeStateOf(outcome);
     }
@@ -166,7 +176,7 @@
             return body_read_result::Broken;
         if (output.size() > before)
             return body_read_result::Data;
-        switch (m_socket.receive(m_options.deadline, &m_options.caller)) {
+        switch (receive(m_options.deadline)) {
         case io_outcome::Done:
             continue;
         case io_outcome::Ended:
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -38,4 +38,10 @@
   5: list<i32> homes
   7: list<PartHint> parts
   8: list<LimitHint> limits
+  // Parallel lists: the hash of a service's id, and how long ago the sender reached a backend server of it. Services whose servers
+  // it does not reach are left out.
+  9: list<i32> contact_services
+  10: list<i32> contact_ages_ms
+  // Services whose servers the sender does not reach; it asks whether the receiver does.
+  11: list<i32> asked_services
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -8,6 +8,8 @@
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
 #include "radishflow/Relay/relay_session.h"
+#include "radishflow/Relay/server_access.h"
+#include "radishflow/Routing/caller_addresses.h"
 #include "radishflow/Routing/version_history.h"
 #include "radishflow/Threads/periodic_task.h"
 
@@ -46,6 +48,9 @@
 // If the operator sets no strict bound, keys are trusted for as long as the process runs.
 static constexpr std::chrono::hours unboundedKeyTrust { 24 * 365 };
 static constexpr std::chrono::milliseconds overloadRetryAfter { 500 };
+// Requests of other daemons are served only while fewer than three quarters of the workers are busy.
+static constexpr int busyNumerator = 3;
+static constexpr int busyDenominator = 4;
 
 static std::string withPort(const std::string& address, std::uint16_t port)
 {
@@ -69,9 +74,11 @@
     response_memory bufferedResponses;
     stop_state stop;
     relay_metrics metrics;
-    relay_context parts;
     fleet_membership fleet;
+    server_access access; // Uses the hints once requests are served.
     hint_exchange hints;
+    forwarding_settings forwarding;
+    relay_context parts;
     crash_table crashRows;
     platform_feed feed;
     daemon_registry rows;
@@ -94,20 +101,17 @@
         , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .origins = origins, .bufferedResponses = bufferedResponses, .stop = stop, .metrics = metrics }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
-        , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received) {
-                      balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
-                      balancer.mergePromptUpdates(received.promptHolders);
-                      if (const auto servers = routing.servers(); servers && !received.limits.empty())
-                          balancer.recordPeerLimits(*servers, received.limits);
-                      crashes.merge(received.crashes);
-                      crashes.mergeParts(received.parts); } })
+        , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onRecovery = [](const service_id&) {} })
+        , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
+        , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .bufferedResponses = bufferedResponses, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
         seedFleet(options.platform.seedAddresses);
+        fleet.publishServerAccess(true);
         listener = std::make_unique<caller_listener>(endpoints(), listenerOptions());
         refreshTask = std::make_unique<periodic_task>(refreshInterval, [this] { refresh(); });
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetryInterval }, [this] { announce(); });
@@ -116,6 +120,24 @@
         crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
     }
 
+    void receiveHints(const server_hints& received, const std::string& host)
+    {
+        if (!received.askedServices.empty()) {
+            access.refreshContacts(received.askedServices);
+            hints.sendTo({ .contacts = access.contacts() }, host);
+        }
+        for (const std::uint32_t service : received.askedServices)
+            access.peers().recordStatement(host, service, std::nullopt);
+        for (const service_contact& contact : received.contacts)
+            access.peers().recordStatement(host, contact.service, contact.age);
+        balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
+        balancer.mergePromptUpdates(received.promptHolders);
+        if (const auto servers = routing.servers(); servers && !received.limits.empty())
+            balancer.recordPeerLimits(*servers, received.limits);
+        crashes.merge(received.crashes);
+        crashes.mergeParts(received.parts);
+    }
+
     // A service whose servers have had only one version for long needs no record of its streams, such as after a restart of
     // all daemons that had one. A daemon that no longer learns of changes cannot know that.
     std::optional<version_key> findOrigin(const service_id& service, const request_id& request)
@@ -151,6 +173,11 @@
         fleet.seed(peers);
     }
 
+    static std::string overloadResponse(std::string_view extraFields)
+    {
+        return writeRefusal({ .title = "Too many requests at once", .detail = "this daemon serves no more now", .retryAfter = overloadRetryAfter }, {}, false, extraFields);
+    }
+
     caller_listener_options listenerOptions() const
     {
         const std::size_t descriptors = options.platform.maxDescriptors;
@@ -160,7 +187,7 @@
             .idleTimeout = [this] {
                 const auto routes = routing.routes();
                 return routes ? routes->limits().idleTimeout : caller_limits {}.idleTimeout; },
-            .overloadResponse = writeRefusal({ .title = "Too many requests at once", .detail = "this daemon serves no more now", .retryAfter = overloadRetryAfter }, {}, false),
+            .overloadResponse = overloadResponse({}),
         };
     }
 
@@ -171,6 +198,9 @@
         };
         return {
             { .address = options.platform.callerAddress, .serve = [this](relay_socket& caller) { return serveCaller(protocol, parts, caller); } },
+            { .address = withPort(options.platform.ip, forwardingPort(options.platform)),
+                .serve = [this](relay_socket& peer) { return serveForwarded(protocol, parts, peer); },
+                .overloadResponse = overloadResponse(writeForwardedFields({ .execution = execution_state::NotRun, .scope = refusal_scope::Capacity })) },
             documents(options.platform.readinessAddress, &state::readinessPage),
             documents(options.platform.lookupAddress, &state::lookupPage),
             documents(withPort(options.platform.ip, options.metricsPort), &state::metricsPage),
@@ -188,19 +218,8 @@
     {
         if (!isLookupTarget(target))
             return { .status = 404, .contentType = "text/plain", .body = "not found\n" };
-        const auto view = routing.fleet();
-        std::vector<std::string> readyAddresses;
-        std::vector<std::string> allAddresses;
-        for (const fleet_daemon& daemon : view->daemons) {
-            const bool isSelf = daemon.id == view->self;
-            if (isSelf && stop.isStopping())
-                continue;
-            allAddresses.push_back(daemon.callerAddress);
-            if (isSelf ? isReady.load() : daemon.acceptsCallers)
-                readyAddresses.push_back(daemon.callerAddress);
-        }
-        // If no daemon is known to be ready, callers get all addresses, since any address is better than none.
-        return { .status = 200, .body = writeLookupResponse(readyAddresses.empty() ? allAddresses : readyAddresses, lookupLifetime) };
+        const auto addresses = callerAddresses(*routing.fleet(), { .isReady = isReady.load(), .isStopping = stop.isStopping(), .reachesServers = !access.hasLostAll() });
+        return { .status = 200, .body = writeLookupResponse(addresses, lookupLifetime) };
     }
 
     document peerChangesPage(const std::string& target)
@@ -215,6 +234,7 @@
         metrics.setGauge("fleet_size", static_cast<double>(routing.fleet()->size));
         metrics.setGauge("config_age_seconds", std::chrono::duration<double>(freshness.age(clock.now())).count());
         metrics.setGauge("follows_store", feed.isFollower() ? 1 : 0);
+        metrics.setGauge("unavailable_services", static_cast<double>(access.unavailableServices()));
         metrics.setGauge("limited_servers", static_cast<double>(balancer.limitedServers()));
         const auto routes = routing.routes();
         metrics.setGauge("config_version", routes ? static_cast<double>(routes->version().value()) : 0);
@@ -237,7 +257,7 @@
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
         crashRows.add(newCrashes);
         crashRows.change(crashes.takePartTableChanges(), clock.now());
-        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence() }, *view);
+        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts() }, *view);
         for (const limit_event& event : balancer.takeLimitEvents())
             logLimitEvent(event);
         const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <random>
@@ -92,6 +93,17 @@
 }
 
 // A daemon that was suspended publishes old reports; its datagram must stay readable, since it may also hold crashes.
+BOOST_AUTO_TEST_CASE(contactsAndQuestionsAreDecodedAsEncoded)
+{
+    const auto decoded = decodeHints(encodeHints({ .contacts = { { .service = 7, .age = 40ms }, { .service = 8, .age = 10h } }, .askedServices = { 9 } }));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_REQUIRE(decoded->contacts.size() == 2U);
+    BOOST_TEST(decoded->contacts.front().service == 7U);
+    BOOST_TEST((decoded->contacts.front().age == 40ms));
+    BOOST_TEST((decoded->contacts.back().age == 60s));
+    BOOST_TEST(decoded->askedServices == std::vector<std::uint32_t> { 9 }, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(agesBeyondTheMaximumAreReduced)
 {
     const auto decoded = decodeHints(encodeHints({ .loads = { { .server = 1, .requests = 2, .age = 10h } } }));
@@ -119,11 +131,13 @@
     constexpr int port = 28471;
     std::mutex mutex;
     std::vector<shared_load> received;
-    const auto recordLoads = [&](const server_hints& hints) {
+    std::atomic<bool> isFromSender = false;
+    const auto recordLoads = [&](const server_hints& hints, const std::string& host) {
+        isFromSender = host == "127.0.0.21";
         const std::lock_guard lock { mutex };
         received.insert(received.end(), hints.loads.begin(), hints.loads.end());
     };
-    hint_exchange one { { .address = "127.0.0.21:" + std::to_string(port), .onReceive = [](const server_hints&) {} } };
+    hint_exchange one { { .address = "127.0.0.21:" + std::to_string(port), .onReceive = [](const server_hints&, const std::string&) {} } };
     hint_exchange two { { .address = "127.0.0.22:" + std::to_string(port), .onReceive = recordLoads } };
     const fleet_view fleet { .self = daemon_id { "one" }, .daemons = { { .id = daemon_id { "one" }, .callerAddress = "127.0.0.21:1" }, { .id = daemon_id { "two" }, .callerAddress = "127.0.0.22:1" } } };
     one.send({ .loads = { { .server = 5, .requests = 7 } } }, fleet);
@@ -134,6 +148,7 @@
             break;
     }
     const std::lock_guard lock { mutex };
+    BOOST_TEST(isFromSender);
     BOOST_REQUIRE(received.size() == 1U);
     BOOST_TEST(received.front().server == 5U);
     BOOST_TEST(received.front().requests == 7);
