relay: a cut of this daemon's path is not taken for crashes and failures of servers

What callers saw: after the paths of one daemon were reset with requests in flight, all daemons refused an order with the same content for 30 minutes ("Request crashes servers"), although no server had crashed. After the cut had healed, servers stayed skipped.

Cause: a broken connection whose host refuses new ones was recorded as a crash of the server. While the path of a daemon is cut, that holds for all servers.

Change: a crash is suspected first, and recorded 30 ms later if another server of the service, which is not suspected itself, is reached. Otherwise the attempt counts as abandoned, so that a restarted process in the list still shows the crash. A request whose next crash would quarantine it waits for the decision before it is resent. When servers are reached again, the failures recorded of them are forgotten.

--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -36,6 +36,8 @@
     void recordServed(const request_identity&);
     /// Returns whether a part of the prompt was in flight at a crash and has not been cleared since.
     bool hasSuspectParts(const request_identity&) const;
+    /// Returns whether one crash is recorded of the request, or of a part of its prompt, so that a further one may quarantine it.
+    bool isSuspect(const request_identity&) const;
     /// Returns whether a part of the prompt crashes servers.
     bool hasQuarantinedParts(const request_identity&) const;
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -56,11 +56,12 @@
     std::optional<refusal> refusalWhileStopping() const;
     /// Connects to a server and closes the connection; returns Broken if the host refuses it.
     static io_outcome probe(const listed_server&);
-    /// Records a crash if the host of the server, whose connection broke, refuses connections.
+    /// Records that the connection to a server broke; suspects a crash if its host refuses new ones.
     void recordIfCrashed(const listed_server&);
-    /// Returns whether the host of the server, whose connection broke, refuses connections while other servers accept them.
-    bool hasCrashed(const listed_server&);
     void recordAbandoned(const listed_server&);
+    void suspectCrash(const listed_server&);
+    /// Waits for the decision on a suspected crash if it may quarantine the request.
+    void awaitCrashDecision();
     void finishAttempt(const listed_server&, server_outcome);
     request_identity identify() const;
     std::optional<refusal> refusalForQuarantine() const;
@@ -124,6 +125,8 @@
     bool m_isResponseComplete = false;
     std::size_t m_bufferedBytes = 0; ///< Counted in the daemon's bufferedResponses.
     int m_contactedServers = 0; ///< Number of attempts that sent the request to a server.
+    server_id m_suspectedServer; ///< Server that may have crashed in the last attempt; empty if none.
+    int m_suspectedCrashes = 0;
     int m_attempts = 0; ///< Number of attempts at servers and other daemons.
     std::vector<daemon_id> m_triedPeers;
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -100,6 +100,7 @@
         m_context.retries.countRequest(m_admitted.service);
     while (true) {
         const bool isResend = m_attempts++ > 0;
+        awaitCrashDecision();
         if (const auto problem = isResend ? refusalForQuarantine() : std::nullopt) {
             m_record.reason = problem->title;
             return sendFailure();
@@ -162,16 +163,25 @@
 {
     if (m_peer)
         return;
-    if (hasCrashed(server))
-        m_context.crashes.recordCrash(m_identity, server);
-    else
-        m_context.crashes.recordAbandoned(m_identity, server);
+    recordAbandoned(server);
+    if (probe(server) == io_outcome::Broken)
+        suspectCrash(server);
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::suspectCrash(const listed_server& server)
+{
+    m_suspectedServer = server.id;
+    ++m_suspectedCrashes;
+    m_context.access.suspectCrash(server);
 }
 
 template <relay_protocol Protocol>
-bool relay_call<Protocol>::hasCrashed(const listed_server& server)
+void relay_call<Protocol>::awaitCrashDecision()
 {
-    return probe(server) == io_outcome::Broken;
+    const server_id server = std::exchange(m_suspectedServer, {});
+    if (!server.empty() && (m_suspectedCrashes > 1 || m_context.crashes.isSuspect(m_identity)))
+        m_context.access.awaitCrashDecision(server);
 }
 
 template <relay_protocol Protocol>
@@ -397,8 +407,8 @@
         --m_contactedServers;
         if (now() < m_deadline)
             m_context.access.recordConnectFailure(server);
-        if (m_context.crashes.hasAbandonedAt(server) && hasCrashed(server))
-            m_context.crashes.recordCrash(server);
+        if (m_context.crashes.hasAbandonedAt(server) && probe(server) == io_outcome::Broken)
+            m_context.access.suspectCrash(server);
         return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
     case exchange_state::MayHaveRun:
         recordIfCrashed(server);
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -104,7 +104,8 @@
     case io_outcome::Done:
         return m_context.crashes.recordServed(m_identity);
     case io_outcome::Broken:
-        return m_context.crashes.recordCrash(m_identity, server);
+        recordAbandoned(server);
+        return suspectCrash(server);
     default:
         return recordAbandoned(server);
     }
--- a/include/radishflow/Relay/server_access.h
+++ b/include/radishflow/Relay/server_access.h
@@ -19,8 +19,10 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace radishflow {
@@ -28,6 +30,7 @@
 struct server_access_handlers {
     std::function<void(const std::vector<std::uint32_t>& services)> askPeers; ///< Asks other daemons whether they reach servers of the services, given as hashes; answers arrive at peers().
     std::function<void(bool hasLostAll)> onChange; ///< Called when hasLostAll() changes.
+    std::function<void(const listed_server&)> onCrash; ///< Called when a suspected crash is confirmed.
     std::function<void(const service_id&)> onRecovery; ///< Called when servers of a service are reached again, also if all of them were down.
 };
 
@@ -52,9 +55,11 @@
     bool awaitDecision(const service_id&, const std::function<bool()>& isCancelled);
     /// Returns whether access to all services that this daemon has used lately is lost.
     bool hasLostAll();
-    /// Returns whether a connection to another server is established, which shows that the given one has failed rather than the path
-    /// of this daemon.
-    bool reachesOtherServer(const listed_server& failed);
+    /// Records that a server's connection broke and its host refuses new ones. That is a crash if another server is still reached
+    /// shortly after; otherwise the path of this daemon may have failed.
+    void suspectCrash(const listed_server&);
+    /// Waits until it is decided whether a suspected server has crashed.
+    void awaitCrashDecision(const server_id&);
     /// Requests probes for those of the services, given as hashes, of which no server was reached for some time.
     void refreshContacts(const std::vector<std::uint32_t>& services);
     /// Returns the contacts to publish: those of the services whose servers this daemon reaches.
@@ -71,7 +76,6 @@
         }
 
         server_access_monitor<boottime_clock> monitor;
-        std::atomic<time_point> otherServerReachedAt { time_point {} };
         // Used by the thread only.
         bool wasLost = false; ///< As last logged.
         time_point nextQuestionAt {};
@@ -81,6 +85,9 @@
 
     void run();
     void wake();
+    void confirmCrashes();
+    /// Returns whether a server that is not suspected is reached, of the service if it has any.
+    bool reachesOtherServer(const service_id&, const std::set<server_id>& suspects) const;
     void runProbes(const service_id&, service_state&);
     bool probe(const service_id&, bool isRepeated) const;
     bool isQuestionDue(const service_id&, service_state&);
@@ -88,8 +95,7 @@
     service_state& stateOf(const service_id&);
     std::vector<service_entry*> services();
     std::int64_t millisecondsSince(time_point) const;
-    /// Returns addresses of random listed servers of the service, without the given one.
-    std::vector<std::string> sampleServers(const service_id&, std::size_t count, const server_id& excluded) const;
+    static std::vector<std::string> sampleAddresses(const std::vector<const listed_server*>&, std::size_t count);
     /// Connects to the addresses at once; returns whether any connection is established in time.
     static bool connectAny(const std::vector<std::string>& addresses, std::chrono::milliseconds timeout);
 
@@ -101,6 +107,7 @@
     std::map<service_id, std::unique_ptr<service_state>> m_services; ///< Entries are never removed.
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    std::map<server_id, std::pair<listed_server, time_point>> m_suspects; ///< Servers that may have crashed, and when to confirm it; guarded by m_mutex.
     bool m_isWoken = false;
     bool m_isStopping = false;
     bool m_hadLostAll = false; ///< As last reported; used by the thread only.
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -88,6 +88,21 @@
             ejectIfFailing(record, health, now);
     }
 
+    /// Discards the failures recorded for the servers of a service, since they were failures of this daemon's path to them.
+    void forgetFailures(const service_id& service)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_health.erase(service);
+        for (auto& [id, record] : m_records) {
+            if (record.service != service)
+                continue;
+            record.consecutiveUnreachable = 0;
+            record.unreachableUntil = {};
+            record.ejectedUntil = {};
+            record.failed = {};
+        }
+    }
+
     /// Records that the server has said that it leaves; this process of it gets no more requests.
     void recordLeaving(const listed_server& server)
     {
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -130,6 +130,12 @@
     return m_parts.hasSuspect(request.sharedParts);
 }
 
+bool crash_quarantine::isSuspect(const request_identity& request) const
+{
+    const std::lock_guard lock { m_mutex };
+    return m_quarantine.stateOf(request.content) == quarantine_state::Suspect || m_parts.hasSuspect(request.sharedParts);
+}
+
 bool crash_quarantine::hasQuarantinedParts(const request_identity& request) const
 {
     const std::lock_guard lock { m_mutex };
--- a/lib/Relay/server_access.cpp
+++ b/lib/Relay/server_access.cpp
@@ -31,8 +31,9 @@
 // Time for the probes, and for the answers of other daemons to arrive.
 static constexpr std::chrono::milliseconds maxDecisionTime { 700 };
 static constexpr std::chrono::milliseconds decisionPollInterval { 10 };
-// Connections of one daemon to a server that crashed break within this time.
-static constexpr std::chrono::milliseconds breakSpread { 20 };
+// The paths of a daemon to all servers may be cut one after the other within this time.
+static constexpr std::chrono::milliseconds crashConfirmationDelay { 30 };
+static constexpr std::chrono::milliseconds maxCrashDecisionTime { 250 };
 static constexpr std::chrono::milliseconds maxIdleContactAge { 200 };
 static constexpr std::chrono::milliseconds maxQuestionDelay { 1000 };
 static constexpr std::chrono::seconds maxPublishedAge { 10 }; // Older contacts are of no use to other daemons.
@@ -131,23 +132,70 @@
     return true;
 }
 
-bool server_access::reachesOtherServer(const listed_server& failed)
+void server_access::suspectCrash(const listed_server& server)
 {
-    service_state& state = stateOf(failed.service);
-    if (state.monitor.state() != server_access_state::Available)
-        return false;
-    const time_point began = m_clock.now();
-    if (began - state.otherServerReachedAt.load() < breakSpread)
-        return true;
-    const auto others = sampleServers(failed.service, otherServersToProbe, failed.id);
-    if (others.empty())
-        return true;
-    if (!connectAny(others, otherServerTimeout)) {
-        recordConnectFailure(failed);
+    const std::lock_guard lock { m_mutex };
+    m_suspects.try_emplace(server.id, server, m_clock.now() + crashConfirmationDelay);
+    m_isWoken = true;
+    m_changed.notify_all();
+}
+
+void server_access::awaitCrashDecision(const server_id& server)
+{
+    const time_point deadline = m_clock.now() + maxCrashDecisionTime;
+    while (m_clock.now() < deadline) {
+        {
+            const std::lock_guard lock { m_mutex };
+            if (!m_suspects.contains(server))
+                return;
+        }
+        std::this_thread::sleep_for(decisionPollInterval);
+    }
+}
+
+// While the path of this daemon is cut, all hosts seem to refuse connections, but not all from the same moment on.
+void server_access::confirmCrashes()
+{
+    std::set<server_id> suspects;
+    std::vector<listed_server> due;
+    {
+        const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
+        for (const auto& [id, suspect] : m_suspects) {
+            suspects.insert(id);
+            if (suspect.second <= now)
+                due.push_back(suspect.first);
+        }
+    }
+    std::map<service_id, bool> reached;
+    for (const listed_server& server : due) {
+        const auto [entry, isNew] = reached.try_emplace(server.service, false);
+        if (isNew)
+            entry->second = stateOf(server.service).monitor.state() == server_access_state::Available && reachesOtherServer(server.service, suspects);
+        if (entry->second)
+            m_handlers.onCrash(server);
+        else
+            spdlog::info("event=crash_not_confirmed server={} suspects={}", server.id.value(), suspects.size());
+    }
+    const std::lock_guard lock { m_mutex };
+    for (const listed_server& server : due)
+        m_suspects.erase(server.id);
+}
+
+bool server_access::reachesOtherServer(const service_id& service, const std::set<server_id>& suspects) const
+{
+    const auto list = m_routing.servers();
+    if (!list)
         return false;
+    std::vector<const listed_server*> others = list->serversOf(service);
+    const auto isSuspected = [&](const listed_server* server) { return suspects.contains(server->id); };
+    std::erase_if(others, isSuspected);
+    if (others.empty()) {
+        for (const auto& [id, server] : list->servers)
+            others.push_back(&server);
+        std::erase_if(others, isSuspected);
     }
-    state.otherServerReachedAt = began;
-    return true;
+    return !others.empty() && connectAny(sampleAddresses(others, otherServersToProbe), otherServerTimeout);
 }
 
 void server_access::refreshContacts(const std::vector<std::uint32_t>& hashes)
@@ -187,20 +235,16 @@
     return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [](const service_entry* entry) { return entry->second->monitor.state() == server_access_state::Unavailable; }));
 }
 
-std::vector<std::string> server_access::sampleServers(const service_id& service, std::size_t count, const server_id& excluded) const
+std::vector<std::string> server_access::sampleAddresses(const std::vector<const listed_server*>& servers, std::size_t count)
 {
     static thread_local std::minstd_rand random { std::random_device {}() };
-    const auto list = m_routing.servers();
+    std::vector<const listed_server*> chosen;
+    std::sample(servers.begin(), servers.end(), std::back_inserter(chosen), count, random);
     std::vector<std::string> addresses;
-    if (list) {
-        for (const listed_server* server : list->serversOf(service)) {
-            if (server->id != excluded)
-                addresses.push_back(server->address);
-        }
-    }
-    std::vector<std::string> chosen;
-    std::sample(addresses.begin(), addresses.end(), std::back_inserter(chosen), count, random);
-    return chosen;
+    addresses.reserve(chosen.size());
+    for (const listed_server* server : chosen)
+        addresses.push_back(server->address);
+    return addresses;
 }
 
 bool server_access::connectAny(const std::vector<std::string>& addresses, std::chrono::milliseconds timeout)
@@ -238,7 +282,8 @@
 // Without listed servers there is nothing to reach, and nothing to forward.
 bool server_access::probe(const service_id& service, bool isRepeated) const
 {
-    const auto addresses = sampleServers(service, isRepeated ? serversPerProbe : 1, {});
+    const auto list = m_routing.servers();
+    const auto addresses = list ? sampleAddresses(list->serversOf(service), isRepeated ? serversPerProbe : 1) : std::vector<std::string> {};
     return addresses.empty() || connectAny(addresses, isRepeated ? probeTimeout : firstProbeTimeout);
 }
 
@@ -247,6 +292,7 @@
     std::unique_lock lock { m_mutex };
     while (!m_isStopping) {
         lock.unlock();
+        confirmCrashes();
         std::vector<std::uint32_t> askedServices;
         bool isAnyDoubtful = false;
         for (service_entry* entry : services()) {
@@ -262,7 +308,9 @@
         if (const bool hasLostAllNow = hasLostAll(); std::exchange(m_hadLostAll, hasLostAllNow) != hasLostAllNow)
             m_handlers.onChange(hasLostAllNow);
         lock.lock();
-        m_changed.wait_for(lock, isAnyDoubtful ? unavailableInterval : checkInterval, [this] { return m_isStopping || m_isWoken; });
+        m_changed.wait_for(lock, !m_suspects.empty() ? crashConfirmationDelay : isAnyDoubtful ? unavailableInterval
+                                                                                              : checkInterval,
+            [this] { return m_isStopping || m_isWoken; });
         m_isWoken = false;
     }
 }
--- a/test/Relay/lost_server_paths_test.cpp
+++ b/test/Relay/lost_server_paths_test.cpp
@@ -171,3 +171,24 @@
 {
     expectServedDuringCut(testCase, 3, {});
 }
+
+BOOST_AUTO_TEST_CASE(resetOfAllPathsIsNotTakenForCrashesOfServers)
+{
+    relay_fleet fleet { { .daemons = 3, .servers = 6, .hasServerPaths = true, .behaviour = { .pause = 400ms } } };
+    const std::string body = "the same order";
+    std::vector<std::thread> callers;
+    for (int number = 0; number < 12; ++number) {
+        callers.emplace_back([&, number] {
+            httpCall({ .method = "POST", .url = "http://" + fleet.callerAddress(0) + "/order/a", .headers = headersOf({ .id = "o" + std::to_string(number), .key = relay_fleet::key, .timeLeft = 4s }), .body = body });
+        });
+    }
+    std::this_thread::sleep_for(200ms);
+    fleet.setServerPaths(0, path_state::Reset);
+    for (std::thread& caller : callers)
+        caller.join();
+    std::this_thread::sleep_for(1s);
+    for (int daemon = 1; daemon < fleet.daemons(); ++daemon)
+        BOOST_TEST(fleet.call(daemon, "/order/a", "POST", relay_fleet::key, body).status == 200);
+    fleet.setServerPaths(0, path_state::Open);
+    BOOST_TEST(waitUntil(1s, [&] { return fleet.call(0, "/order/a", "POST", relay_fleet::key, body).status == 200; }));
+}
