relay: forwarded streams keep their version, and idle daemons answer questions after a probe

Faults of that the tests of this commit showed before it: a stream that went on over another daemon could be continued by a server of another software version, as the receiver used the version only for requests that name a stream; a daemon without traffic never stated a contact within the asker's time, so nothing was forwarded to it; a request was refused when no server was left to choose before access was known to be lost; servers that only the cut daemon did not reach were excluded at the receiver.

Change: the receiver takes the stated version; a question to a daemon without a recent contact is answered after its probe; the first question is sent when answers can show a contact after the doubt; refused probes of suspected crashes raise a doubt; only contacted servers are excluded.

--- a/include/radishflow/Relay/attempt_history.h
+++ b/include/radishflow/Relay/attempt_history.h
@@ -12,6 +12,7 @@
 
 struct attempt_history {
     std::vector<server_id> servers; ///< All servers tried so far.
+    std::vector<server_id> contactedServers; ///< Those of them to which a connection was established.
     int mayHaveRun = 0; ///< Number of attempts after which the server may have started to run the request.
     int notRun = 0; ///< Number of attempts after which the server certainly did not run the request.
 };
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -65,7 +65,7 @@
     void finishAttempt(const listed_server&, server_outcome);
     request_identity identify() const;
     std::optional<refusal> refusalForQuarantine() const;
-    bool resumesStream() const { return !m_request.resumes.empty() || m_request.resumeAfter; }
+    bool resumesStream() const { return !m_request.resumes.empty() || m_request.resumeAfter || (m_forwarded && m_forwarded->resumeAfter); }
     /// Looks up the version that began the stream which this request resumes; returns a refusal if it is unknown.
     std::optional<refusal> refusalForUnknownOrigin();
     /// Keeps the stream, whose first event in this response is about to be forwarded, at the version of its server.
@@ -132,6 +132,7 @@
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
     server_id m_respondingServer; ///< Server that sent the response to this or another daemon.
     std::optional<std::chrono::milliseconds> m_peerRetryAfter; ///< Of the last daemon that refused the request.
+    bool m_hasNoServer = false; ///< No server was left to choose once before.
     bool m_isFinal = false; ///< No further attempt is made.
     request_record m_record;
 };
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -37,6 +37,9 @@
 // Another daemon may know the origin of a stream, or reach one that does.
 inline constexpr std::chrono::milliseconds unknownOriginRetryAfter { 250 };
 
+// Result of an attempt that established no connection, as logged.
+inline constexpr const char* unreachableResult = "unreachable";
+
 template <relay_protocol Protocol>
 relay_call<Protocol>::relay_call(const Protocol& protocol, const relay_context& context, relay_socket& caller, const caller_message& message, bool keepsOpen, const forwarded_request* forwarded)
     : m_protocol(protocol)
@@ -72,6 +75,7 @@
     m_deadline = std::min<time_point>(m_deadline, message.receivedAt + m_forwarded->timeLeft - responseTransitAllowance);
     m_history.mayHaveRun = m_forwarded->mayHaveRun;
     m_history.servers = m_forwarded->triedServers;
+    m_version = m_forwarded->version;
     if (m_forwarded->resumeAfter)
         m_eventSplitter.resumeAfter(*m_forwarded->resumeAfter);
 }
@@ -129,8 +133,12 @@
             recordOutcome(0, "caller_gone");
             return false;
         }
-        if (!server)
-            return sendFailure();
+        if (!server) {
+            // All servers may have been tried while access to them is lost.
+            if (std::exchange(m_hasNoServer, true) || !canForward())
+                return sendFailure();
+            continue;
+        }
         switch (attempt(*server)) {
         case attempt_result::Finished:
             return m_isResponseComplete;
@@ -173,6 +181,7 @@
 {
     m_suspectedServer = server.id;
     ++m_suspectedCrashes;
+    m_context.access.recordConnectFailure(server);
     m_context.access.suspectCrash(server);
 }
 
@@ -220,7 +229,8 @@
 {
     if (!m_admitted.target->isResumable || !resumesStream())
         return std::nullopt;
-    m_version = m_forwarded && m_forwarded->version ? m_forwarded->version : m_context.origins.find(m_admitted.service, m_request.resumes);
+    if (!m_version)
+        m_version = m_context.origins.find(m_admitted.service, m_request.resumes);
     if (m_version)
         return std::nullopt;
     return refusal { .status = 503, .title = "Origin of the stream is unknown", .detail = "no daemon in reach knows which version of the backend servers began the stream", .retryAfter = unknownOriginRetryAfter };
@@ -409,7 +419,7 @@
             m_context.access.recordConnectFailure(server);
         if (m_context.crashes.hasAbandonedAt(server) && probe(server) == io_outcome::Broken)
             m_context.access.suspectCrash(server);
-        return recordFailure(server, server_outcome::Unreachable, false, "unreachable");
+        return recordFailure(server, server_outcome::Unreachable, false, unreachableResult);
     case exchange_state::MayHaveRun:
         recordIfCrashed(server);
         return recordFailure(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -67,7 +67,7 @@
             .config = m_record.config,
             .timeLeft = remaining,
             .mayHaveRun = m_history.mayHaveRun,
-            .triedServers = m_history.servers,
+            .triedServers = m_history.contactedServers,
             .resumeAfter = m_eventSplitter.hasIds() ? std::optional { m_eventSplitter.lastId() } : std::nullopt,
             .version = m_version });
     server_exchange exchange { m_context.connections,
--- a/include/radishflow/Relay/server_access.h
+++ b/include/radishflow/Relay/server_access.h
@@ -29,6 +29,7 @@
 
 struct server_access_handlers {
     std::function<void(const std::vector<std::uint32_t>& services)> askPeers; ///< Asks other daemons whether they reach servers of the services, given as hashes; answers arrive at peers().
+    std::function<void(const std::string& host)> answerPeer; ///< Sends contacts() to a daemon that asked for them; also called by answer().
     std::function<void(bool hasLostAll)> onChange; ///< Called when hasLostAll() changes.
     std::function<void(const listed_server&)> onCrash; ///< Called when a suspected crash is confirmed.
     std::function<void(const service_id&)> onRecovery; ///< Called when servers of a service are reached again, also if all of them were down.
@@ -60,8 +61,8 @@
     void suspectCrash(const listed_server&);
     /// Waits until it is decided whether a suspected server has crashed.
     void awaitCrashDecision(const server_id&);
-    /// Requests probes for those of the services, given as hashes, of which no server was reached for some time.
-    void refreshContacts(const std::vector<std::uint32_t>& services);
+    /// Answers a daemon that asked for services, given as hashes; first probes those of which no server was reached lately.
+    void answer(const std::string& host, const std::vector<std::uint32_t>& services);
     /// Returns the contacts to publish: those of the services whose servers this daemon reaches.
     std::vector<service_contact> contacts();
     /// Returns the number of services of which no server is reached.
@@ -86,6 +87,7 @@
     void run();
     void wake();
     void confirmCrashes();
+    void answerPeers();
     /// Returns whether a server that is not suspected is reached, of the service if it has any.
     bool reachesOtherServer(const service_id&, const std::set<server_id>& suspects) const;
     void runProbes(const service_id&, service_state&);
@@ -108,6 +110,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<server_id, std::pair<listed_server, time_point>> m_suspects; ///< Servers that may have crashed, and when to confirm it; guarded by m_mutex.
+    std::set<std::string> m_askers; ///< Hosts of daemons to answer after the next probes; guarded by m_mutex.
     bool m_isWoken = false;
     bool m_isStopping = false;
     bool m_hadLostAll = false; ///< As last reported; used by the thread only.
--- a/lib/Relay/server_access.cpp
+++ b/lib/Relay/server_access.cpp
@@ -34,8 +34,11 @@
 // The paths of a daemon to all servers may be cut one after the other within this time.
 static constexpr std::chrono::milliseconds crashConfirmationDelay { 30 };
 static constexpr std::chrono::milliseconds maxCrashDecisionTime { 250 };
-static constexpr std::chrono::milliseconds maxIdleContactAge { 200 };
+static constexpr std::chrono::milliseconds maxIdleContactAge { 50 };
+// Answers before it could not show that servers were reached after the doubt was raised.
+static constexpr std::chrono::milliseconds firstQuestionDelay { 100 };
 static constexpr std::chrono::milliseconds maxQuestionDelay { 1000 };
+static constexpr std::size_t maxAskers = 256;
 static constexpr std::chrono::seconds maxPublishedAge { 10 }; // Older contacts are of no use to other daemons.
 
 server_access::server_access(const shared_routing& routing, server_access_handlers handlers)
@@ -198,9 +201,8 @@
     return !others.empty() && connectAny(sampleAddresses(others, otherServersToProbe), otherServerTimeout);
 }
 
-void server_access::refreshContacts(const std::vector<std::uint32_t>& hashes)
+void server_access::answer(const std::string& host, const std::vector<std::uint32_t>& hashes)
 {
-    bool isProbeDue = false;
     std::set<service_id> asked;
     if (const auto list = m_routing.servers()) {
         for (const auto& [id, server] : list->servers) {
@@ -208,13 +210,33 @@
                 asked.insert(server.service);
         }
     }
+    bool isProbeDue = false;
     for (const service_id& service : asked) {
         auto& monitor = monitorOf(service);
         monitor.checkContact(maxIdleContactAge);
         isProbeDue = isProbeDue || monitor.state() == server_access_state::Doubtful;
     }
-    if (isProbeDue)
-        wake();
+    if (!isProbeDue) {
+        m_handlers.answerPeer(host);
+        return;
+    }
+    {
+        const std::lock_guard lock { m_mutex };
+        if (m_askers.size() < maxAskers)
+            m_askers.insert(host);
+    }
+    wake();
+}
+
+void server_access::answerPeers()
+{
+    std::set<std::string> askers;
+    {
+        const std::lock_guard lock { m_mutex };
+        askers = std::exchange(m_askers, {});
+    }
+    for (const std::string& host : askers)
+        m_handlers.answerPeer(host);
 }
 
 std::vector<service_contact> server_access::contacts()
@@ -303,6 +325,7 @@
             logChange(service, *state);
             isAnyDoubtful = isAnyDoubtful || state->monitor.state() != server_access_state::Available;
         }
+        answerPeers();
         if (!askedServices.empty())
             m_handlers.askPeers(askedServices);
         if (const bool hasLostAllNow = hasLostAll(); std::exchange(m_hadLostAll, hasLostAllNow) != hasLostAllNow)
@@ -324,7 +347,7 @@
         if ((!hasReachedServer && isLate) || !state.monitor.recordProbe(hasReachedServer))
             continue;
         if (state.monitor.state() == server_access_state::Unavailable) {
-            state.nextQuestionAt = {};
+            state.nextQuestionAt = state.monitor.doubtBeganAt() + firstQuestionDelay;
             state.questionDelay = unavailableInterval;
             spdlog::warn("event=server_access_unavailable service={} reason={} failed_servers={} decided_ms={}", service.value(), state.monitor.isDoubtFromSilence() ? "silence" : "connections",
                 state.monitor.failedServers(), millisecondsSince(state.monitor.doubtBeganAt()));
--- a/test/Relay/lost_server_paths_test.cpp
+++ b/test/Relay/lost_server_paths_test.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <ostream>
@@ -48,13 +50,13 @@
     bool isServed = false;
 };
 
-/// Sends requests of all kinds to all daemons until it is destroyed, each with an id of its own.
+/// Sends requests of all kinds to daemons until it is destroyed, each with an id of its own.
 class caller_load {
 public:
-    caller_load(relay_fleet& fleet, int callersPerDaemon)
+    caller_load(relay_fleet& fleet, int callersPerDaemon, const std::set<int>& daemons)
         : m_fleet(fleet)
     {
-        for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
+        for (const int daemon : daemons) {
             for (int caller = 0; caller < callersPerDaemon; ++caller)
                 m_threads.emplace_back([this, daemon, caller] { run(daemon, caller); });
         }
@@ -148,7 +150,7 @@
 void expectServedDuringCut(const cut_case& testCase, int callersPerDaemon, const server_behaviour& behaviour)
 {
     relay_fleet fleet { { .daemons = testCase.daemons, .servers = 6, .hasServerPaths = true, .behaviour = behaviour } };
-    caller_load load { fleet, callersPerDaemon };
+    caller_load load { fleet, callersPerDaemon, othersThan({}, testCase.daemons) };
     std::this_thread::sleep_for(2s);
     const auto cutAt = std::chrono::steady_clock::now();
     setPaths(fleet, testCase.cut, testCase.state);
@@ -165,6 +167,64 @@
     BOOST_TEST(ordersRunTwice(fleet) == 0);
 }
 
+/// Cuts a daemon from all servers and sends it requests until it forwards them; returns false on timeout.
+bool loseAccess(relay_fleet& fleet, int daemon)
+{
+    fleet.setServerPaths(daemon, path_state::Reset);
+    return waitUntil(5s, [&] { return fleet.call(daemon, "/read/a").status == 200; });
+}
+
+/// What happens to other daemons three seconds after a zone was cut.
+struct disturbance_case {
+    const char* name;
+    std::function<void(relay_fleet&)> disturb;
+    std::function<void(relay_fleet&)> end;
+    double minShare;
+
+    friend std::ostream& operator<<(std::ostream& out, const disturbance_case& testCase) { return out << testCase.name; }
+};
+
+constexpr int receiver = 3;
+
+const disturbance_case disturbances[] {
+    { "a receiving daemon is killed", [](relay_fleet& fleet) {
+         fleet.daemon(receiver).signal(SIGKILL);
+         fleet.daemon(receiver).wait(1s); },
+        [](relay_fleet&) {}, 0.95 },
+    { "a receiving daemon is frozen", [](relay_fleet& fleet) { fleet.daemon(receiver).signal(SIGSTOP); }, [](relay_fleet& fleet) { fleet.daemon(receiver).signal(SIGCONT); }, 0.8 },
+    { "a cut daemon is restarted", [](relay_fleet& fleet) {
+         fleet.daemon(0).signal(SIGKILL);
+         fleet.daemon(0).wait(1s);
+         fleet.restart(0);
+         BOOST_REQUIRE(fleet.waitReady(0));
+         std::this_thread::sleep_for(2s); },
+        [](relay_fleet&) {}, 0.95 },
+    { "a cut daemon was frozen", [](relay_fleet& fleet) {
+         fleet.daemon(0).signal(SIGSTOP);
+         std::this_thread::sleep_for(2s);
+         fleet.daemon(0).signal(SIGCONT);
+         std::this_thread::sleep_for(500ms); },
+        [](relay_fleet&) {}, 0.95 },
+};
+
+struct forgery_case {
+    const char* name;
+    std::map<std::string, std::string> fields;
+    bool isCallerPort;
+    int status;
+
+    friend std::ostream& operator<<(std::ostream& out, const forgery_case& testCase) { return out << testCase.name; }
+};
+
+const std::map<std::string, std::string> forgedFields { { "Radishflow-From", "d1" }, { "Radishflow-Token", "guess" }, { "Radishflow-Config", "0" }, { "Radishflow-Time-Left", "4000" }, { "Radishflow-May-Have-Run", "0" } };
+
+const forgery_case forgeries[] {
+    { "all fields at the callers' port", forgedFields, true, 400 },
+    { "one field at the callers' port", { { "radishflow-may-have-run", "0" } }, true, 400 },
+    { "an unknown token at the port between daemons", forgedFields, false, 503 },
+    { "no fields at the port between daemons", {}, false, 503 },
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(callersOfZoneWithoutServersAreServed, boost::unit_test::data::make(zoneCuts), testCase)
@@ -172,6 +232,144 @@
     expectServedDuringCut(testCase, 3, {});
 }
 
+BOOST_DATA_TEST_CASE(callersAreServedWhileDaemonsFailInTheCut, boost::unit_test::data::make(disturbances), testCase)
+{
+    const std::set<int> cut { 0, 1 };
+    relay_fleet fleet { { .daemons = 6, .servers = 6, .hasServerPaths = true } };
+    caller_load load { fleet, 2, cut };
+    std::this_thread::sleep_for(1s);
+    setPaths(fleet, cut, path_state::Hanging);
+    std::this_thread::sleep_for(3s);
+    testCase.disturb(fleet);
+    const auto disturbedAt = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(4s);
+    const auto end = std::chrono::steady_clock::now();
+    load.stop();
+    testCase.end(fleet);
+    BOOST_TEST_MESSAGE(testCase.name);
+    BOOST_TEST(load.servedShare(disturbedAt, end, cut) >= testCase.minShare);
+    BOOST_TEST(ordersRunTwice(fleet) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsForwardedWhileAllDaemonsAreCut)
+{
+    const std::set<int> all { 0, 1, 2 };
+    relay_fleet fleet { { .daemons = 3, .servers = 4, .hasServerPaths = true } };
+    caller_load load { fleet, 2, all };
+    std::this_thread::sleep_for(1s);
+    setPaths(fleet, all, path_state::Reset);
+    std::this_thread::sleep_for(3s);
+    for (const int daemon : all) {
+        const auto beganAt = std::chrono::steady_clock::now();
+        BOOST_TEST(fleet.call(daemon, "/order/a", "POST").status == 503);
+        BOOST_TEST((std::chrono::steady_clock::now() - beganAt < 1s));
+        BOOST_TEST(fleet.lookUp(daemon).size() == all.size());
+    }
+    load.stop();
+    for (const int daemon : all)
+        BOOST_TEST(fleet.metric(daemon, "radishflow_forwarded_total") == 0);
+    setPaths(fleet, all, path_state::Open);
+    BOOST_TEST(waitUntil(1500ms, [&] { return fleet.call(0, "/order/a", "POST").status == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(deadOrSilentServerStartsNothing)
+{
+    relay_fleet fleet { { .daemons = 3, .servers = 4, .hasServerPaths = true } };
+    caller_load load { fleet, 2, { 0, 1, 2 } };
+    std::this_thread::sleep_for(1s);
+    fleet.server(0).setBehaviour({ .kind = server_response_kind::Silent });
+    fleet.setServerPath(0, 1, path_state::Reset);
+    fleet.setServerPath(1, 1, path_state::Hanging);
+    std::this_thread::sleep_for(4s);
+    load.stop();
+    for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
+        BOOST_TEST(fleet.metric(daemon, "radishflow_forwarded_total") == 0);
+        BOOST_TEST(fleet.metric(daemon, "radishflow_state{name=\"unavailable_services\"}") == 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(cutDaemonsLeaveTheAddressAnswerAndReturn)
+{
+    relay_fleet fleet { { .daemons = 4, .servers = 4, .hasServerPaths = true } };
+    caller_load load { fleet, 2, { 0, 1, 2, 3 } };
+    std::this_thread::sleep_for(1s);
+    fleet.setServerPaths(0, path_state::Reset);
+    const auto isNamed = [&](int asked) {
+        const auto addresses = fleet.lookUp(asked);
+        return std::find(addresses.begin(), addresses.end(), fleet.callerAddress(0)) != addresses.end();
+    };
+    BOOST_TEST(waitUntil(3s, [&] { return !isNamed(0) && !isNamed(1) && !isNamed(2) && !isNamed(3); }));
+    BOOST_TEST(fleet.waitReady(0));
+    fleet.setServerPaths(0, path_state::Open);
+    BOOST_TEST(waitUntil(4s, [&] { return isNamed(0) && isNamed(1); }));
+}
+
+BOOST_AUTO_TEST_CASE(deadlineAndCancellationHoldOverTheForwardingDaemon)
+{
+    relay_fleet fleet { { .daemons = 2, .servers = 3, .hasServerPaths = true } };
+    BOOST_REQUIRE(loseAccess(fleet, 0));
+    const http_call_reply reply = httpCall({ .url = "http://" + fleet.callerAddress(0) + "/read/deadline", .headers = headersOf({ .id = "deadline", .key = relay_fleet::key, .timeLeft = 700ms }) });
+    BOOST_TEST(reply.status == 200);
+    for (int server = 0; server < fleet.servers(); ++server)
+        fleet.server(server).setBehaviour({ .events = 1000, .pause = 20ms });
+    {
+        caller_connection connection;
+        BOOST_REQUIRE(connection.open(fleet.callerAddress(0)));
+        connection.run(writeRequestHead("GET /stream/cancelled HTTP/1.1", { .id = "cancelled", .key = relay_fleet::key, .timeLeft = 9s }, false), 300ms);
+    }
+    const auto find = [&](const std::string& id) {
+        for (int server = 0; server < fleet.servers(); ++server) {
+            for (const received_request& received : fleet.server(server).seen()) {
+                if (received.id == id)
+                    return received;
+            }
+        }
+        return received_request {};
+    };
+    BOOST_TEST(waitUntil(500ms, [&] { return find("cancelled").wasCancelled; }));
+    BOOST_TEST(find("deadline").timeLeft.count() > 0);
+    BOOST_TEST(find("deadline").timeLeft.count() < 700);
+    BOOST_TEST(find("deadline").key.empty());
+}
+
+BOOST_AUTO_TEST_CASE(brokenStreamGoesOnOverAnotherDaemonAtItsVersion)
+{
+    constexpr int events = 30;
+    constexpr auto pause = 50ms;
+    relay_fleet fleet { { .daemons = 2, .servers = 4, .versions = { "v1", "v2" }, .hasServerPaths = true, .behaviour = { .kind = server_response_kind::Cut, .events = events, .eventsBeforeCut = 10, .pause = pause } } };
+    std::pair<std::vector<std::string>, bool> lines;
+    std::thread caller { [&] { lines = fleet.stream(0, "/resumable-stream/a"); } };
+    BOOST_REQUIRE(waitUntil(1s, [&] { return fleet.runs() > 0; }));
+    fleet.setServerPaths(0, path_state::KeptOnly);
+    for (int server = 0; server < fleet.servers(); ++server)
+        fleet.server(server).setBehaviour({ .events = events, .pause = pause });
+    caller.join();
+    BOOST_TEST(lines.second);
+    int received = 0;
+    for (const std::string& line : lines.first) {
+        if (line.starts_with("id: "))
+            BOOST_TEST(line == "id: " + std::to_string(++received));
+    }
+    BOOST_TEST(received == events);
+    std::set<std::string> versions;
+    for (int server = 0; server < fleet.servers(); ++server) {
+        if (fleet.server(server).runs() > 0)
+            versions.insert(fleet.server(server).version());
+    }
+    BOOST_TEST(versions.size() == 1U);
+    BOOST_TEST(fleet.metric(0, "radishflow_forwarded_total") == 1);
+}
+
+BOOST_DATA_TEST_CASE(forgedMarksOfForwardedRequestsAreRefused, boost::unit_test::data::make(forgeries), testCase)
+{
+    relay_fleet fleet { { .daemons = 2, .servers = 2 } };
+    auto headers = headersOf({ .id = "forged", .key = relay_fleet::key, .timeLeft = 4s });
+    headers.insert(testCase.fields.begin(), testCase.fields.end());
+    const std::string address = testCase.isCallerPort ? fleet.callerAddress(0) : fleet.forwardingAddress(0);
+    BOOST_TEST(httpCall({ .method = "POST", .url = "http://" + address + "/order/a", .headers = headers }).status == testCase.status);
+    BOOST_TEST(fleet.runs() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(resetOfAllPathsIsNotTakenForCrashesOfServers)
 {
     relay_fleet fleet { { .daemons = 3, .servers = 6, .hasServerPaths = true, .behaviour = { .pause = 400ms } } };
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -11,7 +11,7 @@
 namespace radishflow {
 
 // Ports of a daemon, as offsets from the base: for callers, readiness, lookups, metrics and gossip. The two ports after that of
-// gossip carry hints and changes of tables.
+// gossip carry hints and changes of tables, and the fourth one forwarded requests.
 enum port_offset {
     CallerPort,
     ReadinessPort,
@@ -95,6 +95,11 @@
         return rewritten; }));
 }
 
+void relay_fleet::setServerPath(int daemon, int server, path_state state)
+{
+    m_serverPaths.at(static_cast<std::size_t>(daemon)).at(static_cast<std::size_t>(server))->set(state);
+}
+
 void relay_fleet::setServerPaths(int daemon, path_state state)
 {
     for (const auto& path : m_serverPaths.at(static_cast<std::size_t>(daemon)))
@@ -164,6 +169,23 @@
     return ipOf(daemon) + ':' + std::to_string(portOf(CallerPort));
 }
 
+std::string relay_fleet::forwardingAddress(int daemon) const
+{
+    constexpr int forwardingOffset = 4; // From the first port between daemons.
+    return ipOf(daemon) + ':' + std::to_string(portOf(GossipPort + forwardingOffset));
+}
+
+double relay_fleet::metric(int daemon, const std::string& nameAndLabels) const
+{
+    std::istringstream lines { httpCall({ .url = "http://" + ipOf(daemon) + ':' + std::to_string(portOf(MetricsPort)) + "/metrics" }).body };
+    double sum = 0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(nameAndLabels))
+            sum += std::stod(line.substr(line.rfind(' ')));
+    }
+    return sum;
+}
+
 http_call_reply relay_fleet::call(int daemon, const std::string& path, const std::string& method, const std::string& withKey, const std::string& body)
 {
     return httpCall({
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -51,7 +51,8 @@
     faulty_link& storeLink(int daemon) { return *m_storeLinks.at(static_cast<std::size_t>(daemon)); }
     faulty_link& callerLink(int daemon) { return *m_callerLinks.at(static_cast<std::size_t>(daemon)); }
     faulty_link& serverLink(int number) { return *m_serverLinks.at(static_cast<std::size_t>(number)); }
-    /// Sets the state of all paths from a daemon to the servers.
+    /// Sets the state of the path from a daemon to a server, or to all servers.
+    void setServerPath(int daemon, int server, path_state);
     void setServerPaths(int daemon, path_state);
     /// Returns the number of connections that a daemon has established to servers.
     int connectionsToServers(int daemon) const;
@@ -65,6 +66,10 @@
     void list(int server, const std::string& state = "ready", int coldForMs = 0);
 
     std::string callerAddress(int daemon) const;
+    /// Returns the address at which a daemon accepts requests that other daemons forward.
+    std::string forwardingAddress(int daemon) const;
+    /// Returns the sum of a counter of a daemon over all labels that start with the given text, or 0 if there is none.
+    double metric(int daemon, const std::string& nameAndLabels) const;
     /// Sends a request with a new id.
     http_call_reply call(int daemon, const std::string& path, const std::string& method = "GET", const std::string& withKey = key, const std::string& body = {});
     /// Returns the lines of a stream and whether it is complete.
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -102,7 +102,7 @@
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
-        , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { balancer.forgetFailures(service); } })
+        , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { balancer.forgetFailures(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
         , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .bufferedResponses = bufferedResponses, .stop = stop, .metrics = metrics }
@@ -122,10 +122,8 @@
 
     void receiveHints(const server_hints& received, const std::string& host)
     {
-        if (!received.askedServices.empty()) {
-            access.refreshContacts(received.askedServices);
-            hints.sendTo({ .contacts = access.contacts() }, host);
-        }
+        if (!received.askedServices.empty())
+            access.answer(host, received.askedServices);
         for (const std::uint32_t service : received.askedServices)
             access.peers().recordStatement(host, service, std::nullopt);
         for (const service_contact& contact : received.contacts)
