--- a/test/Relay/lost_server_paths_test.cpp
+++ b/test/Relay/lost_server_paths_test.cpp
@@ -44,6 +44,13 @@
     { "most daemons are reset", 6, { 0, 1, 2, 3 }, path_state::Reset },
 };
 
+// Cuts in which most servers' connections are in use when new ones are refused, and cuts that follow each other.
+const cut_case repeatedCuts[] {
+    { "three of seven daemons keep their connections only", 7, { 0, 2, 4 }, path_state::KeptOnly },
+    { "three of seven daemons hang", 7, { 0, 2, 4 }, path_state::Hanging },
+    { "three of seven daemons are reset", 7, { 1, 3, 5 }, path_state::Reset },
+};
+
 struct sample {
     int daemon = 0;
     steady_time beganAt;
@@ -232,6 +239,28 @@
     expectServedDuringCut(testCase, 3, {});
 }
 
+// As in the second incident: the same daemons are cut again two seconds after the path has healed, while long requests run.
+BOOST_DATA_TEST_CASE(callersOfPartitionedDaemonsAreServedInEachOfTwoCuts, boost::unit_test::data::make(repeatedCuts), testCase)
+{
+    constexpr auto firstCut = 5s;
+    relay_fleet fleet { { .daemons = testCase.daemons, .servers = 8, .hasServerPaths = true, .behaviour = { .events = 8, .pause = 100ms } } };
+    caller_load load { fleet, 8, othersThan({}, testCase.daemons) };
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST_MESSAGE(testCase.name);
+    for (int round = 0; round < 2; ++round) {
+        const auto cutAt = std::chrono::steady_clock::now();
+        setPaths(fleet, testCase.cut, testCase.state);
+        std::this_thread::sleep_for(firstCut);
+        const auto healedAt = std::chrono::steady_clock::now();
+        setPaths(fleet, testCase.cut, path_state::Open);
+        std::this_thread::sleep_for(2s);
+        const double others = load.servedShare(cutAt + contactTime, healedAt, othersThan(testCase.cut, testCase.daemons));
+        BOOST_TEST(load.servedShare(cutAt + contactTime, healedAt, testCase.cut) >= minShareRatio * others);
+    }
+    load.stop();
+    BOOST_TEST(ordersRunTwice(fleet) == 0);
+}
+
 BOOST_DATA_TEST_CASE(callersAreServedWhileDaemonsFailInTheCut, boost::unit_test::data::make(disturbances), testCase)
 {
     const std::set<int> cut { 0, 1 };
