--- a/unittests/Relay/forwarding_fields_test.cpp
+++ b/unittests/Relay/forwarding_fields_test.cpp
@@ -44,7 +44,7 @@
 
 BOOST_AUTO_TEST_CASE(forwardedRequestKeepsWhatItsCallerSent)
 {
-    const request_head original = parse("POST /a?b=c HTTP/1.1\r\nHost: h\r\nApi-Key: k\r\nConnection: keep-alive\r\nContent-Length: 3\r\nLast-Event-Id: 4\r\n\r\n");
+    const request_head original = parse("POST /a?b=c HTTP/1.1\r\nHost: h\r\nX-Key: k\r\nConnection: keep-alive\r\nContent-Length: 3\r\nLast-Event-Id: 4\r\n\r\n");
     const forwarded_request sent { .from = daemon_id { "d1" }, .token = "t", .config = config_version { 3 }, .timeLeft = 250ms, .mayHaveRun = 1, .triedServers = { server_id { "i-1" }, server_id { "i-2" } }, .resumeAfter = 17, .version = version_key { 99 } };
     request_head received = parse(writeForwardedHead(original, 3, sent));
     const auto read = readForwardedRequest(received.fields);
@@ -60,7 +60,7 @@
     removeForwardingFields(received.fields);
     BOOST_TEST(received.target == original.target);
     BOOST_TEST(received.fields.all.size() == 4U);
-    for (const char* field : { "Host", "Api-Key", "Content-Length", "Last-Event-Id" })
+    for (const char* field : { "Host", "X-Key", "Content-Length", "Last-Event-Id" })
         BOOST_TEST(*received.fields.find(field) == *original.fields.find(field));
 }
 
