relay: a stream goes on only with events of a response 200

Reported for other systems, and true here: a stream had begun and broke off, the next server answered the resumption with a plain body, and its whole head and body stood in the caller's stream.

Cause: forwardResponse() writes a response of its own, and nothing looked at whether one had begun.

Change: once part of a stream was sent, a response that is no event stream with status 200 is a failed attempt, also if another daemon forwards it; the stream ends without its last chunk. A 500 was dropped already.

--- a/include/radishflow/Emulator/http_reply.h
+++ b/include/radishflow/Emulator/http_reply.h
@@ -22,6 +22,9 @@
 /// Answers with a status and a JSON object.
 void sendJson(Poco::Net::HTTPServerResponse&, int status, const Poco::JSON::Object&);
 
+/// Sends bytes on the connection, before the response to the request.
+void sendRaw(Poco::Net::HTTPServerRequest&, const std::string& bytes);
+
 /// Closes the connection without answering, or in the middle of the answer.
 void cutConnection(Poco::Net::HTTPServerRequest&);
 
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -39,6 +39,15 @@
 
 // Result of an attempt that established no connection, as logged.
 inline constexpr const char* unreachableResult = "unreachable";
+// Result of an attempt to resume a stream that was answered otherwise, as logged.
+inline constexpr const char* notAStreamResult = "not_a_stream";
+
+/// Returns whether events of the response may follow those of a stream that has begun.
+inline bool continuesStream(const response_head& head, const response_metadata& metadata)
+{
+    constexpr int okStatus = 200;
+    return metadata.isEventStream && head.status == okStatus;
+}
 
 template <relay_protocol Protocol>
 relay_call<Protocol>::relay_call(const Protocol& protocol, const relay_context& context, relay_socket& caller, const caller_message& message, bool keepsOpen, const forwarded_request* forwarded)
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -129,6 +129,8 @@
         exchange.releaseConnection();
         return recordPeerFailure(peer, facts.scope == refusal_scope::Access ? peer_outcome::Failed : peer_outcome::Refused, false, "not_run");
     }
+    if (!facts.execution && m_hasResponseStarted && !continuesStream(exchange.head(), metadata))
+        return recordPeerFailure(peer, peer_outcome::Served, true, notAStreamResult);
     if (!facts.execution && exchange.head().status < firstServerError)
         return metadata.isEventStream ? forwardEvents(target, exchange) : forwardResponse(target, exchange);
     // The other daemon has used the attempts that the request has, or refuses it for a reason that holds at any daemon.
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -32,6 +32,8 @@
         return recordFailure(server, server_outcome::Failed, false, "not_run");
     if (!metadata.isSigned)
         return recordFailure(server, server_outcome::Failed, true, "unsigned");
+    if (m_hasResponseStarted && !continuesStream(exchange.head(), metadata))
+        return recordFailure(server, server_outcome::Failed, true, notAStreamResult);
     if (exchange.head().status < firstServerError)
         return metadata.isEventStream ? forwardEvents(server, exchange) : forwardResponse(server, exchange);
     server_error_response failure { .head = exchange.head(), .body = {} };
--- a/lib/Emulator/http_reply.cpp
+++ b/lib/Emulator/http_reply.cpp
@@ -48,6 +48,11 @@
     sendText(response, status, "application/json", text.str());
 }
 
+void sendRaw(Poco::Net::HTTPServerRequest& request, const std::string& bytes)
+{
+    socketOf(request).sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
 void cutConnection(Poco::Net::HTTPServerRequest& request)
 {
     request.response().setKeepAlive(false);
