relay: a response without an id on a kept connection is not taken for the answer

Reported for other systems, and true here: a faulty server writes an earlier refusal once more on a kept connection. A copy without an id was taken for the answer: the caller was told that its order had not run, though the server ran it, or the order ran at a second server.

Cause: a response without an id was taken to belong to any request. Servers return the id in all responses.

--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -402,7 +402,8 @@
     response_metadata metadata; // Of the last response head received.
     const auto belongsToRequest = [&](const response_head& responseHead) {
         metadata = m_protocol.readResponse(responseHead);
-        return !metadata.requestId || *metadata.requestId == m_request.id;
+        // Without an id, a response on a kept connection may be a repeated one to an earlier request.
+        return metadata.requestId ? *metadata.requestId == m_request.id : !exchange.isReused() || m_request.id.empty();
     };
     ++m_contactedServers;
     exchange_state state = exchange.start(head, m_message.body, belongsToRequest);
--- a/test/Relay/misplaced_responses_test.cpp
+++ b/test/Relay/misplaced_responses_test.cpp
@@ -29,6 +29,20 @@
     { "server error", 500 },
 };
 
+struct stale_case {
+    const char* name;
+    std::string bytes;
+
+    friend std::ostream& operator<<(std::ostream& out, const stale_case& testCase) { return out << testCase.name; }
+};
+
+const stale_case staleResponses[] {
+    { "refusal without an id", "HTTP/1.1 503 Service Unavailable\r\n" + std::string { notRunField } + ": 1\r\nContent-Length: 0\r\n\r\n" },
+    { "refusal of another request", "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: other\r\n" + std::string { notRunField } + ": 1\r\nContent-Length: 0\r\n\r\n" },
+    { "misdirected without an id", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" },
+    { "success without an id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno" },
+};
+
 /// Sends a request and returns all bytes that are received until the connection ends.
 std::string exchangeBytes(const std::string& address, const std::string& request)
 {
@@ -45,6 +59,23 @@
 
 } // namespace
 
+BOOST_DATA_TEST_CASE(earlierResponseOnAKeptConnectionIsNotTakenForTheAnswer, boost::unit_test::data::make(staleResponses), testCase)
+{
+    constexpr int orders = 120;
+    relay_fleet fleet { { .daemons = 1, .servers = 2, .behaviour = { .staleResponse = testCase.bytes } } };
+    int served = 0;
+    int refused = 0;
+    for (int number = 0; number < orders; ++number) {
+        const int status = fleet.call(0, "/order/a", "POST").status;
+        served += status == 200 ? 1 : 0;
+        refused += status == 503 || status == 429 ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(testCase.name << ": " << served << " served, " << refused << " refused of " << orders << ", " << fleet.runs() << " runs");
+    BOOST_TEST(refused == 0);
+    BOOST_TEST(served == orders);
+    BOOST_TEST(fleet.runs() == orders);
+}
+
 BOOST_DATA_TEST_CASE(plainResponseOfNextServerIsNotForwardedInsideAStream, boost::unit_test::data::make(resumptions), testCase)
 {
     relay_fleet fleet { { .daemons = 1, .servers = 3, .behaviour = { .kind = server_response_kind::Cut, .resumedStatus = testCase.status } } };
