relay: a stopping process ends in time though nobody reads its output

A daemon whose standard output is a pipe that nobody reads was still running 5 s after its planned stop.

Cause: stopLog() joins the thread that writes the log, which waits in the full pipe.

Change: the writer gets 300 ms to write the queued lines. Dropped lines are counted (radishflow_state{name="dropped_log_lines"}).

--- a/lib/Relay/relay_log.cpp
+++ b/lib/Relay/relay_log.cpp
@@ -10,15 +10,19 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <iostream>
+#include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace radishflow {
 
 static constexpr std::size_t maxQueuedLines = 256; // Each slot permanently occupies about 400 bytes.
 static constexpr int maxServedLinesPerSecond = 40;
+static constexpr std::chrono::milliseconds maxFlushTime { 300 };
 
 namespace {
 
@@ -54,6 +58,13 @@
     return writer;
 }
 
+// Guards the pointer, which the metrics page copies while the process stops.
+static std::mutex& logWriterMutex()
+{
+    static std::mutex mutex;
+    return mutex;
+}
+
 static std::atomic<bool> hasStopped = false;
 
 void startLog(std::string_view level)
@@ -71,11 +82,29 @@
     spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
 }
 
-// Workers may still log requests when the process ends, so the logger itself stays.
+// Workers may still log requests when the process ends, so the logger itself stays. The writer waits in a full pipe for as long as
+// nobody reads it, which must not keep the process from ending.
 void stopLog()
 {
     hasStopped = true;
-    logWriter().reset();
+    auto flushed = std::make_shared<std::promise<void>>();
+    std::shared_ptr<spdlog::details::thread_pool> last;
+    {
+        const std::lock_guard lock { logWriterMutex() };
+        last = std::move(logWriter());
+    }
+    std::thread { [writer = std::move(last), flushed]() mutable {
+        writer.reset();
+        flushed->set_value();
+    } }.detach();
+    flushed->get_future().wait_for(maxFlushTime);
+}
+
+std::size_t droppedLogLines()
+{
+    const std::lock_guard lock { logWriterMutex() };
+    const auto& writer = logWriter();
+    return writer ? writer->overrun_counter() : 0;
 }
 
 static double milliseconds(duration time)
--- a/test/Relay/lost_server_paths_test.cpp
+++ b/test/Relay/lost_server_paths_test.cpp
@@ -403,8 +403,10 @@
 {
     relay_fleet fleet { { .daemons = 3, .servers = 6, .hasServerPaths = true, .behaviour = { .pause = 400ms } } };
     const std::string body = "the same order";
+    constexpr int orders = 12;
     std::vector<std::thread> callers;
-    for (int number = 0; number < 12; ++number) {
+    callers.reserve(orders);
+    for (int number = 0; number < orders; ++number) {
         callers.emplace_back([&, number] {
             httpCall({ .method = "POST", .url = "http://" + fleet.callerAddress(0) + "/order/a", .headers = headersOf({ .id = "o" + std::to_string(number), .key = relay_fleet::key, .timeLeft = 4s }), .body = body });
         });
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -375,6 +375,16 @@
     BOOST_TEST(!fleet.store().isAnnounced("d0"));
 }
 
+BOOST_AUTO_TEST_CASE(plannedStopEndsInTimeThoughItsOutputIsNotRead)
+{
+    constexpr int lines = 400; // Each longer than 400 bytes, so that together they exceed the capacity of a pipe.
+    relay_fleet fleet { { .daemons = 1 } };
+    for (int number = 0; number < lines; ++number)
+        fleet.call(0, "/unknown/a");
+    fleet.daemon(0).signal(SIGTERM);
+    BOOST_TEST(fleet.daemon(0).wait(relay_fleet::stopGrace).value_or(-1) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(killedDaemonLeavesLookupsUntilRestart)
 {
     relay_fleet fleet { { .daemons = 3 } };
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -7,6 +7,7 @@
 #include "radishflow/Fleet/stream_origin_exchange.h"
 #include "radishflow/Relay/caller_listener.h"
 #include "radishflow/Relay/document_session.h"
+#include "radishflow/Relay/relay_log.h"
 #include "radishflow/Relay/relay_session.h"
 #include "radishflow/Relay/server_access.h"
 #include "radishflow/Routing/caller_addresses.h"
@@ -233,6 +234,7 @@
         metrics.setGauge("config_age_seconds", std::chrono::duration<double>(freshness.age(clock.now())).count());
         metrics.setGauge("follows_store", feed.isFollower() ? 1 : 0);
         metrics.setGauge("unavailable_services", static_cast<double>(access.unavailableServices()));
+        metrics.setGauge("dropped_log_lines", static_cast<double>(droppedLogLines()));
         metrics.setGauge("limited_servers", static_cast<double>(balancer.limitedServers()));
         const auto routes = routing.routes();
         metrics.setGauge("config_version", routes ? static_cast<double>(routes->version().value()) : 0);
