relay: a stream of a split route goes on at the service that began it

What callers saw: after the weights of a split route had changed, most broken streams were not taken up: the service is selected by the hash of the attempt's id, and no server of it has the version that began the stream.

Change: once the origin of a stream is known, the request goes to the target of the route that has a server of that version.

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -68,6 +68,8 @@
     bool resumesStream() const { return !m_request.resumes.empty() || m_request.resumeAfter || (m_forwarded && m_forwarded->resumeAfter); }
     /// Looks up the version that began the stream which this request resumes; returns a refusal if it is unknown.
     std::optional<refusal> refusalForUnknownOrigin();
+    /// Sends a request that resumes a stream to the service that began it.
+    void selectServiceOfOrigin();
     /// Keeps the stream, whose first event in this response is about to be forwarded, at the version of its server.
     void recordOrigin(const listed_server&);
     std::optional<chosen_server> chooseServer();
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -240,11 +240,27 @@
         return std::nullopt;
     if (!m_version)
         m_version = m_context.origins.find(m_admitted.service, m_request.resumes);
-    if (m_version)
+    if (m_version) {
+        selectServiceOfOrigin();
         return std::nullopt;
+    }
     return refusal { .status = 503, .title = "Origin of the stream is unknown", .detail = "no daemon in reach knows which version of the backend servers began the stream", .retryAfter = unknownOriginRetryAfter };
 }
 
+// The route may be split, and its weights may have changed since the stream began.
+template <relay_protocol Protocol>
+void relay_call<Protocol>::selectServiceOfOrigin()
+{
+    for (const weighted_service& target : m_admitted.target->targets) {
+        const auto servers = m_servers->serversOf(target.service);
+        if (std::none_of(servers.begin(), servers.end(), [this](const listed_server* server) { return versionKeyOf(server->service, server->version) == *m_version; }))
+            continue;
+        m_admitted.service = target.service;
+        m_record.service = target.service;
+        return;
+    }
+}
+
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordOrigin(const listed_server& server)
 {
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -24,6 +24,7 @@
     int daemons = 2;
     int servers = 3;
     std::vector<std::string> versions { "v1" }; ///< Software versions of the servers, in turn.
+    std::vector<std::string> services { standinService }; ///< Services of the servers, in turn.
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
     bool hasServerPaths = false; ///< Whether each daemon reaches each server by a server_path of its own.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
--- a/test/Relay/stream_versions_test.cpp
+++ b/test/Relay/stream_versions_test.cpp
@@ -137,3 +137,38 @@
     BOOST_TEST(fleet.stream(other, path, resumption(0, position)).status == 200);
     BOOST_TEST(versionsOf(fleet, { "s0", "t0" }).size() == 1U);
 }
+
+// Streams begin while most requests go to the first service, and are resumed when most go to the second one.
+BOOST_AUTO_TEST_CASE(streamsOfSplitRouteGoOnAtTheirServiceAfterItsWeightsChanged)
+{
+    constexpr const char* splitPath = "/split-stream/a";
+    constexpr auto configurationTime = 1s;
+    relay_fleet fleet { { .daemons = 2, .servers = 4, .services = { standinService, secondService } } };
+    fleet.configure({ .version = 2, .workspaceKey = relay_fleet::key, .splitWeight = 90 });
+    std::this_thread::sleep_for(configurationTime);
+    setAll(fleet, { .kind = server_response_kind::Cut });
+    std::vector<std::string> positions;
+    positions.reserve(streams);
+    for (int number = 0; number < streams; ++number)
+        positions.push_back(lastEventId(fleet.stream(origin, splitPath, beginning(number)).body));
+    setAll(fleet, {});
+    fleet.configure({ .version = 3, .workspaceKey = relay_fleet::key, .splitWeight = 10 });
+    std::this_thread::sleep_for(configurationTime);
+    int resumed = 0;
+    for (int number = 0; number < streams; ++number) {
+        const received_response response = fleet.stream(other, splitPath, resumption(number, positions[static_cast<std::size_t>(number)]));
+        resumed += response.status == 200 && response.isComplete ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(resumed << " of " << streams << " streams went on");
+    BOOST_TEST(resumed == streams);
+    for (int number = 0; number < streams; ++number) {
+        std::set<int> services; // Servers of the first one have even numbers.
+        for (int server = 0; server < fleet.servers(); ++server) {
+            for (const received_request& received : fleet.server(server).seen()) {
+                if (received.id == "s" + std::to_string(number) || received.id == "t" + std::to_string(number))
+                    services.insert(server % 2);
+            }
+        }
+        BOOST_TEST(services.size() == 1U);
+    }
+}
