relay: a stopping process accepts only calls that can end before it does

What callers saw: orders that a stopping daemon had accepted were cut without an answer.

Cause: calls were accepted until 1.2 s before the end of the process, however long their route and deadline let them run.

Change: a call is accepted if the rest of the process's life lasts until its deadline, the earlier one of the caller's and the route's; otherwise it is refused at once, not run. Streams keep their bound of 5.2 s, or their deadline if that is earlier.

--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -24,9 +24,8 @@
 inline constexpr std::chrono::milliseconds responseTransitAllowance { 10 };
 // Applies if neither the caller nor the route sets a deadline.
 inline constexpr std::chrono::seconds defaultTimeout { 60 };
-// Minimum remaining time of a stopping process for accepting a request; later requests are refused and go to another daemon.
+// Remaining time of a stopping process within which a stream probably ends; later ones are refused and go to another daemon.
 inline constexpr std::chrono::milliseconds minStreamTimeBeforeStop { 5200 };
-inline constexpr std::chrono::milliseconds minCallTimeBeforeStop { 1200 };
 // Response timeout as a multiple of the latency objective. It is longer for streams, since a resend makes another server
 // process the whole prompt again.
 inline constexpr double callTimeoutFactor = 1.5;
@@ -301,14 +300,15 @@
     return std::chrono::duration_cast<duration>(m_admitted.target->objective * factor);
 }
 
-// A request accepted shortly before the process ends would be interrupted. It has not been sent to any server yet, so another
-// daemon can serve it immediately.
+// A request that may last longer than the process could be interrupted. It has not been sent to any server yet, so another daemon
+// can serve it immediately.
 template <relay_protocol Protocol>
 std::optional<refusal> relay_call<Protocol>::refusalWhileStopping() const
 {
     if (!m_context.stop.isStopping())
         return std::nullopt;
-    const duration needed = m_admitted.target->kind == work_kind::Stream ? minStreamTimeBeforeStop : minCallTimeBeforeStop;
+    const duration untilDeadline = m_deadline - now();
+    const duration needed = m_admitted.target->kind == work_kind::Stream ? std::min<duration>(minStreamTimeBeforeStop, untilDeadline) : untilDeadline;
     if (m_context.stop.deadline() - now() >= needed)
         return std::nullopt;
     return refusal { .status = 503, .title = "Stopping", .detail = "this daemon is stopping; another one serves", .retryAfter = stoppingRetryAfter };
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -375,6 +375,32 @@
     BOOST_TEST(!fleet.store().isAnnounced("d0"));
 }
 
+BOOST_AUTO_TEST_CASE(plannedStopCutsNoOrderThatItAccepted)
+{
+    constexpr auto timeLeft = 3s;
+    constexpr auto callInterval = 100ms;
+    relay_fleet fleet { { .daemons = 1, .behaviour = { .pause = 2s } } };
+    fleet.configure({ .version = 2, .workspaceKey = relay_fleet::key, .orderTimeout = timeLeft });
+    std::this_thread::sleep_for(500ms);
+    fleet.daemon(0).signal(SIGTERM);
+    std::vector<std::future<int>> statuses;
+    for (int number = 0; number < 30; ++number) {
+        statuses.push_back(std::async(std::launch::async, [&, number] { return httpCall({ .method = "POST", .url = "http://" + fleet.callerAddress(0) + "/order/a", .headers = headersOf({ .id = "o" + std::to_string(number), .key = relay_fleet::key, .timeLeft = timeLeft }) }).status; }));
+        std::this_thread::sleep_for(callInterval);
+    }
+    int served = 0;
+    int refused = 0;
+    for (auto& status : statuses) {
+        const int received = status.get();
+        served += received == 200 ? 1 : 0;
+        refused += received == 503 ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(served << " served, " << refused << " refused of " << statuses.size());
+    BOOST_TEST(served > 0);
+    BOOST_TEST(served == fleet.runs());
+    BOOST_TEST(served + refused == static_cast<int>(statuses.size()));
+}
+
 BOOST_AUTO_TEST_CASE(plannedStopEndsInTimeThoughItsOutputIsNotRead)
 {
     constexpr int lines = 400; // Each longer than 400 bytes, so that together they exceed the capacity of a pipe.
