--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -141,6 +141,7 @@
 
 } // namespace radishflow
 
+#include "radishflow/Relay/relay_call_crashes.h"
 #include "radishflow/Relay/relay_call_dispatch.h"
 #include "radishflow/Relay/relay_call_forwarding.h"
 #include "radishflow/Relay/relay_call_responses.h"
--- a/lib/Relay/relay_log.cpp
+++ b/lib/Relay/relay_log.cpp
@@ -82,8 +82,8 @@
     spdlog::set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
 }
 
-// Workers may still log requests when the process ends, so the logger itself stays. The writer waits in a full pipe for as long as
-// nobody reads it, which must not keep the process from ending.
+// Workers may still log requests when the process ends, so the logger itself stays. The writer waits while the
+// output is a full pipe, which must not keep the process from ending.
 void stopLog()
 {
     hasStopped = true;
