test: the resumption of broken streams starts once the daemon has its retry budget

Trace: the log shows the streams 25 ms after the daemon's start, with one send each: before it has read how many daemons the store lists, it takes no resend from the budget (docs/design/platform.md).

Change: the test waits until the daemon has announced itself and refreshed its view. All six streams still have to go on.

--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -112,6 +112,9 @@
 BOOST_AUTO_TEST_CASE(brokenResumableStreamContinuesAtAnotherServer)
 {
     relay_fleet fleet { { .daemons = 1, .servers = 2 } };
+    // The daemon has no share of the retry budget before it has read the list of daemons and refreshed its view of the fleet.
+    BOOST_REQUIRE(waitUntil(5s, [&] { return fleet.store().isAnnounced("d0"); }));
+    std::this_thread::sleep_for(1s);
     for (int round = 0; round < 6; ++round) {
         fleet.server(round % 2).setBehaviour({ .kind = server_response_kind::Cut });
         fleet.server(1 - round % 2).setBehaviour({});
