--- a/include/radishflow/Relay/server_access.h
+++ b/include/radishflow/Relay/server_access.h
@@ -35,8 +35,8 @@
     std::function<void(const service_id&)> onRecovery; ///< Called when servers of a service are reached again, also if all of them were down.
 };
 
-/// Probes servers on a thread of its own while there is a doubt. Thread-safe; uses one lock of rank Statistics. The handlers are called
-/// on that thread.
+/// Probes servers on a thread of its own while there is a doubt. Thread-safe; uses one lock of rank Statistics and an unranked one, and
+/// holds neither while it calls a handler. The handlers are called on that thread, and answerPeer also by answer().
 class server_access {
 public:
     server_access(const shared_routing&, server_access_handlers);
--- a/lib/Relay/server_access.cpp
+++ b/lib/Relay/server_access.cpp
@@ -27,13 +27,14 @@
 static constexpr std::size_t serversPerProbe = 4; // Of the probes after the first.
 static constexpr std::size_t otherServersToProbe = 2;
 // A daemon that was suspended or runs slowly finds its timeouts expired although the servers responded in time.
-static constexpr int lateFactor = 2;
+static constexpr int lateFactor = 2; // Multiple of the timeout beyond which a failed probe does not count.
 // Time for the probes, and for the answers of other daemons to arrive.
 static constexpr std::chrono::milliseconds maxDecisionTime { 700 };
 static constexpr std::chrono::milliseconds decisionPollInterval { 10 };
 // The paths of a daemon to all servers may be cut one after the other within this time.
 static constexpr std::chrono::milliseconds crashConfirmationDelay { 30 };
 static constexpr std::chrono::milliseconds maxCrashDecisionTime { 250 };
+// Age of the last contact beyond which a question is answered after a probe.
 static constexpr std::chrono::milliseconds maxIdleContactAge { 50 };
 // Answers before it could not show that servers were reached after the doubt was raised.
 static constexpr std::chrono::milliseconds firstQuestionDelay { 100 };
