relay: a stopping daemon accepts short requests of routes with long timeouts early in its stop

What callers saw: since a stopping daemon refuses each request whose deadline is later than its own end, so a route that allows 12 s is refused from SIGTERM on although its orders take 60 ms. Each refusal costs the caller one of few retries.

Cause: the deadline was the only thing known about how long a request may take.

Change: the daemon keeps the longest recent response of each route.

Weighed against: accepting by the usual time until the end (an order cut late in a stop is lost, as it must not be repeated; the platform excuses only requests of the first 3 s), and forwarding to another daemon (the response still ends with this process).

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -54,6 +54,8 @@
     /// Returns the fields that a response to a forwarded request needs.
     std::string forwardedFields() const;
     std::optional<refusal> refusalWhileStopping() const;
+    /// Returns whether the request may be expected to end before this process, which is stopping.
+    bool canEndBeforeStop() const;
     /// Connects to a server and closes the connection; returns Broken if the host refuses it.
     static io_outcome probe(const listed_server&);
     /// Records that the connection to a server broke; suspects a crash if its host refuses new ones.
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -78,6 +78,7 @@
     if (!isSent)
         return attempt_result::CallerGone;
     recordOutcome(exchange.head().status, "served");
+    m_context.responseTimes.record(m_admitted.target->name, m_record.total);
     m_isResponseComplete = true;
     return attempt_result::Finished;
 }
--- a/include/radishflow/Relay/stop_state.h
+++ b/include/radishflow/Relay/stop_state.h
@@ -10,9 +10,10 @@
 /// Thread-safe.
 class stop_state {
 public:
-    /// Records that the process will end at the deadline, even if requests are still running.
-    void requestStop(time_point deadline)
+    /// Records that the process stops now and will end at the deadline, even if requests are still running.
+    void requestStop(time_point now, time_point deadline)
     {
+        m_length = deadline - now;
         m_deadline = deadline;
         m_isStopping = true;
     }
@@ -20,9 +21,12 @@
     bool isStopping() const { return m_isStopping; }
     /// Valid once isStopping() returns true.
     time_point deadline() const { return m_deadline; }
+    /// Time between the request to stop and the deadline; valid once isStopping() returns true.
+    duration length() const { return m_length; }
 
 private:
     std::atomic<time_point> m_deadline { time_point {} };
+    std::atomic<duration> m_length { duration {} };
     std::atomic<bool> m_isStopping = false;
 };
 
--- a/test/Relay/caller_connection.cpp
+++ b/test/Relay/caller_connection.cpp
@@ -44,13 +44,24 @@
     return count > 0;
 }
 
+bool caller_connection::send(const std::string& text)
+{
+    try {
+        for (std::size_t sent = 0; sent < text.size();)
+            sent += static_cast<std::size_t>(m_socket->sendBytes(text.data() + sent, static_cast<int>(text.size() - sent)));
+    } catch (const Poco::Exception&) {
+        return false; // The daemon may have ended; the caller reads what it has sent before.
+    }
+    return true;
+}
+
 received_response caller_connection::run(const std::string& request, std::chrono::milliseconds timeout)
 {
     const auto deadline = steady::now() + timeout;
     received_response response;
     bool staysOpen = false;
     try {
-        m_socket->sendBytes(request.data(), static_cast<int>(request.size()));
+        send(request);
         std::string input;
         response_head head;
         std::size_t length = 0;
--- a/test/Relay/caller_connection.h
+++ b/test/Relay/caller_connection.h
@@ -21,7 +21,9 @@
 public:
     /// Connects to "host:port" unless already connected to it; returns false when the connection can't be established.
     bool open(const std::string& address);
-    /// Sends a request and reads its response. Closes the connection when the response asks for it, breaks off or isn't
+    /// Sends a part of a request; returns false if the connection has broken.
+    bool send(const std::string&);
+    /// Sends a request, or the rest of one, and reads its response. Closes the connection when the response asks for it, breaks off or isn't
     /// complete within the timeout.
     received_response run(const std::string& request, std::chrono::milliseconds timeout);
 
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -133,7 +133,7 @@
         .firstPeerPort = portOf(GossipPort),
         .storeAddress = storeAddress(number),
         .maxRevocationDelay = m_options.revocationDelay,
-        .stopGrace = stopGrace,
+        .stopGrace = m_options.stopGrace,
         .isFirstStart = m_daemons[static_cast<std::size_t>(number)] == nullptr,
     });
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -29,6 +29,7 @@
     bool hasServerPaths = false; ///< Whether each daemon reaches each server by a server_path of its own.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
+    std::chrono::milliseconds stopGrace { 4000 }; ///< Between SIGTERM and SIGKILL.
     std::chrono::milliseconds revocationDelay { 2500 }; ///< Bound within which a revoked key must stop working.
 };
 
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -76,6 +76,7 @@
     stop_state stop;
     relay_metrics metrics;
     fleet_membership fleet;
+    response_times<boottime_clock> responseTimes { clock };
     server_access access; // Uses the hints once requests are served.
     hint_exchange hints;
     forwarding_settings forwarding;
@@ -106,7 +107,7 @@
         , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { balancer.forgetFailures(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .bufferedResponses = bufferedResponses, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
@@ -326,8 +327,9 @@
 
 void relay_daemon::drain()
 {
-    const time_point end = m_state->clock.now() + m_state->options.platform.stopGrace - stopMargin;
-    m_state->stop.requestStop(end);
+    const time_point now = m_state->clock.now();
+    const time_point end = now + m_state->options.platform.stopGrace - stopMargin;
+    m_state->stop.requestStop(now, end);
     m_state->fleet.leave();
     m_state->announceTask.reset();
     valueOr([&] { return m_state->rows.withdraw(); },
