relay: the planned exit of a server is no crash by its requests, and an early end of a leaving one is

Cause: "connection broken, host refuses" counted against the request whatever the process had announced. Abandoned attempts had the opposite rule: a draining server never crashed. Neither took the time into account.

Change: planned_exits keeps since when each process has announced that it leaves (entry draining or removed, or its own response), as of when the list was last known to be current. An end from half of the drain time on is planned, an earlier one is a crash: for broken streams, abandoned attempts, and records of other daemons and of the store, whose rows now hold the time of the crash. Records are withdrawn, also from the store, if the announcement arrives later. Prompt parts are treated alike.

Ruled out: attempts or budget run out (the refusal names the quarantine). Weighed against "draining servers never crash", which hides requests that crash servers during a release.

--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -151,11 +151,28 @@
         }
     }
 
+    /// Forgets the crashes of a process at the given time or later, which was no crash. This daemon removes those from the table that it
+    /// detected itself.
+    void withdraw(const server_id& process, time_point from)
+    {
+        for (auto next = m_suspects.begin(); next != m_suspects.end();) {
+            const auto current = next++;
+            const auto isWithdrawn = [&](const crash& recorded) { return recorded.process == process && recorded.at >= from; };
+            for (const crash& recorded : current->second.crashes) {
+                if (isWithdrawn(recorded) && recorded.isInTable && recorded.isOwn)
+                    m_withdrawnRows.push_back({ .part = current->first, .process = process, .zone = recorded.zone });
+            }
+            m_hasChanged |= std::erase_if(current->second.crashes, isWithdrawn) > 0;
+            eraseIfUnused(current);
+        }
+        std::erase_if(m_unsent, [&](const unsent_evidence& own) { return own.evidence.process == process && own.at >= from; });
+    }
+
     /// Returns the changes of the fleet's table that this daemon has to make. Call it periodically.
     part_table_changes takeTableChanges()
     {
         const time_point now = m_clock.now();
-        part_table_changes changes;
+        part_table_changes changes { .removed = std::exchange(m_withdrawnRows, {}) };
         for (auto next = m_suspects.begin(); next != m_suspects.end();) {
             const auto current = next++;
             suspect& changed = current->second;
@@ -386,6 +403,7 @@
     std::vector<quarantined_parts> m_quarantined;
     bool m_hasChanged = false;
     std::vector<unsent_evidence> m_unsent;
+    std::vector<part_evidence> m_withdrawnRows; ///< To be removed from the table.
     std::map<zone_id, std::size_t> m_zoneSizes; ///< Largest number of servers listed at one time.
 };
 
--- a/include/radishflow/Admission/quarantine.h
+++ b/include/radishflow/Admission/quarantine.h
@@ -58,7 +58,28 @@
     void recordCrash(const server_id& server, const std::vector<request_fingerprint>& inFlight)
     {
         for (const request_fingerprint& fingerprint : inFlight)
-            add({ .fingerprint = fingerprint, .server = server, .remaining = m_options.retention });
+            add({ .fingerprint = fingerprint, .server = server, .remaining = m_options.retention }, true);
+    }
+
+    /// Forgets the crashes of a server that were recorded for a time from the given one on. Returns those that this daemon detected.
+    std::vector<crash_record> withdraw(const server_id& server, time_point from)
+    {
+        std::vector<crash_record> withdrawn;
+        for (auto next = m_crashes.begin(); next != m_crashes.end();) {
+            const auto current = next++;
+            const request_fingerprint& fingerprint = current->first;
+            const auto isWithdrawn = [&](const crash& recorded) { return recorded.server == server && recorded.expiresAt - m_options.retention >= from; };
+            for (const crash& recorded : current->second) {
+                if (isWithdrawn(recorded) && recorded.isOwn)
+                    withdrawn.push_back({ .fingerprint = fingerprint, .server = server });
+            }
+            if (std::erase_if(current->second, isWithdrawn) == 0)
+                continue;
+            std::erase_if(m_newRecords, [&](const crash_record& record) { return record.fingerprint == fingerprint && record.server == server; });
+            if (current->second.empty())
+                m_crashes.erase(current);
+        }
+        return withdrawn;
     }
 
     /// Returns and clears the records added since the last call, merged ones included, to be sent to other daemons.
@@ -80,7 +101,7 @@
     void merge(const std::vector<crash_record>& entries)
     {
         for (const crash_record& entry : entries)
-            add(entry);
+            add(entry, false);
     }
 
     std::size_t size() const { return m_crashes.size(); }
@@ -92,9 +113,10 @@
     struct crash {
         server_id server;
         time_point expiresAt;
+        bool isOwn = false; ///< Detected by this daemon.
     };
 
-    void add(const crash_record& record)
+    void add(const crash_record& record, bool isOwn)
     {
         const time_point now = m_clock.now();
         const duration remaining = std::min(record.remaining, m_options.retention);
@@ -109,7 +131,7 @@
         // otherwise never expire.
         if (isRecorded || crashes.size() >= crashesToQuarantine)
             return;
-        crashes.push_back({ .server = record.server, .expiresAt = now + remaining });
+        crashes.push_back({ .server = record.server, .expiresAt = now + remaining, .isOwn = isOwn });
         m_newRecords.push_back({ .fingerprint = record.fingerprint, .server = record.server, .remaining = remaining });
         if (m_newRecords.size() > m_options.capacity)
             m_newRecords.erase(m_newRecords.begin());
--- a/include/radishflow/Relay/abandoned_attempts.h
+++ b/include/radishflow/Relay/abandoned_attempts.h
@@ -56,15 +56,14 @@
     }
 
     /// Returns and forgets the attempts at processes that the list shows to have crashed: another process has their id or
-    /// their address, and neither a drain nor a restart of their availability zone explains it.
-    std::vector<abandoned_attempt> takeCrashed(const server_list& list)
+    /// their address, and neither a planned exit nor a restart of their availability zone explains it. `isPlannedExit(server, endedBy)`
+    /// returns whether a process that has ended by the given time exited by plan.
+    template <typename IsPlannedExit>
+    std::vector<abandoned_attempt> takeCrashed(const server_list& list, const IsPlannedExit& isPlannedExit)
     {
         const time_point now = m_clock.now();
         const time_point oldest = now - retention;
-        std::erase_if(m_attempts, [&](const abandoned_attempt& attempt) {
-            const auto listed = list.servers.find(attempt.server.id);
-            return attempt.abandonedAt < oldest || attempt.server.isDraining || (listed != list.servers.end() && listed->second.isDraining);
-        });
+        std::erase_if(m_attempts, [&](const abandoned_attempt& attempt) { return attempt.abandonedAt < oldest; });
         if (m_attempts.empty())
             return {};
         std::unordered_map<std::string_view, const listed_server*> byAddress;
@@ -74,7 +73,7 @@
             const listed_server* successor = successorOf(server, list, byAddress);
             return successor && now - successor->listedAt >= settlingTime;
         });
-        std::erase_if(crashed, [&](const abandoned_attempt& attempt) { return hasZoneRestarted(attempt.server.zone, list, now); });
+        std::erase_if(crashed, [&](const abandoned_attempt& attempt) { return hasZoneRestarted(attempt.server.zone, list, now) || isPlannedExit(attempt.server, successorOf(attempt.server, list, byAddress)->listedAt); });
         return crashed;
     }
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -61,6 +61,8 @@
     /// Records that the connection to a server broke; suspects a crash if its host refuses new ones.
     void recordIfCrashed(const listed_server&);
     void recordAbandoned(const listed_server&);
+    /// Records that a server has said that it leaves.
+    void recordLeaving(const listed_server&);
     void suspectCrash(const listed_server&);
     /// Waits for the decision on a suspected crash if it may quarantine the request.
     void awaitCrashDecision();
--- a/include/radishflow/Relay/relay_call_crashes.h
+++ b/include/radishflow/Relay/relay_call_crashes.h
@@ -59,6 +59,13 @@
         m_context.crashes.recordAbandoned(m_identity, server);
 }
 
+template <relay_protocol Protocol>
+void relay_call<Protocol>::recordLeaving(const listed_server& server)
+{
+    m_context.balancer.recordLeaving(server);
+    m_context.crashes.recordLeaving(server);
+}
+
 // Distinguishes a crashed server, whose host refuses the connection, from one whose response was lost in the network and from a
 // host without power.
 template <relay_protocol Protocol>
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -163,7 +163,7 @@
     if (server == servers->servers.end())
         return;
     if (metadata.isLeaving)
-        m_context.balancer.recordLeaving(server->second);
+        recordLeaving(server->second);
     m_context.balancer.recordLimit(server->second, metadata.requestsPerSecond);
 }
 
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -19,7 +19,7 @@
     if (metadata.load)
         m_context.balancer.recordLoadReport(server.id, *metadata.load);
     if (metadata.isLeaving && !metadata.isMisdirected)
-        m_context.balancer.recordLeaving(server);
+        recordLeaving(server);
     if (!metadata.isMisdirected)
         m_context.balancer.recordLimit(server, metadata.requestsPerSecond);
     if (metadata.isMisdirected) {
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/fmt/ranges.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <string>
@@ -15,8 +16,9 @@
 static constexpr std::chrono::seconds servedTime { 60 };
 static constexpr std::size_t maxServed = 4096;
 
-crash_quarantine::crash_quarantine()
+crash_quarantine::crash_quarantine(const planned_exits_options& options)
     : m_quarantine(m_clock, { .retention = retention })
+    , m_exits(options)
     , m_served(servedTime, maxServed)
 {
 }
@@ -42,10 +44,20 @@
     m_parts.recordServed(request.sharedParts);
 }
 
+bool crash_quarantine::isPlannedExit(const server_id& process, process_end end, time_point endedBy) const
+{
+    if (!m_exits.explains(process, end, endedBy))
+        return false;
+    spdlog::info("event=planned_exit server={}", process.value());
+    return true;
+}
+
 // A server that has restarted under its former id is another process, whose crash counts again.
-void crash_quarantine::addCrash(const request_identity& request, const listed_server& server)
+void crash_quarantine::addCrash(const request_identity& request, const listed_server& server, process_end end, time_point endedBy)
 {
-    const server_id process { server.id.value() + '@' + std::to_string(server.processStartMs) };
+    const server_id process = processIdOf(server);
+    if (isPlannedExit(process, end, endedBy))
+        return;
     m_parts.recordCrash(process, server.zone, request.sharedParts);
     if (request.variant && m_served.find(*request.variant, m_clock.now())) {
         logCrash("crash_ignored", request.content, process);
@@ -59,7 +71,7 @@
 {
     {
         const std::lock_guard lock { m_mutex };
-        addCrash(request, server);
+        addCrash(request, server, process_end::Broken, m_clock.now());
     }
     recordCrash(server);
 }
@@ -68,7 +80,7 @@
 {
     const std::lock_guard lock { m_mutex };
     for (const abandoned_attempt& attempt : m_abandoned.takeAttemptsAt(server))
-        addCrash(attempt.request, attempt.server);
+        addCrash(attempt.request, attempt.server, process_end::Broken, m_clock.now());
 }
 
 void crash_quarantine::recordAbandoned(const request_identity& request, const listed_server& server)
@@ -83,17 +95,45 @@
     return m_abandoned.hasAttemptsAt(server);
 }
 
-void crash_quarantine::applyServerList(const std::shared_ptr<const server_list>& list)
+void crash_quarantine::recordLeaving(const listed_server& server)
+{
+    const std::lock_guard lock { m_mutex };
+    if (m_exits.recordLeaving(server, m_clock.now()))
+        withdraw(processIdOf(server));
+}
+
+void crash_quarantine::withdraw(const server_id& process)
+{
+    const time_point from = m_exits.expectedFrom(process).value_or(time_point::max());
+    const auto withdrawn = m_quarantine.withdraw(process, from);
+    for (const crash_record& record : withdrawn)
+        logCrash("crash_withdrawn", record.fingerprint, record.server);
+    const auto isWithdrawn = [&](const crash_record& pending) { return std::any_of(withdrawn.begin(), withdrawn.end(), [&](const crash_record& record) { return record.fingerprint == pending.fingerprint && record.server == pending.server; }); };
+    std::erase_if(m_pendingRecords, isWithdrawn);
+    m_withdrawnRecords.insert(m_withdrawnRecords.end(), withdrawn.begin(), withdrawn.end());
+    m_parts.withdraw(process, from);
+}
+
+std::vector<crash_record> crash_quarantine::takeWithdrawnRecords()
 {
     const std::lock_guard lock { m_mutex };
+    return std::exchange(m_withdrawnRecords, {});
+}
+
+void crash_quarantine::applyServerList(const std::shared_ptr<const server_list>& list, time_point confirmedAt)
+{
+    const std::lock_guard lock { m_mutex };
+    for (const server_id& process : m_exits.applyList(list, m_clock.now(), confirmedAt))
+        withdraw(process);
     if (std::exchange(m_servers, list) != list) {
         std::map<zone_id, std::size_t> zoneSizes;
         for (const auto& [id, server] : list->servers)
             ++zoneSizes[server.zone];
         m_parts.updateZoneSizes(zoneSizes);
     }
-    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list))
-        addCrash(attempt.request, attempt.server);
+    const auto isPlanned = [this](const listed_server& server, time_point endedBy) { return isPlannedExit(processIdOf(server), process_end::Replaced, endedBy); };
+    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list, isPlanned))
+        addCrash(attempt.request, attempt.server, process_end::Replaced, m_clock.now());
 }
 
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_identity& request) const
@@ -117,8 +157,11 @@
 void crash_quarantine::merge(const std::vector<crash_record>& records)
 {
     const std::lock_guard lock { m_mutex };
+    const time_point now = m_clock.now();
+    std::vector<crash_record> crashes = records;
+    std::erase_if(crashes, [&](const crash_record& record) { return isPlannedExit(record.server, process_end::Broken, now - (retention - record.remaining)); });
     std::vector<crash_record> own = m_quarantine.takeNewRecords();
-    m_quarantine.merge(records);
+    m_quarantine.merge(crashes);
     for (const crash_record& record : m_quarantine.takeNewRecords())
         logCrash("crash_learned", record.fingerprint, record.server);
     m_pendingRecords.insert(m_pendingRecords.end(), own.begin(), own.end());
@@ -165,7 +208,15 @@
 void crash_quarantine::mergeParts(const std::vector<part_evidence>& received)
 {
     const std::lock_guard lock { m_mutex };
-    m_parts.merge(received);
+    m_parts.merge(withoutPlannedExits(received));
+}
+
+std::vector<part_evidence> crash_quarantine::withoutPlannedExits(const std::vector<part_evidence>& evidence) const
+{
+    const time_point now = m_clock.now();
+    std::vector<part_evidence> remaining = evidence;
+    std::erase_if(remaining, [&](const part_evidence& each) { return each.isCrash() && isPlannedExit(each.process, process_end::Broken, now - each.age); });
+    return remaining;
 }
 
 part_table_changes crash_quarantine::takePartTableChanges()
@@ -177,7 +228,7 @@
 void crash_quarantine::addPartRows(const std::vector<part_evidence>& rows)
 {
     const std::lock_guard lock { m_mutex };
-    m_parts.mergeTable(rows);
+    m_parts.mergeTable(withoutPlannedExits(rows));
 }
 
 void crash_quarantine::removePartRows(const std::vector<part_evidence>& rows)
--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -9,8 +9,10 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <future>
 #include <ostream>
 #include <thread>
 #include <vector>
@@ -178,6 +180,91 @@
     BOOST_TEST(runsOf(fleet, crashes[1].path) == crashesToQuarantine);
 }
 
+// Guards against requests that hide behind a release: the servers which they crash are listed as draining meanwhile.
+BOOST_AUTO_TEST_CASE(requestThatCrashesDrainingServersIsRefused)
+{
+    const crash_case& request = crashes[0];
+    constexpr auto timeToCrash = 400ms;
+    constexpr auto timeToDrain = 200ms;
+    relay_fleet fleet { { .daemons = 3, .servers = 6 } };
+    setBehaviour(fleet, { .kind = server_response_kind::Crash, .crashingTarget = request.path, .timeToCrash = timeToCrash });
+    for (int send = 0; send < maxCrashes; ++send) {
+        auto sent = std::async(std::launch::async, [&] { return fleet.call(send % fleet.daemons(), request.path, request.method, relay_fleet::key, request.body).status; });
+        std::this_thread::sleep_for(timeToDrain);
+        for (int server = 0; server < fleet.servers(); ++server) {
+            const auto seen = fleet.server(server).seen();
+            if (!seen.empty() && !seen.back().hasEnded)
+                fleet.list(server, "draining");
+        }
+        sent.get();
+        awaitRestart(fleet);
+    }
+    std::this_thread::sleep_for(contactTime);
+    sendToAll(fleet, request, 2);
+    BOOST_TEST(runsOf(fleet, request.path) <= maxCrashes);
+}
+
+namespace {
+
+/// How servers announce that they leave.
+struct announcement_case {
+    const char* name;
+    bool isListed; ///< As draining; otherwise the entry is removed.
+
+    friend std::ostream& operator<<(std::ostream& out, const announcement_case& testCase) { return out << testCase.name; }
+};
+
+const announcement_case announcements[] {
+    { "listed as draining", true },
+    { "entry removed", false },
+};
+
+} // namespace
+
+// Guards against refusals of streams that a rolling release of the servers has cut twice.
+BOOST_DATA_TEST_CASE(streamsThatPlannedExitsOfServersCutGoOn, boost::unit_test::data::make(announcements), testCase)
+{
+    constexpr auto drainTime = 2300ms;
+    constexpr int events = 120;
+    constexpr int streams = 24;
+    relay_fleet fleet { { .daemons = 2, .servers = 3, .behaviour = { .events = events, .pause = 50ms } } };
+    fleet.store().unlist("i-2");
+    std::this_thread::sleep_for(3s); // The daemons take no part in the release yet.
+    std::vector<std::future<received_response>> running;
+    running.reserve(streams);
+    const auto send = [&](int daemon, int stream, const std::string& id, const std::string& lastEvent) {
+        return fleet.stream(daemon % 2, "/resumable-stream/" + std::to_string(stream), { .id = id, .key = relay_fleet::key, .timeLeft = 10s, .resumes = lastEvent.empty() ? std::string {} : id.substr(0, id.find('-')), .lastEventId = lastEvent });
+    };
+    for (int stream = 0; stream < streams; ++stream)
+        running.push_back(std::async(std::launch::async, [&, stream] { return send(stream, stream, "s" + std::to_string(stream), {}); }));
+    std::this_thread::sleep_for(300ms);
+    for (const int server : { 0, 1 }) {
+        if (testCase.isListed)
+            fleet.list(server, "draining");
+        else
+            fleet.store().unlist(fleet.server(server).id());
+        if (server == 1)
+            fleet.list(2);
+        std::this_thread::sleep_for(drainTime);
+        fleet.server(server).exit();
+        fleet.store().unlist(fleet.server(server).id());
+    }
+    int resumed = 0;
+    int wentOn = 0;
+    for (int stream = 0; stream < streams; ++stream) {
+        const received_response first = running[static_cast<std::size_t>(stream)].get();
+        if (first.isComplete || first.status != 200)
+            continue;
+        const auto received = std::count(first.body.begin(), first.body.end(), '\n') / 3; // An event has three lines.
+        ++resumed;
+        const received_response rest = send(stream + 1, stream, "s" + std::to_string(stream) + "-again", std::to_string(received));
+        wentOn += rest.status == 200 ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(testCase.name << ": " << wentOn << " of " << resumed << " streams went on");
+    BOOST_TEST(resumed > 0);
+    BOOST_TEST(wentOn == resumed);
+}
+
 BOOST_AUTO_TEST_CASE(restartedDaemonsStillRefuseCrashingRequest)
 {
     relay_fleet fleet { { .daemons = 2, .servers = 6 } };
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -37,6 +37,9 @@
 static constexpr std::chrono::milliseconds lookupLifetime { 2000 };
 // Time between the end of a drain and the moment at which the platform kills the process.
 static constexpr std::chrono::milliseconds stopMargin { 500 };
+// A leaving server serves for at least the time in which new requests to it must cease, so one that ends within this share of it has
+// crashed. The rest covers the time in which lists arrive.
+static constexpr int exitNoticeDivisor = 2;
 static constexpr std::chrono::milliseconds refreshInterval { 250 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 // Interval at which the store's list of daemons is read, per daemon of the fleet, so that the load on the store does not grow
@@ -73,10 +76,10 @@
     stream_origins origins;
     server_connection_pool connections;
     response_memory bufferedResponses;
+    response_times<boottime_clock> responseTimes { clock };
     stop_state stop;
     relay_metrics metrics;
     fleet_membership fleet;
-    response_times<boottime_clock> responseTimes { clock };
     server_access access; // Uses the hints once requests are served.
     hint_exchange hints;
     forwarding_settings forwarding;
@@ -100,6 +103,7 @@
         : options(daemonOptions)
         , retries(clock, { .ratio = options.platform.retryRatio, .slack = options.platform.retrySlack, .startsFull = options.platform.isFirstStart })
         , freshness(options.platform.areKeysRevokedStrictly ? duration { options.platform.maxRevocationDelay } : duration { unboundedKeyTrust })
+        , crashes({ .minNotice = options.platform.maxDrainDelay / exitNoticeDivisor })
         , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
@@ -253,10 +257,11 @@
         feed.refresh(fleet, view);
         if (const auto servers = routing.servers()) {
             versions.record(*servers, clock.now());
-            crashes.applyServerList(servers);
+            crashes.applyServerList(servers, clock.now() - freshness.age(clock.now()));
         }
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
-        crashRows.add(newCrashes);
+        crashRows.add(newCrashes, clock.now());
+        crashRows.remove(crashes.takeWithdrawnRecords());
         crashRows.change(crashes.takePartTableChanges(), clock.now());
         hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts() }, *view);
         for (const limit_event& event : balancer.takeLimitEvents())
--- a/unittests/Relay/abandoned_attempts_test.cpp
+++ b/unittests/Relay/abandoned_attempts_test.cpp
@@ -23,7 +23,7 @@
     listed_server listed; ///< Listed in place of server i-1, whose process started at 1.
     std::chrono::milliseconds delay; ///< Between the attempt and the listing.
     int otherRestarts; ///< Of the zone's four further servers, at the same time.
-    bool isDrained; ///< Server i-1 is listed as draining before.
+    bool isPlanned; ///< The exit of server i-1 is known to be a planned one.
     bool isCrash;
 };
 
@@ -35,7 +35,8 @@
     { "new id at the same address", makeServer("i-2", 2), 1s, 0, false, true },
     { "other address", makeServer("i-2", 2, "10.0.0.2:80"), 1s, 0, false, false },
     { "address of another service", makeServer("i-2", 2, "10.0.0.1:80", "t"), 1s, 0, false, false },
-    { "drained", makeServer("i-2", 2), 1s, 0, true, false },
+    { "planned exit, new id at the same address", makeServer("i-2", 2), 1s, 0, true, false },
+    { "planned exit, new process under the same id", makeServer("i-1", 2), 1s, 0, true, false },
     { "one more server of the zone", makeServer("i-1", 2), 1s, 1, false, true },
     { "most servers of the zone", makeServer("i-1", 2), 1s, 3, false, false },
     { "too late", makeServer("i-1", 2), 30s, 0, false, false },
@@ -49,9 +50,18 @@
     clock.advance(1h);
     abandoned_attempts<manual_clock> attempts { clock };
     attempts.add(makeServer("i-1", 1), { .content = { .high = 1, .low = 2 } });
-    server_list before;
-    before.servers.emplace(server_id { "i-1" }, makeServer("i-1", 1)).first->second.isDraining = testCase.isDrained;
-    BOOST_TEST(attempts.takeCrashed(before).empty());
+    time_point plannedEndAt {};
+    const auto isPlannedExit = [&](const listed_server& server, time_point endedBy) {
+        BOOST_TEST(server.id.value() == "i-1");
+        plannedEndAt = endedBy;
+        return testCase.isPlanned;
+    };
+    for (const bool isDraining : { false, true }) {
+        server_list before;
+        before.servers.emplace(server_id { "i-1" }, makeServer("i-1", 1)).first->second.isDraining = isDraining;
+        BOOST_TEST(attempts.takeCrashed(before, isPlannedExit).empty());
+        BOOST_TEST(attempts.hasAttemptsAt(makeServer("i-1", 1)));
+    }
     clock.advance(testCase.delay);
     server_list after;
     listed_server successor = testCase.listed;
@@ -63,10 +73,12 @@
         other.listedAt = number < testCase.otherRestarts ? clock.now() : time_point {};
         after.servers.emplace(other.id, other);
     }
-    BOOST_TEST(attempts.takeCrashed(after).empty()); // Other servers of the zone may follow.
+    BOOST_TEST(attempts.takeCrashed(after, isPlannedExit).empty()); // Other servers of the zone may follow.
     clock.advance(abandoned_attempts<manual_clock>::settlingTime);
-    BOOST_TEST(attempts.takeCrashed(after).size() == (testCase.isCrash ? 1U : 0U));
-    BOOST_TEST(attempts.takeCrashed(after).empty());
+    BOOST_TEST(attempts.takeCrashed(after, isPlannedExit).size() == (testCase.isCrash ? 1U : 0U));
+    BOOST_TEST(attempts.takeCrashed(after, isPlannedExit).empty());
+    if (testCase.isPlanned)
+        BOOST_TEST((plannedEndAt == successor.listedAt));
 }
 
 BOOST_AUTO_TEST_CASE(attemptsAtACrashedProcessAreReturnedOnce)
