--- a/test/Relay/planned_stops_test.cpp
+++ b/test/Relay/planned_stops_test.cpp
@@ -263,6 +263,29 @@
     BOOST_TEST(served > 0);
 }
 
+// Guards against orders that are lost at the daemon which forwarded them, because the one that sent them to a server stops.
+BOOST_AUTO_TEST_CASE(ordersForwardedToAStoppingDaemonGetTheirResponses)
+{
+    constexpr auto timeout = 4000ms;
+    relay_fleet fleet { { .daemons = 3, .hasServerPaths = true, .behaviour = { .pause = 60ms, .extraPause = 2000ms }, .stopGrace = grace } };
+    fleet.configure({ .version = 2, .workspaceKey = relay_fleet::key, .orderTimeout = timeout });
+    fleet.setServerPaths(0, path_state::Reset);
+    BOOST_REQUIRE(waitUntil(5s, [&] { return fleet.call(0, "/read/a").status == 200; }));
+    order_callers load { fleet, "f-", timeout, { fleet.callerAddress(0) }, steady::now() + grace };
+    std::this_thread::sleep_for(500ms);
+    fleet.daemon(1).signal(SIGTERM);
+    const auto orders = load.finish();
+    BOOST_TEST(fleet.daemon(1).wait(grace).value_or(-1) == 0);
+    const std::set<std::string> ran = ordersThatRan(fleet);
+    int served = 0;
+    for (const order_result& order : orders) {
+        served += order.response.status == 200 ? 1 : 0;
+        BOOST_TEST((order.response.status == 200 || !ran.contains(order.id)), order.id << " ran and ended with status " << order.response.status << " after " << order.duration.count() << " ms");
+    }
+    BOOST_TEST_MESSAGE(served << " served of " << orders.size());
+    BOOST_TEST(served > 0);
+}
+
 // Guards against refusals of short orders only because their route's timeout is longer than the rest of the daemon's life.
 BOOST_AUTO_TEST_CASE(shortOrdersAreAcceptedEarlyInAStopThoughTheirTimeoutIsLong)
 {
