test: response heads that break off, for calls, streams, resends into a begun stream and forwarded requests

Reported by other operators: a server stops in the middle of a response head, and callers get a 200 with an empty or short body that is framed as complete.

--- a/include/radishflow/Emulator/http_reply.h
+++ b/include/radishflow/Emulator/http_reply.h
@@ -28,6 +28,9 @@
 /// Closes the connection without answering, or in the middle of the answer.
 void cutConnection(Poco::Net::HTTPServerRequest&);
 
+/// Resets the connection, after a short time in which the peer can read what was sent.
+void resetConnection(Poco::Net::HTTPServerRequest&);
+
 /// Whether the peer has closed the connection.
 bool hasPeerClosed(Poco::Net::HTTPServerRequest&);
 
--- a/lib/Emulator/http_reply.cpp
+++ b/lib/Emulator/http_reply.cpp
@@ -63,6 +63,19 @@
     }
 }
 
+void resetConnection(Poco::Net::HTTPServerRequest& request)
+{
+    // The peer reads what was sent before the reset only if it does so in time.
+    Poco::Thread::sleep(pollMicroseconds / 1000);
+    request.response().setKeepAlive(false);
+    try {
+        socketOf(request).setLinger(true, 0);
+        socketOf(request).close();
+    } catch (const Poco::Exception&) {
+        // The peer was faster.
+    }
+}
+
 static bool hasEnded(Poco::Net::StreamSocket& socket)
 {
     char byte = 0;
