--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -57,6 +57,8 @@
     for (int number = 0; options.hasServerPaths && number < options.daemons; ++number)
         addServerPaths(number);
     m_daemons.resize(static_cast<std::size_t>(options.daemons));
+    for (std::size_t number = 0; number < m_daemons.size(); ++number)
+        m_programs.push_back(options.programs.empty() ? currentProgram() : options.programs[number % options.programs.size()]);
     for (int number = 0; number < options.daemons; ++number) {
         if (options.isProxied) {
             m_storeLinks.push_back(std::make_unique<faulty_link>(m_store.address()));
@@ -69,6 +71,11 @@
     require(waitUntil(std::chrono::seconds { 10 }, [&] { return lookUp(0).size() == m_daemons.size(); }), "daemon 0 did not list all daemons within 10 s");
 }
 
+std::string relay_fleet::currentProgram()
+{
+    return std::string { RADISHFLOW_BINARIES } + "/radishflow-relayd";
+}
+
 relay_fleet::~relay_fleet()
 {
     m_daemons.clear();
@@ -137,7 +144,7 @@
         .isFirstStart = m_daemons[static_cast<std::size_t>(number)] == nullptr,
     });
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
-        .program = std::string { RADISHFLOW_BINARIES } + "/radishflow-relayd",
+        .program = m_programs[static_cast<std::size_t>(number)],
         .arguments = { "--settings=" + path, "--metrics_port=" + std::to_string(portOf(MetricsPort)) },
         .outputFile = m_options.logFolder.empty() ? std::string {} : m_options.logFolder + "/daemon-" + std::to_string(number) + ".log",
         .startTimeout = std::chrono::milliseconds { 1 },
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -27,6 +27,7 @@
     std::vector<std::string> services { standinService }; ///< Services of the servers, in turn.
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
     bool hasServerPaths = false; ///< Whether each daemon reaches each server by a server_path of its own.
+    std::vector<std::string> programs; ///< Of the daemons, in turn; empty for the one of this build.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
     std::chrono::milliseconds stopGrace { 4000 }; ///< Between SIGTERM and SIGKILL.
@@ -60,6 +61,10 @@
     int connectionsToServers(int daemon) const;
     child_process& daemon(int number) { return *m_daemons.at(static_cast<std::size_t>(number)); }
 
+    /// Sets the program that a daemon runs from its next start on.
+    void setProgram(int daemon, const std::string& program) { m_programs.at(static_cast<std::size_t>(daemon)) = program; }
+    /// Returns the program of this build.
+    static std::string currentProgram();
     /// Starts a daemon whose process has ended.
     void restart(int number);
     /// Publishes a configuration that has a public route "v<version>" and lacks the route `without`.
@@ -94,6 +99,7 @@
 
     relay_fleet_options m_options;
     std::filesystem::path m_folder;
+    std::vector<std::string> m_programs; ///< By daemon.
     int m_port = 0; ///< First of the ports that every daemon uses on its own address.
     store_standin m_store;
     std::vector<std::unique_ptr<server_standin>> m_servers;
