backend: a response that breaks off in its head or its chunks is not forwarded as complete

Change: the relay's strict parsers of heads and bodies move to Requests, and response_stream reads responses of servers and their pages with them.

--- a/include/radishflow/Relay/forwarding_fields.h
+++ b/include/radishflow/Relay/forwarding_fields.h
@@ -1,7 +1,7 @@
 // Declares the header fields with which a daemon without access to the backend servers forwards a request to another daemon.
 #pragma once
 
-#include "radishflow/Relay/message_head.h"
+#include "radishflow/Requests/message_head.h"
 #include "radishflow/Routing/stream_origin.h"
 #include "radishflow/Support/execution_state.h"
 #include "radishflow/Support/ids.h"
--- a/include/radishflow/Relay/request_reader.h
+++ b/include/radishflow/Relay/request_reader.h
@@ -1,8 +1,8 @@
 // Declares readRequest, which receives one request from a caller.
 #pragma once
 
-#include "radishflow/Relay/message_head.h"
 #include "radishflow/Relay/relay_socket.h"
+#include "radishflow/Requests/message_head.h"
 #include "radishflow/Requests/refusal.h"
 #include "radishflow/Routing/caller_limits.h"
 
--- a/include/radishflow/Relay/response_text.h
+++ b/include/radishflow/Relay/response_text.h
@@ -1,7 +1,7 @@
 // Declares the functions that serialize responses to callers.
 #pragma once
 
-#include "radishflow/Relay/message_head.h"
+#include "radishflow/Requests/message_head.h"
 #include "radishflow/Requests/refusal.h"
 #include "radishflow/Support/ids.h"
 
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -1,10 +1,10 @@
 // Declares server_exchange, which sends one request to one backend server and reads the response.
 #pragma once
 
-#include "radishflow/Relay/body_decoder.h"
 #include "radishflow/Relay/body_read_result.h"
 #include "radishflow/Relay/exchange_state.h"
 #include "radishflow/Relay/server_connection_pool.h"
+#include "radishflow/Requests/body_decoder.h"
 #include "radishflow/Routing/listed_server.h"
 #include "radishflow/Routing/server_access_monitor.h"
 #include "radishflow/Support/boottime_clock.h"
--- a/include/radishflow/Relay/body_decoder.h
+++ b/include/radishflow/Requests/body_decoder.h
@@ -1,7 +1,7 @@
 // Declares body_decoder, which incrementally removes the HTTP/1.1 framing (length or chunks) from a message body.
 #pragma once
 
-#include "radishflow/Relay/message_head.h"
+#include "radishflow/Requests/message_head.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/radishflow/Relay/parse_head.h
+++ b/include/radishflow/Requests/parse_head.h
@@ -1,7 +1,7 @@
 // Declares the strict parsing of HTTP/1.1 heads.
 #pragma once
 
-#include "radishflow/Relay/message_head.h"
+#include "radishflow/Requests/message_head.h"
 
 #include <cstddef>
 #include <string>
--- a/lib/Backend/backend_client.cpp
+++ b/lib/Backend/backend_client.cpp
@@ -4,10 +4,10 @@
 #include "radishflow/Support/timespan.h"
 
 #include "backend_exchange.h"
+#include "response_stream.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 
 namespace radishflow {
@@ -31,13 +31,15 @@
         request.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
         if (!sent.empty())
             request.setContentLength64(static_cast<Poco::Int64>(sent.size()));
-        session.sendRequest(request) << sent;
-        Poco::Net::HTTPResponse response;
-        std::istream& in = session.receiveResponse(response);
+        session.sendRequest(request) << sent << std::flush;
+        response_stream response { session.socket() };
+        const int status = response.readHead().status;
         std::string body;
-        Poco::StreamCopier::copyToString(in, body);
-        if (response.getStatus() != 200)
-            return fail({ .code = failure_code::Refused, .step = step, .peer = server.value(), .detail = request.getURI() + " answered " + std::to_string(response.getStatus()) });
+        Poco::StreamCopier::copyToString(response.body(), body);
+        if (status != 200)
+            return fail({ .code = failure_code::Refused, .step = step, .peer = server.value(), .detail = request.getURI() + " answered " + std::to_string(status) });
+        if (!response.isComplete())
+            return fail({ .code = failure_code::Broken, .step = step, .peer = server.value(), .detail = request.getURI() + " broke off after " + std::to_string(body.size()) + " bytes" });
         return body;
     } catch (const Poco::Exception& error) {
         return fail({ .code = failure_code::Unreachable, .step = step, .peer = server.value(), .detail = error.displayText() });
--- a/lib/Backend/backend_exchange.cpp
+++ b/lib/Backend/backend_exchange.cpp
@@ -87,19 +87,19 @@
     session.sendRequest(request) << m_submission.body << std::flush;
 }
 
-void backend_exchange::beginOnce(const Poco::Net::HTTPResponse& response)
+void backend_exchange::beginOnce(const response_stream& response, const response_head& head)
 {
     if (m_hasBegun)
         return;
     m_hasBegun = true;
     m_gate.firstByte(duration_cast<milliseconds>(boottime_clock {}.now() - m_started));
-    m_answer.begin(response.getStatus(), response.getContentType());
+    m_answer.begin(head.status, response.fieldOf("Content-Type"));
 }
 
 // Events that were seen already, or that jump ahead, would splice two generations; such a stream is cut.
-backend_exchange::step backend_exchange::copyEvents(std::istream& in, const Poco::Net::HTTPResponse& response)
+backend_exchange::step backend_exchange::copyEvents(response_stream& response, const response_head& head)
 {
-    event_reader reader { in };
+    event_reader reader { response.body() };
     stream_event event;
     while (reader.next(event)) {
         if (timeLeft().count() <= 0) {
@@ -112,7 +112,7 @@
             cancelAtServer();
             return step::Ended;
         }
-        beginOnce(response);
+        beginOnce(response, head);
         if (!m_answer.append(event.text, m_options.slowReaderLimit)) {
             breakOff("Caller gone", "nobody reads the answer");
             cancelAtServer();
@@ -128,8 +128,9 @@
     return step::Cut;
 }
 
-backend_exchange::step backend_exchange::copyPlain(std::istream& in, const Poco::Net::HTTPResponse& response)
+backend_exchange::step backend_exchange::copyPlain(response_stream& response, const response_head& head)
 {
+    std::istream& in = response.body();
     std::string body;
     char buffer[8192];
     while (in.read(buffer, sizeof buffer) || in.gcount() > 0) {
@@ -139,15 +140,12 @@
             return step::Ended;
         }
     }
-    // POCO ends a body that the server cut short like a whole one; only the stated length tells.
-    const bool isShort = response.hasContentLength() && body.size() != static_cast<std::size_t>(response.getContentLength64());
-    const bool isUnbounded = !response.hasContentLength() && !response.getChunkedTransferEncoding();
-    if (isShort || isUnbounded) {
+    if (!response.isComplete()) {
         noteReset();
         breakOff("Answer cut short", std::to_string(body.size()) + " bytes arrived");
         return step::Ended;
     }
-    beginOnce(response);
+    beginOnce(response, head);
     m_outcome.isWhole = m_answer.append(body, m_options.slowReaderLimit);
     m_answer.finish();
     return step::Ended;
@@ -155,12 +153,13 @@
 
 backend_exchange::step backend_exchange::copyAnswer(Poco::Net::HTTPClientSession& session)
 {
-    Poco::Net::HTTPResponse response;
-    std::istream& in = session.receiveResponse(response);
-    if (response.getStatus() == 200 && response.getContentType().starts_with("text/event-stream"))
-        return copyEvents(in, response);
+    constexpr int ok = 200;
     constexpr int notFound = 404;
-    if (m_submission.resumeAfter > 0 && response.getStatus() == notFound) {
+    response_stream response { session.socket() };
+    const response_head& head = response.readHead();
+    if (head.status == ok && response.fieldOf("Content-Type").starts_with("text/event-stream"))
+        return copyEvents(response, head);
+    if (m_submission.resumeAfter > 0 && head.status == notFound) {
         m_answer.breakOff({ .status = 410, .title = "Generation gone", .detail = "the server no longer has this stream; send the request anew", .execution = execution_state::Unknown });
         return step::Ended;
     }
@@ -169,7 +168,7 @@
         breakOff("Answer lost", "the server no longer has this stream");
         return step::Ended;
     }
-    return copyPlain(in, response);
+    return copyPlain(response, head);
 }
 
 // The check is the last step before the write: between the two, only the window that successors leave free
--- a/lib/Backend/backend_exchange.h
+++ b/lib/Backend/backend_exchange.h
@@ -8,13 +8,13 @@
 #include "radishflow/Requests/request_submission.h"
 #include "radishflow/Support/monotonic_clock.h"
 
+#include "response_stream.h"
+
 #include <cstdint>
-#include <istream>
 #include <memory>
 
 namespace Poco::Net {
 class HTTPClientSession;
-class HTTPResponse;
 }
 
 namespace radishflow {
@@ -37,9 +37,9 @@
     step tryThroughGate(Poco::Net::HTTPClientSession&);
     void sendRequest(Poco::Net::HTTPClientSession&, term_number) const;
     step copyAnswer(Poco::Net::HTTPClientSession&);
-    step copyEvents(std::istream&, const Poco::Net::HTTPResponse&);
-    step copyPlain(std::istream&, const Poco::Net::HTTPResponse&);
-    void beginOnce(const Poco::Net::HTTPResponse&);
+    step copyEvents(response_stream&, const response_head&);
+    step copyPlain(response_stream&, const response_head&);
+    void beginOnce(const response_stream&, const response_head&);
     void noteReset();
     std::chrono::milliseconds timeLeft() const;
     void breakOff(const char* title, const std::string& detail);
--- a/lib/Relay/request_reader.cpp
+++ b/lib/Relay/request_reader.cpp
@@ -1,8 +1,8 @@
 // Implements the reception of one request from a caller.
 #include "radishflow/Relay/request_reader.h"
 
-#include "radishflow/Relay/body_decoder.h"
-#include "radishflow/Relay/parse_head.h"
+#include "radishflow/Requests/body_decoder.h"
+#include "radishflow/Requests/parse_head.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <chrono>
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -1,7 +1,7 @@
 // Implements the exchange of one request and its response with one backend server.
 #include "radishflow/Relay/server_exchange.h"
 
-#include "radishflow/Relay/parse_head.h"
+#include "radishflow/Requests/parse_head.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <algorithm>
--- a/lib/Relay/body_decoder.cpp
+++ b/lib/Requests/body_decoder.cpp
@@ -1,6 +1,6 @@
 // Implements the decoding of bodies. Ambiguous framing is rejected, because two recipients that read the length
 // differently would disagree on where the next message starts.
-#include "radishflow/Relay/body_decoder.h"
+#include "radishflow/Requests/body_decoder.h"
 
 #include <algorithm>
 #include <charconv>
--- a/lib/Relay/message_head.cpp
+++ b/lib/Requests/message_head.cpp
@@ -1,5 +1,5 @@
 // Implements the queries on header fields.
-#include "radishflow/Relay/message_head.h"
+#include "radishflow/Requests/message_head.h"
 
 #include <algorithm>
 #include <array>
--- a/lib/Relay/parse_head.cpp
+++ b/lib/Requests/parse_head.cpp
@@ -1,6 +1,6 @@
 // Implements the parsing of heads. POCO's parser is not used because it accepts heads that other implementations interpret
 // differently (bare line feeds, folded lines, a byte 0xFF as the end), which a relay must not forward.
-#include "radishflow/Relay/parse_head.h"
+#include "radishflow/Requests/parse_head.h"
 
 #include <algorithm>
 #include <charconv>
--- a/test/Relay/caller_connection.cpp
+++ b/test/Relay/caller_connection.cpp
@@ -1,8 +1,8 @@
 // Implements caller_connection on the relay's own parsers.
 #include "caller_connection.h"
 
-#include "radishflow/Relay/body_decoder.h"
-#include "radishflow/Relay/parse_head.h"
+#include "radishflow/Requests/body_decoder.h"
+#include "radishflow/Requests/parse_head.h"
 #include "radishflow/Support/timespan.h"
 
 #include <Poco/Exception.h>
--- /dev/null
+++ b/unittests/Backend/broken_responses_test.cpp
@@ -0,0 +1,113 @@
+// Tests that a response which a backend server breaks off is never taken for a complete one.
+#include "radishflow/Backend/backend_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <ostream>
+#include <string>
+#include <thread>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct response_case {
+    const char* name;
+    std::string bytes; ///< Of the complete response.
+    std::string body;
+
+    friend std::ostream& operator<<(std::ostream& out, const response_case& testCase) { return out << testCase.name; }
+};
+
+const response_case responses[] {
+    { "with a length", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n0123456789", "0123456789" },
+    { "in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n\r\n6\r\n012345\r\n4\r\n6789\r\n0\r\n\r\n", "0123456789" },
+    { "without a body", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n", "" },
+    { "in chunks, after an interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", "x" },
+};
+
+/// A server that answers one connection with the given bytes and closes or resets it.
+class one_response {
+public:
+    one_response(std::string bytes, bool isReset)
+        : m_thread([this, bytes = std::move(bytes), isReset] { serve(bytes, isReset); })
+    {
+    }
+    ~one_response() { m_thread.join(); }
+
+    server_id address() const { return server_id { m_listener.address().toString() }; }
+
+private:
+    void serve(const std::string& bytes, bool isReset)
+    {
+        Poco::Net::StreamSocket peer = m_listener.acceptConnection();
+        std::array<char, 4096> request;
+        peer.receiveBytes(request.data(), static_cast<int>(request.size()));
+        if (!bytes.empty())
+            peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (isReset) {
+            std::this_thread::sleep_for(5ms); // Time to read what was sent.
+            peer.setLinger(true, 0);
+        }
+        peer.close();
+    }
+
+    Poco::Net::ServerSocket m_listener { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+    std::thread m_thread;
+};
+
+const write_gate openGate {
+    .acquire = [] { return std::variant<term_number, refusal> { term_number { 1 } }; },
+    .written = [](term_number) {},
+    .released = [](term_number) {},
+    .firstByte = [](std::chrono::milliseconds) {},
+    .reset = [] {},
+};
+
+answer_part readAll(answer_buffer& answer)
+{
+    constexpr std::size_t maxBytes = 4096;
+    answer_part whole;
+    while (!whole.finished && !whole.broken) {
+        const answer_part part = answer.read(whole.data.size(), 100ms, maxBytes);
+        whole.data += part.data;
+        whole.status = part.status;
+        whole.finished = part.finished;
+        whole.broken = part.broken || part.refused;
+    }
+    return whole;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(onlyACompleteResponseIsForwardedAsOne, boost::unit_test::data::make(responses) * boost::unit_test::data::make({ false, true }), testCase, isReset)
+{
+    for (std::size_t length = 0; length <= testCase.bytes.size(); ++length) {
+        const one_response server { testCase.bytes.substr(0, length), isReset };
+        answer_buffer answer { 65536 };
+        const backend_client client { {} };
+        const exchange_outcome outcome = client.run({ .request = request_id { "r" }, .server = server.address(), .method = "GET", .path = "/", .timeLeft = 2s }, openGate, answer);
+        const bool isComplete = length == testCase.bytes.size();
+        const answer_part received = readAll(answer);
+        BOOST_TEST(outcome.isWhole == isComplete, testCase.name << ", cut after " << length << " bytes");
+        BOOST_TEST(received.finished == isComplete, testCase.name << ", cut after " << length << " bytes: \"" << received.data << '"');
+        if (isComplete)
+            BOOST_TEST(received.data == testCase.body);
+    }
+}
+
+BOOST_DATA_TEST_CASE(onlyACompletePageIsRead, boost::unit_test::data::make(responses), testCase)
+{
+    for (std::size_t length = 0; length <= testCase.bytes.size(); ++length) {
+        const one_response server { testCase.bytes.substr(0, length), false };
+        const std::string page = valueOr([&] { return backend_client { {} }.readPage(server.address(), "/metrics"); }, [](const failure&) { return std::string { "failed" }; });
+        BOOST_TEST(page == (length == testCase.bytes.size() ? testCase.body : "failed"), testCase.name << ", cut after " << length << " bytes: \"" << page << '"');
+    }
+}
--- a/unittests/Relay/endless_response_test.cpp
+++ b/unittests/Relay/endless_response_test.cpp
@@ -1,6 +1,6 @@
 // Tests that bytes which a server sends without end neither hold a request beyond its deadline nor grow without bound.
-#include "radishflow/Relay/body_decoder.h"
 #include "radishflow/Relay/server_exchange.h"
+#include "radishflow/Requests/body_decoder.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <Poco/Exception.h>
--- a/unittests/Relay/forwarding_fields_test.cpp
+++ b/unittests/Relay/forwarding_fields_test.cpp
@@ -1,6 +1,6 @@
 // Tests the header fields with which daemons forward requests to each other.
 #include "radishflow/Relay/forwarding_fields.h"
-#include "radishflow/Relay/parse_head.h"
+#include "radishflow/Requests/parse_head.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/unittests/Relay/body_decoder_test.cpp
+++ b/unittests/Requests/body_decoder_test.cpp
@@ -1,5 +1,5 @@
 // Tests that a body counts as complete only if its framing says so, and that ambiguous framing is rejected.
-#include "radishflow/Relay/body_decoder.h"
+#include "radishflow/Requests/body_decoder.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/unittests/Relay/parse_head_test.cpp
+++ b/unittests/Requests/parse_head_test.cpp
@@ -1,5 +1,5 @@
 // Tests that valid heads are parsed, and that heads which other implementations could read differently are rejected.
-#include "radishflow/Relay/parse_head.h"
+#include "radishflow/Requests/parse_head.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
