relay: request bodies are held once and count against the daemon's memory

Cause: a body was held twice while a server worked, in the message and in the copy that was sent, grew by doubling, and was not counted.

Change: body_memory, which counted buffered responses, counts request bodies too: 45 and 25 % of the platform's limit. A body is reserved by its stated length before it is read, or as it grows, and one without room is refused at once as not run. A large body is sent without a copy.

--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "radishflow/Metrics/relay_metrics.h"
+#include "radishflow/Relay/body_memory.h"
 #include "radishflow/Relay/crash_quarantine.h"
 #include "radishflow/Relay/forwarding_settings.h"
-#include "radishflow/Relay/response_memory.h"
 #include "radishflow/Relay/response_times.h"
 #include "radishflow/Relay/retry_shares.h"
 #include "radishflow/Relay/server_access.h"
@@ -30,7 +30,8 @@
     server_access& access;
     const forwarding_settings& forwarding;
     const stream_origins& origins;
-    response_memory& bufferedResponses;
+    body_memory& requestBodies;
+    body_memory& bufferedResponses;
     response_times<boottime_clock>& responseTimes;
     const stop_state& stop;
     relay_metrics& metrics;
--- a/include/radishflow/Relay/relay_session.h
+++ b/include/radishflow/Relay/relay_session.h
@@ -29,7 +29,7 @@
 {
     const auto limits = [&] { return currentLimits(context); };
     const auto recordUnreadable = [&](const refusal& problem) { recordUnreadableRequest(context, problem); };
-    return serveMessages(caller, callerSendTimeout, limits, recordUnreadable, [&](const caller_message& message) {
+    return serveMessages(caller, callerSendTimeout, limits, &context.requestBodies, recordUnreadable, [&](const caller_message& message) {
         // Only daemons may forward requests, on a port of their own.
         if (std::any_of(message.head.fields.all.begin(), message.head.fields.all.end(), [](const header_field& field) { return isForwardingField(field.name); })) {
             const refusal problem { .status = 400, .title = "Reserved field", .detail = "fields of forwarded requests are not accepted from callers" };
@@ -56,7 +56,7 @@
 {
     const auto limits = [&] { return currentLimits(context); };
     const auto recordUnreadable = [&](const refusal& problem) { recordUnreadableRequest(context, problem); };
-    return serveMessages(peer, callerSendTimeout, limits, recordUnreadable, [&](caller_message& message) {
+    return serveMessages(peer, callerSendTimeout, limits, &context.requestBodies, recordUnreadable, [&](caller_message& message) {
         const auto forwarded = readForwardedRequest(message.head.fields);
         if (!forwarded || !isFromFleet(*forwarded, *context.routing.fleet())) {
             const refusal problem { .status = 503, .title = "Unknown daemon", .detail = "the request does not carry the token of a daemon of this fleet", .retryAfter = forwardedRetryAfter };
--- a/include/radishflow/Relay/serve_messages.h
+++ b/include/radishflow/Relay/serve_messages.h
@@ -15,15 +15,16 @@
     KeepOpen, ///< Another request may follow on the connection.
 };
 
-/// Serves the requests that have arrived. `limits()` returns the limits for the next request, and `serve(message)` sends its
+/// Serves the requests that have arrived. `limits()` returns the limits for the next request, whose body counts in
+/// `bodies` unless that is null, and `serve(message)` sends its
 /// response and returns a response_result. Invalid requests are reported to `reportUnreadable(problem)` and refused; sending
 /// the refusal takes at most `sendTimeout`.
 template <typename Limits, typename ReportUnreadable, typename Serve>
-session_result serveMessages(relay_socket& socket, duration sendTimeout, const Limits& limits, const ReportUnreadable& reportUnreadable, const Serve& serve)
+session_result serveMessages(relay_socket& socket, duration sendTimeout, const Limits& limits, body_memory* bodies, const ReportUnreadable& reportUnreadable, const Serve& serve)
 {
     do {
         caller_message message;
-        const read_result read = readRequest(socket, limits(), message);
+        const read_result read = readRequest(socket, limits(), bodies, message);
         if (read.isClosed)
             return session_result::Closed;
         response_result result = response_result::Close;
--- a/include/radishflow/Requests/body_decoder.h
+++ b/include/radishflow/Requests/body_decoder.h
@@ -26,6 +26,8 @@
     state feed(std::string& input, std::string& output);
     /// Returns whether the body is complete when the peer closes the connection cleanly.
     bool endsWithConnection() const { return m_framing == framing::UntilEnd; }
+    /// Returns the number of bytes of the body that have not been received; 0 if only its end will show how many.
+    std::uint64_t remainingBytes() const { return m_framing == framing::Length ? m_remainingBytes : 0; }
     bool isComplete() const { return m_state == state::Complete; }
 
 private:
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -12,6 +12,7 @@
 namespace radishflow {
 
 static constexpr std::size_t maxHeadBytes = 65536;
+static constexpr std::size_t maxJoinedBytes = 16384; // Of a body that is sent together with the head.
 static constexpr int maxInterimResponses = 16;
 // Of responses to earlier requests, which a connection holds at most a few of.
 static constexpr int maxForeignResponses = 16;
@@ -85,12 +86,17 @@
     const exchange_state opened = open();
     if (opened != exchange_state::Succeeded)
         return opened;
-    std::string message;
-    message.reserve(head.size() + body.size());
-    message.append(head).append(body);
+    // A large body is not copied, as a daemon has memory for few of them.
+    std::string first { head };
+    if (body.size() <= maxJoinedBytes)
+        first.append(std::exchange(body, {}));
     std::size_t sent = 0;
-    const io_outcome outcome = m_socket.send(message, m_options.deadline, &m_options.caller, &sent);
-    m_isRequestSent = sent == message.size();
+    io_outcome outcome = m_socket.send(first, m_options.deadline, &m_options.caller, &sent);
+    m_isRequestSent = sent == first.size();
+    if (outcome == io_outcome::Done && m_isRequestSent && !body.empty()) {
+        outcome = m_socket.send(body, m_options.deadline, &m_options.caller, &sent);
+        m_isRequestSent = sent == body.size();
+    }
     // A server may refuse a request before it has read all of it, so a response may be available even if sending failed.
     if (outcome != io_outcome::Done && outcome != io_outcome::Broken)
         return exchangeStateOf(outcome);
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -56,6 +56,15 @@
 static constexpr int busyNumerator = 3;
 static constexpr int busyDenominator = 4;
 
+// Shares of the process's memory that bodies may take; the rest is for everything else, and for bytes that have not been read.
+static constexpr double requestBodyShare = 0.45;
+static constexpr double responseBodyShare = 0.25;
+
+static std::size_t shareOfMemory(const relay_daemon_options& options, double share)
+{
+    return static_cast<std::size_t>(static_cast<double>(options.platform.maxMemoryBytes) * share);
+}
+
 static std::string withPort(const std::string& address, std::uint16_t port)
 {
     return address.substr(0, address.find(':')) + ':' + std::to_string(port);
@@ -75,7 +84,8 @@
     version_history versions;
     stream_origins origins;
     server_connection_pool connections;
-    response_memory bufferedResponses;
+    body_memory requestBodies { shareOfMemory(options, requestBodyShare) };
+    body_memory bufferedResponses { shareOfMemory(options, responseBodyShare) };
     response_times<boottime_clock> responseTimes { clock };
     stop_state stop;
     relay_metrics metrics;
@@ -111,7 +121,7 @@
         , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { balancer.forgetFailures(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
@@ -235,6 +245,7 @@
     {
         metrics.setGauge("busy", listener->activeConnections());
         metrics.setGauge("connections", listener->connections());
+        metrics.setGauge("request_body_bytes", static_cast<double>(requestBodies.bytes()));
         metrics.setGauge("fleet_size", static_cast<double>(routing.fleet()->size));
         metrics.setGauge("config_age_seconds", std::chrono::duration<double>(freshness.age(clock.now())).count());
         metrics.setGauge("follows_store", feed.isFollower() ? 1 : 0);
