--- a/include/radishflow/Relay/planned_exits.h
+++ b/include/radishflow/Relay/planned_exits.h
@@ -40,8 +40,8 @@
     {
     }
 
-    /// Applies the current list of servers; `confirmedAt` is when this daemon last knew its list to be current. Returns the processes that
-    /// are now known to leave.
+    /// Applies the current list of servers; `confirmedAt` is when this daemon last knew its list to be current. Returns the processes of
+    /// which more ends are planned than were known to be.
     std::vector<server_id> applyList(const std::shared_ptr<const server_list>& list, time_point now, time_point confirmedAt)
     {
         std::vector<server_id> leaving;
@@ -56,7 +56,7 @@
         return leaving;
     }
 
-    /// Records that a server has said itself that it leaves. Returns whether that was unknown.
+    /// Records that a server has said itself that it leaves. Returns whether more of its ends are planned than were known to be.
     bool recordLeaving(const listed_server& server, time_point now) { return add(processIdOf(server), { .since = now, .recordedAt = now, .isStated = true }); }
 
     /// Returns whether the process ended by plan, if it ended at this time or, if it was replaced, not later.
--- a/test/Relay/lost_server_paths_test.cpp
+++ b/test/Relay/lost_server_paths_test.cpp
@@ -141,19 +141,6 @@
         fleet.setServerPaths(daemon, state);
 }
 
-/// Returns the number of requests to the route of orders that ran more than once.
-int ordersRunTwice(relay_fleet& fleet)
-{
-    std::map<std::string, int> runs;
-    for (int server = 0; server < fleet.servers(); ++server) {
-        for (const received_request& received : fleet.server(server).seen()) {
-            if (received.hasRun && received.target.starts_with("/order/"))
-                ++runs[received.id];
-        }
-    }
-    return static_cast<int>(std::count_if(runs.begin(), runs.end(), [](const auto& entry) { return entry.second > 1; }));
-}
-
 void expectServedDuringCut(const cut_case& testCase, int callersPerDaemon, const server_behaviour& behaviour)
 {
     relay_fleet fleet { { .daemons = testCase.daemons, .servers = 6, .hasServerPaths = true, .behaviour = behaviour } };
@@ -171,7 +158,7 @@
     const double others = load.servedShare(cutAt + contactTime, healedAt, othersThan(testCase.cut, testCase.daemons));
     BOOST_TEST(load.servedShare(cutAt + contactTime, healedAt, testCase.cut) >= minShareRatio * others);
     BOOST_TEST(load.servedShare(healedAt + 1s, end, testCase.cut) >= minShareRatio);
-    BOOST_TEST(ordersRunTwice(fleet) == 0);
+    BOOST_TEST(fleet.ordersRunTwice() == 0);
 }
 
 /// Cuts a daemon from all servers and sends it requests until it forwards them; returns false on timeout.
@@ -258,7 +245,7 @@
         BOOST_TEST(load.servedShare(cutAt + contactTime, healedAt, testCase.cut) >= minShareRatio * others);
     }
     load.stop();
-    BOOST_TEST(ordersRunTwice(fleet) == 0);
+    BOOST_TEST(fleet.ordersRunTwice() == 0);
 }
 
 BOOST_DATA_TEST_CASE(callersAreServedWhileDaemonsFailInTheCut, boost::unit_test::data::make(disturbances), testCase)
@@ -277,7 +264,7 @@
     testCase.end(fleet);
     BOOST_TEST_MESSAGE(testCase.name);
     BOOST_TEST(load.servedShare(disturbedAt, end, cut) >= testCase.minShare);
-    BOOST_TEST(ordersRunTwice(fleet) == 0);
+    BOOST_TEST(fleet.ordersRunTwice() == 0);
 }
 
 BOOST_AUTO_TEST_CASE(nothingIsForwardedWhileAllDaemonsAreCut)
--- a/test/Relay/mixed_builds_test.cpp
+++ b/test/Relay/mixed_builds_test.cpp
@@ -6,11 +6,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <functional>
-#include <map>
 #include <ostream>
 #include <string>
 #include <thread>
@@ -138,7 +136,7 @@
 
 namespace {
 
-/// Callers of all kinds of requests, at random daemons that the directory names, until they are destroyed.
+/// Callers of all kinds of requests at all daemons in turn, until they are destroyed.
 class mixed_callers {
 public:
     mixed_callers(relay_fleet& fleet, int count)
@@ -180,7 +178,7 @@
         }
     }
 
-    // The directory of a daemon that is not there any more does not answer, so its callers connect to another one.
+    // A daemon that is being replaced refuses connections, so its callers go to another one.
     bool isServed(int daemon, const std::string& path, const std::string& id)
     {
         caller_connection connection;
@@ -198,18 +196,6 @@
     std::vector<std::thread> m_threads;
 };
 
-int ordersRunTwice(relay_fleet& fleet)
-{
-    std::map<std::string, int> runs;
-    for (int server = 0; server < fleet.servers(); ++server) {
-        for (const received_request& received : fleet.server(server).seen()) {
-            if (received.hasRun && received.target.starts_with("/order/"))
-                ++runs[received.id];
-        }
-    }
-    return static_cast<int>(std::count_if(runs.begin(), runs.end(), [](const auto& entry) { return entry.second > 1; }));
-}
-
 } // namespace
 
 // Guards against requests that are lost while daemons of one build are replaced by those of the other, or back.
@@ -234,7 +220,7 @@
     load.finish();
     BOOST_TEST_MESSAGE((isUpgrade ? "upgrade: " : "back: ") << load.served() << " of " << load.sent() << " served");
     BOOST_TEST(load.served() == load.sent());
-    BOOST_TEST(ordersRunTwice(fleet) == 0);
+    BOOST_TEST(fleet.ordersRunTwice() == 0);
     for (int daemon = 0; daemon < fleet.daemons(); ++daemon) {
         BOOST_TEST(fleet.lookUp(daemon).size() == 3U);
         BOOST_TEST(fleet.call(daemon, "/v4/a", "GET", {}).status == 200);
--- a/test/Relay/planned_stops_test.cpp
+++ b/test/Relay/planned_stops_test.cpp
@@ -6,7 +6,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <filesystem>
 #include <functional>
@@ -55,12 +54,14 @@
     friend std::ostream& operator<<(std::ostream& out, const stop_case& testCase) { return out << testCase.name; }
 };
 
+const stop_case shortOrdersOnALongRoute { "short orders on a route of long ones", 12000ms, 60ms, 0ms, 0ms, std::nullopt };
+
 const stop_case stops[] {
     { "short orders and a silence", 2000ms, 60ms, 390ms, 1300ms, std::nullopt },
     { "short orders, a silence and changes", 2000ms, 60ms, 390ms, 1300ms, 1500ms },
     { "long orders", 5000ms, 60ms, 4500ms, 0ms, std::nullopt },
     { "long orders, a silence and changes", 5000ms, 60ms, 3500ms, 1300ms, 4500ms },
-    { "short orders on a route of long ones", 12000ms, 60ms, 0ms, 0ms, std::nullopt },
+    shortOrdersOnALongRoute,
 };
 
 struct order_result {
@@ -291,7 +292,7 @@
 {
     constexpr auto early = 2500ms;
     stopping_fleet fleet { { .pause = 60ms } };
-    const auto [orders, stoppedAt] = sendOrdersAroundStops(*fleet, stops[4]);
+    const auto [orders, stoppedAt] = sendOrdersAroundStops(*fleet, shortOrdersOnALongRoute);
     const auto refusedEarly = std::count_if(orders.begin(), orders.end(), [&, begin = stoppedAt](const order_result& order) { return order.response.status == 503 && order.sentAt < begin + early; });
     BOOST_TEST(refusedEarly == 0);
 }
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -1,8 +1,10 @@
 // Implements relay_fleet: writes the daemons' settings, starts them and sends requests to them.
 #include "relay_fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <random>
 #include <sstream>
 #include <stdexcept>
@@ -243,4 +245,16 @@
     return count;
 }
 
+int relay_fleet::ordersRunTwice() const
+{
+    std::map<std::string, int> runs;
+    for (const auto& server : m_servers) {
+        for (const received_request& received : server->seen()) {
+            if (received.hasRun && received.target.starts_with("/order/"))
+                ++runs[received.id];
+        }
+    }
+    return static_cast<int>(std::count_if(runs.begin(), runs.end(), [](const auto& entry) { return entry.second > 1; }));
+}
+
 } // namespace radishflow
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -89,6 +89,8 @@
     bool waitReady(int daemon, bool ready = true, std::chrono::milliseconds timeout = std::chrono::seconds { 15 }) const;
     /// Returns the number of requests that ran, summed over all servers.
     int runs() const;
+    /// Returns the number of requests to the route "order" that ran more than once.
+    int ordersRunTwice() const;
 
 private:
     std::string ipOf(int daemon) const;
