--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -25,20 +25,6 @@
     std::size_t maxSuspects = 4096;
 };
 
-/// Parts that have been in flight at the same crashes; a request that has all of them is refused.
-struct quarantined_parts {
-    std::vector<std::uint64_t> parts; ///< Sorted.
-    std::size_t crashes = 0;
-
-    friend bool operator==(const quarantined_parts&, const quarantined_parts&) = default;
-};
-
-/// Crashes that are to be added to the fleet's table, and those that a response has cleared.
-struct part_table_changes {
-    std::vector<part_evidence> added;
-    std::vector<part_evidence> removed;
-};
-
 /// Decides which prompt parts crash servers. All parts of the requests in flight at a crash are suspects, except the last one
 /// of each prompt, which is its own; a complete response clears the parts of its request. The suspect with the most crashes
 /// since explains these, so parts that were only in flight beside it are not blamed for them. Not thread-safe.
@@ -151,8 +137,8 @@
         }
     }
 
-    /// Forgets the crashes of a process at the given time or later, which was no crash. This daemon removes those from the table that it
-    /// detected itself.
+    /// Removes the crashes of a process that are recorded from the given time on, since its exit was planned. The rows that this daemon
+    /// wrote for them are removed by the next takeTableChanges().
     void withdraw(const server_id& process, time_point from)
     {
         for (auto next = m_suspects.begin(); next != m_suspects.end();) {
--- a/include/radishflow/Admission/quarantine.h
+++ b/include/radishflow/Admission/quarantine.h
@@ -61,7 +61,8 @@
             add({ .fingerprint = fingerprint, .server = server, .remaining = m_options.retention }, true);
     }
 
-    /// Forgets the crashes of a server that were recorded for a time from the given one on. Returns those that this daemon detected.
+    /// Removes the crashes of a server that are recorded from the given time on, since its exit was planned. Returns those that this daemon
+    /// detected.
     std::vector<crash_record> withdraw(const server_id& server, time_point from)
     {
         std::vector<crash_record> withdrawn;
--- a/include/radishflow/Relay/planned_exits.h
+++ b/include/radishflow/Relay/planned_exits.h
@@ -1,4 +1,4 @@
-// Declares planned_exits, which tells a planned exit of a backend server from a crash.
+// Declares planned_exits, which distinguishes planned exits of backend servers from crashes.
 #pragma once
 
 #include "radishflow/Routing/server_list.h"
@@ -22,7 +22,7 @@
 }
 
 struct planned_exits_options {
-    duration minNotice = std::chrono::seconds { 1 }; ///< A process that announced its exit and ends sooner has crashed. At most the time for which leaving servers serve.
+    duration minNotice = std::chrono::seconds { 1 }; ///< Minimum time between the announcement and a planned exit; a process that ends sooner has crashed.
     duration memory = std::chrono::minutes { 31 }; ///< Longer than records of crashes are kept.
 };
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -149,3 +149,4 @@
 #include "radishflow/Relay/relay_call_dispatch.h"
 #include "radishflow/Relay/relay_call_forwarding.h"
 #include "radishflow/Relay/relay_call_responses.h"
+#include "radishflow/Relay/relay_call_stopping.h"
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -24,18 +24,10 @@
 inline constexpr std::chrono::milliseconds responseTransitAllowance { 10 };
 // Applies if neither the caller nor the route sets a deadline.
 inline constexpr std::chrono::seconds defaultTimeout { 60 };
-// Remaining time of a stopping process within which a stream probably ends; later ones are refused and go to another daemon.
-inline constexpr std::chrono::milliseconds minStreamTimeBeforeStop { 5200 };
-// A request that is not a stream is also accepted while this share of the stop is left, if its deadline is later but requests of its
-// route have taken far less time lately: the given multiple of the longest, and the time for which a sound server may fall silent.
-inline constexpr double earlyStopShare = 0.6;
-inline constexpr int usualTimeFactor = 4;
-inline constexpr std::chrono::milliseconds maxServerSilence { 1500 };
 // Response timeout as a multiple of the latency objective. It is longer for streams, since a resend makes another server
 // process the whole prompt again.
 inline constexpr double callTimeoutFactor = 1.5;
 inline constexpr double streamTimeoutFactor = 2.5;
-inline constexpr std::chrono::milliseconds stoppingRetryAfter { 20 };
 // Another daemon may know the origin of a stream, or reach one that does.
 inline constexpr std::chrono::milliseconds unknownOriginRetryAfter { 250 };
 
@@ -231,28 +223,6 @@
     return std::chrono::duration_cast<duration>(m_admitted.target->objective * factor);
 }
 
-template <relay_protocol Protocol>
-bool relay_call<Protocol>::canEndBeforeStop() const
-{
-    const duration left = m_context.stop.deadline() - now();
-    if (left >= m_deadline - now())
-        return true;
-    if (m_admitted.target->kind == work_kind::Stream)
-        return left >= minStreamTimeBeforeStop;
-    const auto longest = m_context.responseTimes.longest(m_admitted.target->name);
-    return longest && left >= m_context.stop.length() * earlyStopShare && left >= usualTimeFactor * *longest + maxServerSilence;
-}
-
-// A request that may last longer than the process could be interrupted. It has not been sent to any server yet, so another daemon
-// can serve it immediately.
-template <relay_protocol Protocol>
-std::optional<refusal> relay_call<Protocol>::refusalWhileStopping() const
-{
-    if (!m_context.stop.isStopping() || canEndBeforeStop())
-        return std::nullopt;
-    return refusal { .status = 503, .title = "Stopping", .detail = "this daemon is stopping; another one serves", .retryAfter = stoppingRetryAfter };
-}
-
 template <relay_protocol Protocol>
 std::uint64_t relay_call<Protocol>::affinity() const
 {
--- a/lib/Backend/response_stream.h
+++ b/lib/Backend/response_stream.h
@@ -23,8 +23,8 @@
     const response_head& readHead();
     /// Returns the body without its framing, after readHead(). It also ends when the connection breaks.
     std::istream& body() { return m_body; }
-    /// Returns whether the body that was read is complete, as the head frames it. A body that ends with its connection is not, as its
-    /// end cannot be told from a break.
+    /// Returns whether the body that was read is complete, as the head frames it. A body that ends with its connection never
+    /// is, since a broken connection ends it in the same way.
     bool isComplete() const { return m_decoder && m_decoder->isComplete(); }
     /// Returns the value of a field of the head, or an empty text.
     std::string fieldOf(const char* name) const;
--- a/test/Relay/planned_stops_test.cpp
+++ b/test/Relay/planned_stops_test.cpp
@@ -182,7 +182,7 @@
     steady::time_point stoppedAt;
 };
 
-/// A fleet whose daemons can log without end, as nobody reads the pipes of the others.
+/// A fleet whose daemons log to files. The test does not read pipes, and an earlier build cannot exit while its pipe is full.
 class stopping_fleet {
 public:
     stopping_fleet(const server_behaviour& behaviour)
