relay: a silent peer ends a connection only if the request can go on elsewhere

Cause: every socket had a TCP_USER_TIMEOUT of 1.5 s. The option bounds not only segments that are not acknowledged, but also the time for which the receive window stays closed, even if the peer acknowledges each probe, and it decides when keep-alive probes give up. For a request that must not be sent again, and for a caller, an early end has no use: nothing can go on elsewhere.

The limits now depend on what an early end is good for, and stand in one place (tcp_keep_alive.h): 2.5 s if the request may be sent again, so that one lost probe no longer ends a connection; 7 s otherwise, which includes the retransmission after a silence of 3 s; 10 s for callers. The deadline still ends all of them. A pooled connection has the first limit, so that a host without power is noticed before a reuse.

A keep-alive probe that is lost cannot be caused here without privileges; that part rests on the kernel's rule.

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -81,6 +81,8 @@
     std::uint64_t affinity() const;
     attempt_result attempt(const chosen_server&);
     duration responseTimeout() const;
+    /// Returns how long a server or daemon that has received the request may be silent.
+    std::chrono::milliseconds maxSilence() const;
     std::size_t maxIdleConnectionsToServer() const;
     bool tryReserveResend();
     /// Returns whether the request may be forwarded; waits for a decision whether access to the servers is lost.
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -223,6 +223,14 @@
     return std::chrono::duration_cast<duration>(m_admitted.target->objective * factor);
 }
 
+// Ending the connection to a silent server helps only a request that this daemon or the caller may send again. Any other request would be
+// lost by it, though a sound server still responds.
+template <relay_protocol Protocol>
+std::chrono::milliseconds relay_call<Protocol>::maxSilence() const
+{
+    return isRepeatable(*m_admitted.target) ? maxSilenceIfRepeatable : maxSilenceIfNotRepeatable;
+}
+
 template <relay_protocol Protocol>
 std::uint64_t relay_call<Protocol>::affinity() const
 {
@@ -318,6 +326,7 @@
             .deadline = m_deadline,
             .headDeadline = std::min(m_deadline, now() + responseTimeout()),
             .connectTimeout = connectTimeout,
+            .maxSilence = maxSilence(),
             .maxIdleTime = isRepeatable(*m_admitted.target) ? duration { maxIdleTime } : duration { maxIdleTimeForNonRepeatable },
             .maxIdleConnections = maxIdleConnectionsToServer(),
             .access = &m_context.access.monitorOf(m_admitted.service),
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -76,6 +76,7 @@
             .deadline = m_deadline,
             .headDeadline = isRepeatable(*m_admitted.target) ? std::min(m_deadline, now() + peerTimeoutFactor * responseTimeout()) : m_deadline,
             .connectTimeout = connectTimeout,
+            .maxSilence = maxSilence(),
             .maxIdleTime = isRepeatable(*m_admitted.target) ? duration { maxIdleTime } : duration { maxIdleTimeForNonRepeatable },
             .maxIdleConnections = maxIdlePerPeer,
             .isHeadOnly = m_message.head.method == "HEAD" } };
--- a/include/radishflow/Relay/relay_socket.h
+++ b/include/radishflow/Relay/relay_socket.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "radishflow/Relay/io_outcome.h"
+#include "radishflow/Relay/tcp_keep_alive.h"
 #include "radishflow/Support/monotonic_clock.h"
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -15,9 +17,10 @@
 /// Not thread-safe.
 class relay_socket {
 public:
-    explicit relay_socket(const Poco::Net::StreamSocket&);
+    /// Takes over a connection whose peer may be silent for `maxSilence`.
+    explicit relay_socket(const Poco::Net::StreamSocket&, std::chrono::milliseconds maxSilence = maxSilenceIfRepeatable);
 
-    /// Connects to "IP:port".
+    /// Connects to "IP:port"; the peer may be silent for maxSilenceIfRepeatable until setMaxSilence() is called.
     static io_outcome connect(const std::string& address, time_point deadline, const relay_socket* caller, relay_socket& connected);
     relay_socket() = default;
 
@@ -32,6 +35,7 @@
     /// Waits until data can be read or the deadline has passed.
     io_outcome waitForInput(time_point deadline, const relay_socket* caller) const;
 
+    void setMaxSilence(std::chrono::milliseconds);
     /// Returns whether the peer has closed or reset the connection.
     bool hasPeerDisconnected() const;
     /// Returns whether the connection is open and no received bytes are buffered or waiting to be read.
@@ -54,6 +58,7 @@
     io_outcome wait(short events, time_point deadline, const relay_socket* caller, short& returnedEvents) const;
 
     Poco::Net::StreamSocket m_socket;
+    std::chrono::milliseconds m_maxSilence { 0 }; ///< As set on the socket.
     std::string m_input;
     bool m_isOpen = false;
     bool m_isDrained = false; ///< The last read left no bytes in the socket.
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -23,6 +23,7 @@
     time_point deadline {}; ///< For the whole exchange.
     time_point headDeadline {}; ///< Until which start() waits for the response head.
     duration connectTimeout {};
+    std::chrono::milliseconds maxSilence = maxSilenceIfRepeatable; ///< After which the connection fails.
     duration maxIdleTime {}; ///< Maximum idle time of a pooled connection that is reused.
     std::size_t maxIdleConnections = 16; ///< Maximum number of pooled connections to the server.
     server_access_monitor<boottime_clock>* access = nullptr; ///< Records connections and received bytes; null if the peer is not a backend server.
--- a/lib/Relay/caller_listener.cpp
+++ b/lib/Relay/caller_listener.cpp
@@ -98,7 +98,7 @@
         for (int count = 0; count < maxAcceptsPerPoll; ++count) {
             if (!sockets[endpoint].poll(Poco::Timespan {}, Poco::Net::Socket::SELECT_READ))
                 return;
-            relay_socket accepted { sockets[endpoint].acceptConnection() };
+            relay_socket accepted { sockets[endpoint].acceptConnection(), maxCallerSilence };
             if (static_cast<std::size_t>(++openConnections) > options.maxConnections) {
                 accepted.close();
                 --openConnections;
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -1,7 +1,6 @@
 // Implements relay_socket with POCO's sockets, and poll() to wait for a server and its caller at the same time.
 #include "radishflow/Relay/relay_socket.h"
 
-#include "radishflow/Relay/tcp_keep_alive.h"
 #include "radishflow/Support/boottime_clock.h"
 
 #include <Poco/Exception.h>
@@ -28,13 +27,14 @@
     return static_cast<int>(std::clamp<std::chrono::milliseconds::rep>(left.count(), 0, 60000));
 }
 
-relay_socket::relay_socket(const Poco::Net::StreamSocket& socket)
+relay_socket::relay_socket(const Poco::Net::StreamSocket& socket, std::chrono::milliseconds maxSilence)
     : m_socket(socket)
+    , m_maxSilence(maxSilence)
     , m_isOpen(true)
 {
     m_socket.setBlocking(false);
     m_socket.setNoDelay(true);
-    enableKeepAlive(m_socket);
+    enableKeepAlive(m_socket, maxSilence);
 }
 
 io_outcome relay_socket::connect(const std::string& address, time_point deadline, const relay_socket* caller, relay_socket& connected)
@@ -153,6 +153,12 @@
     return outcome;
 }
 
+void relay_socket::setMaxSilence(std::chrono::milliseconds maxSilence)
+{
+    if (std::exchange(m_maxSilence, maxSilence) != maxSilence)
+        radishflow::setMaxSilence(m_socket, maxSilence);
+}
+
 bool relay_socket::hasPeerDisconnected() const
 {
     char byte = 0;
--- a/lib/Relay/server_connection_pool.cpp
+++ b/lib/Relay/server_connection_pool.cpp
@@ -27,6 +27,8 @@
 void server_connection_pool::release(const server_id& server, relay_socket socket, time_point now, duration lifetime, std::size_t maxToServer)
 {
     socket.releaseSpareMemory();
+    // An idle connection to a host without power must fail before it is reused.
+    socket.setMaxSilence(maxSilenceIfRepeatable);
     const std::lock_guard lock { m_mutex };
     std::vector<idle_connection>& idle = m_idle[server];
     if (idle.size() >= maxToServer || m_count >= maxIdleConnections) {
--- a/lib/Relay/server_exchange.cpp
+++ b/lib/Relay/server_exchange.cpp
@@ -60,6 +60,7 @@
     const time_point now = boottime_clock {}.now();
     if (auto idle = m_connections.acquire(m_options.server.id, now, m_options.maxIdleTime)) {
         m_socket = std::move(*idle);
+        m_socket.setMaxSilence(m_options.maxSilence);
         m_isReused = true;
         return exchange_state::Succeeded;
     }
@@ -67,6 +68,8 @@
     const io_outcome outcome = relay_socket::connect(m_options.server.address, deadline, &m_options.caller, m_socket);
     if (outcome == io_outcome::CallerGone)
         return exchange_state::CallerGone;
+    if (outcome == io_outcome::Done)
+        m_socket.setMaxSilence(m_options.maxSilence);
     if (outcome == io_outcome::Done && m_options.access)
         m_options.access->recordConnected();
     return outcome == io_outcome::Done ? exchange_state::Succeeded : exchange_state::NotSent;
--- a/lib/Relay/tcp_keep_alive.cpp
+++ b/lib/Relay/tcp_keep_alive.cpp
@@ -1,4 +1,4 @@
-// Implements the TCP keep-alive settings.
+// Implements the limits on the silence of peers.
 #include "radishflow/Relay/tcp_keep_alive.h"
 
 #include <netinet/in.h>
@@ -8,16 +8,20 @@
 
 static constexpr int probeAfterSeconds = 1; // Idle time before the first probe; the minimum that the kernel accepts.
 static constexpr int probeIntervalSeconds = 1;
-// The connection fails when data or probes stay unacknowledged for this time, since a host that lost power does not even
-// send a reset. The value leaves time for the kernel's first two retransmissions.
-static constexpr int unacknowledgedLimitMs = 1500;
 
-void enableKeepAlive(Poco::Net::StreamSocket& socket)
+void enableKeepAlive(Poco::Net::StreamSocket& socket, std::chrono::milliseconds maxSilence)
 {
     socket.setKeepAlive(true);
     socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
     socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
-    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedLimitMs);
+    setMaxSilence(socket, maxSilence);
+}
+
+// This option bounds data that is not acknowledged, probes of a closed receive window (also acknowledged ones) and keep-alive
+// probes, whatever their number.
+void setMaxSilence(Poco::Net::StreamSocket& socket, std::chrono::milliseconds maxSilence)
+{
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(maxSilence.count()));
 }
 
 } // namespace radishflow
