platform: daemons hand out whole tables to daemons without a path to the store

Cause: when the store drops its history, the daemons that reach it read the whole table, and from then on have changes only since that reading. A daemon without its own path, whose copy is older, asked them every 0.15 s for changes that none had (peer_changes_missing), and no daemon handed out a whole table. So it kept its former list until the path was back. After a new era of the store it did the same, and its removals were deferred without end, as it had no reading of the new era's clock.

--- a/test/Relay/removed_servers_test.cpp
+++ b/test/Relay/removed_servers_test.cpp
@@ -29,6 +29,8 @@
     bool isFlapping = false;
     bool isPaused = false; ///< The first daemon is paused when the server is removed.
     bool isRestarted = false; ///< The last daemon restarts after the removal.
+    bool isHistoryDropped = false; ///< The store drops its history with the removal.
+    bool isRestored = false; ///< The store comes back from a copy before the removal.
 };
 
 std::ostream& operator<<(std::ostream& out, const partition_case& testCase) { return out << testCase.name; }
@@ -40,6 +42,10 @@
     { "links that flap", 2, refusingLink, true },
     { "a paused daemon", 2, silentLink, false, true },
     { "another daemon restarts", 2, silentLink, false, false, true },
+    { .name = "dropped history, one daemon without a response", .cutDaemons = 1, .rules = silentLink, .isHistoryDropped = true },
+    { .name = "dropped history, a third of the daemons refused", .cutDaemons = 2, .rules = refusingLink, .isHistoryDropped = true },
+    { .name = "a new era, one daemon without a response", .cutDaemons = 1, .rules = silentLink, .isRestored = true },
+    { .name = "a new era, a third of the daemons refused", .cutDaemons = 2, .rules = refusingLink, .isRestored = true },
 };
 
 const partition_case outages[] {
@@ -82,11 +88,19 @@
 {
     relay_fleet fleet { { .daemons = daemons, .isProxied = true, .revocationDelay = revocationDelay } };
     waitForFleet(fleet);
+    fleet.store().takeBackup();
     setLinks(fleet, testCase.cutDaemons, testCase.rules);
     std::this_thread::sleep_for(500ms);
     if (testCase.isPaused)
         fleet.daemon(0).signal(SIGSTOP);
-    fleet.store().unlist("i-0");
+    if (testCase.isRestored) {
+        fleet.store().restoreBackup();
+        std::this_thread::sleep_for(1s); // The daemons with a path have read the copy.
+    }
+    if (testCase.isHistoryDropped)
+        fleet.store().unlistWithoutHistory("i-0");
+    else
+        fleet.store().unlist("i-0");
     const auto removedAt = steady_clock::now();
     if (testCase.isRestarted) {
         fleet.daemon(daemons - 1).signal(SIGKILL);
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -218,7 +218,7 @@
             documents(options.platform.readinessAddress, &state::readinessPage),
             documents(options.platform.lookupAddress, &state::lookupPage),
             documents(withPort(options.platform.ip, options.metricsPort), &state::metricsPage),
-            documents(withPort(options.platform.ip, peerChangesPort(options.platform)), &state::peerChangesPage),
+            documents(withPort(options.platform.ip, peerChangesPort(options.platform)), &state::peerRowsPage),
         };
     }
 
@@ -236,9 +236,9 @@
         return { .status = 200, .body = writeLookupResponse(addresses, lookupLifetime) };
     }
 
-    document peerChangesPage(const std::string& target)
+    document peerRowsPage(const std::string& target)
     {
-        return writePeerChanges(target, [this](const std::string& table, std::uint64_t after) { return feed.changesSince(table, after); });
+        return writePeerRows(target, feed.tablesForPeers());
     }
 
     document metricsPage(const std::string&)
