relayd: accept callers again only with the current list of servers

Cause: readiness looked at the age of the configuration alone, so a daemon that had been out of touch accepted callers as soon as it had read the operator's table, with the list of servers from before.

readiness_gate holds the return to readiness until no known change of the server table is missing and, if the path is back, that table's own calls succeed.

--- a/include/radishflow/Fleet/table_update_monitor.h
+++ b/include/radishflow/Fleet/table_update_monitor.h
@@ -21,6 +21,7 @@
 struct table_update_decision {
     std::optional<table_update> publish; ///< Update to publish to the other daemons.
     bool isConfirmed = false; ///< This daemon's copy is complete as of the fleet's update.
+    bool isBehind = false; ///< The fleet knows of changes that this daemon's copy lacks.
     bool needsFetch = false; ///< The copy lags behind the fleet and this daemon's own polls do not bring the changes, so another daemon has to pass them on.
     bool needsCatchUp = false; ///< The copy has lagged behind the fleet for longer than allowed, so neither a pending call nor another daemon has delivered a change.
 };
@@ -41,7 +42,8 @@
     table_update_decision evaluate(const table_progress& own, const table_update& fleet, time_point now, bool isFollowing = true)
     {
         table_update_decision decision;
-        const bool isBehind = fleet.isNewerThan(own.update.era, own.syncedRevision);
+        decision.isBehind = fleet.isNewerThan(own.update.era, own.syncedRevision);
+        const bool isBehind = decision.isBehind;
         const bool isNewEra = own.update.era > fleet.era;
         if (!isBehind)
             m_behindSince.reset();
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -3,6 +3,7 @@
 
 #include "radishflow/Fleet/fleet_membership.h"
 #include "radishflow/Fleet/hint_exchange.h"
+#include "radishflow/Fleet/readiness_gate.h"
 #include "radishflow/Fleet/store_followers.h"
 #include "radishflow/Fleet/stream_origin_exchange.h"
 #include "radishflow/Relay/caller_listener.h"
@@ -101,6 +102,7 @@
     std::uint64_t announcedEra = 0;
     bool isAnnounced = false;
     bool hasReadDaemonList = false;
+    readiness_gate<boottime_clock> readiness { clock }; // Used by refresh() only.
     std::atomic<bool> isReady = false;
     std::unique_ptr<caller_listener> listener;
     std::unique_ptr<periodic_task> refreshTask;
@@ -277,7 +279,8 @@
         hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts() }, *view);
         for (const limit_event& event : balancer.takeLimitEvents())
             logLimitEvent(event);
-        const bool ready = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
+        const bool isConfigCurrent = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
+        const bool ready = readiness.evaluate({ .isConfigCurrent = isConfigCurrent, .areServersCurrent = feed.areServersCurrent() });
         if (isReady.exchange(ready) != ready) {
             spdlog::info("event=readiness_changed ready={} config_age_ms={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count());
             fleet.publishReadiness(ready);
