--- a/include/radishflow/Routing/zones_out_of_service.h
+++ b/include/radishflow/Routing/zones_out_of_service.h
@@ -46,6 +46,13 @@
         m_listed = std::move(zones);
     }
 
+    /// Keeps a zone out of service that another daemon keeps out, unless the table lists it, until the rewrite time has passed.
+    void keepOut(const zone_id& zone)
+    {
+        if (!m_listed.contains(zone))
+            m_missing.try_emplace(zone, m_clock.now() + m_options.rewriteTime);
+    }
+
     /// While hasPendingChanges() is true, the result can change by the passage of time alone.
     std::set<zone_id> zones()
     {
--- a/test/Relay/store_eras_test.cpp
+++ b/test/Relay/store_eras_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <string>
 #include <thread>
 
@@ -90,3 +91,31 @@
     fleet.store().setZoneOutOfService("za", false);
     BOOST_TEST(waitUntil(3s, [&] { return fleet.call(0, "/read/a").status == 200 && fleet.server(0).runs() > runsBefore; }));
 }
+
+// Guards against a daemon that takes a copy without the newest changes for the present state because it knows no other.
+BOOST_DATA_TEST_CASE(daemonThatStartsWithAnOldCopyAppliesWhatTheOthersKnow, boost::unit_test::data::make({ 2, 6 }), daemons)
+{
+    relay_fleet fleet { { .daemons = daemons, .revocationDelay = revocationDelay } };
+    fleet.store().takeBackup();
+    fleet.configure(7, "new-key");
+    fleet.store().setZoneOutOfService("za", true);
+    BOOST_REQUIRE(waitUntil(3s, [&] { return allAnswer(fleet, relay_fleet::key, 401); }));
+    std::this_thread::sleep_for(1s);
+    const int runsBefore = fleet.server(0).runs();
+    fleet.store().setUnreachable(true);
+    fleet.daemon(0).signal(SIGKILL);
+    std::this_thread::sleep_for(300ms);
+    fleet.store().restoreBackup();
+    fleet.store().setUnreachable(false);
+    fleet.restart(0);
+    const auto restartedAt = std::chrono::steady_clock::now();
+    int accepted = 0;
+    while (std::chrono::steady_clock::now() < restartedAt + 3s) {
+        accepted += fleet.call(0, "/read/a").status == 200 ? 1 : 0; // With the key that was taken away.
+        fleet.call(0, "/read/a", "GET", "new-key");
+        std::this_thread::sleep_for(30ms);
+    }
+    BOOST_TEST(accepted == 0, accepted << " requests with a key that was taken away were accepted");
+    BOOST_TEST(fleet.server(0).runs() == runsBefore, fleet.server(0).runs() - runsBefore << " requests in a zone out of service");
+    BOOST_TEST(fleet.call(0, "/read/a", "GET", "new-key").status == 200);
+}
