relay: log silent peers, and what readiness waited for

An attempt that ends by the limit on silence is now 'unresponsive', and readiness_changed states whether the list of servers is current.

Measured: serverThatReadsNothingIsReportedAsUnresponsive, new: 500 ms of limit end the attempt and are reported, 10 s leave it to the deadline.

--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -36,6 +36,14 @@
 // Result of an attempt to resume a stream that was answered otherwise, as logged.
 inline constexpr const char* notAStreamResult = "not_a_stream";
 
+/// Returns the result of an attempt whose connection failed, as logged. Distinguishes a silent server from one that reset the connection.
+inline const char* brokenResult(const server_exchange& exchange)
+{
+    if (exchange.hasPeerTimedOut())
+        return "unresponsive";
+    return exchange.isReused() ? "broke_reused" : "broke";
+}
+
 /// Returns whether events of the response may follow those of a stream that has begun.
 inline bool continuesStream(const response_head& head, const response_metadata& metadata)
 {
@@ -366,7 +374,7 @@
         return recordFailure(server, server_outcome::Unreachable, false, unreachableResult);
     case exchange_state::MayHaveRun:
         recordIfCrashed(server);
-        return recordFailure(server, server_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
+        return recordFailure(server, server_outcome::Failed, true, brokenResult(exchange));
     case exchange_state::TimedOut:
         recordAbandoned(server);
         return recordFailure(server, server_outcome::Failed, true, "silent");
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -97,7 +97,7 @@
         return recordPeerFailure(peer, peer_outcome::Failed, false, "unreachable");
     case exchange_state::MayHaveRun:
         ++m_contactedServers;
-        return recordPeerFailure(peer, peer_outcome::Failed, true, exchange.isReused() ? "broke_reused" : "broke");
+        return recordPeerFailure(peer, peer_outcome::Failed, true, brokenResult(exchange));
     case exchange_state::TimedOut:
         ++m_contactedServers;
         return recordPeerFailure(peer, peer_outcome::Failed, true, "silent");
--- a/include/radishflow/Relay/relay_socket.h
+++ b/include/radishflow/Relay/relay_socket.h
@@ -36,6 +36,8 @@
     io_outcome waitForInput(time_point deadline, const relay_socket* caller) const;
 
     void setMaxSilence(std::chrono::milliseconds);
+    /// Returns whether the connection failed because the peer was silent for longer than allowed.
+    bool hasPeerTimedOut() const { return m_hasPeerTimedOut; }
     /// Returns whether the peer has closed or reset the connection.
     bool hasPeerDisconnected() const;
     /// Returns whether the connection is open and no received bytes are buffered or waiting to be read.
@@ -63,6 +65,7 @@
     bool m_isOpen = false;
     bool m_isDrained = false; ///< The last read left no bytes in the socket.
     bool m_hasReceived = false;
+    bool m_hasPeerTimedOut = false;
     int m_lateReads = 0; ///< Consecutive reads after their deadline.
 };
 
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -53,6 +53,8 @@
     bool endsWithConnection() const { return m_decoder && m_decoder->endsWithConnection(); }
     const response_head& head() const { return m_head; }
     bool isReused() const { return m_isReused; }
+    /// Returns whether the connection failed because the server was silent for longer than allowed.
+    bool hasPeerTimedOut() const { return m_socket.hasPeerTimedOut(); }
 
 private:
     exchange_state open();
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -123,6 +123,7 @@
         }
         if (received == 0)
             return io_outcome::Ended;
+        m_hasPeerTimedOut = error == ETIMEDOUT;
         if (error != EAGAIN && error != EWOULDBLOCK && error != EINTR)
             return io_outcome::Broken;
         m_isDrained = true;
@@ -140,6 +141,7 @@
             continue;
         }
         if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+            m_hasPeerTimedOut = errno == ETIMEDOUT;
             outcome = io_outcome::Broken;
             break;
         }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -280,9 +280,10 @@
         for (const limit_event& event : balancer.takeLimitEvents())
             logLimitEvent(event);
         const bool isConfigCurrent = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
-        const bool ready = readiness.evaluate({ .isConfigCurrent = isConfigCurrent, .areServersCurrent = feed.areServersCurrent() });
+        const table_state tables { .isConfigCurrent = isConfigCurrent, .areServersCurrent = feed.areServersCurrent() };
+        const bool ready = readiness.evaluate(tables);
         if (isReady.exchange(ready) != ready) {
-            spdlog::info("event=readiness_changed ready={} config_age_ms={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count());
+            spdlog::info("event=readiness_changed ready={} config_age_ms={} servers_current={}", ready, std::chrono::duration_cast<std::chrono::milliseconds>(freshness.age(clock.now())).count(), tables.areServersCurrent);
             fleet.publishReadiness(ready);
         }
     }
--- a/unittests/Relay/server_exchange_test.cpp
+++ b/unittests/Relay/server_exchange_test.cpp
@@ -204,3 +204,37 @@
     shouldStop = true;
     server.join();
 }
+
+namespace {
+
+struct silence_case {
+    const char* name;
+    std::chrono::milliseconds maxSilence;
+    std::chrono::milliseconds timeout;
+    exchange_state state;
+    bool hasPeerTimedOut;
+
+    friend std::ostream& operator<<(std::ostream& out, const silence_case& each) { return out << each.name; }
+};
+
+const silence_case silences[] {
+    { "longer than the limit", 500ms, 5s, exchange_state::MayHaveRun, true },
+    { "within the limit", 10s, 2s, exchange_state::TimedOut, false },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(serverThatReadsNothingIsReportedAsUnresponsive, boost::unit_test::data::make(silences), each)
+{
+    Poco::Net::ServerSocket socket { Poco::Net::SocketAddress { "127.0.0.1:0" } };
+    socket_pair callerPair;
+    const relay_socket caller { callerPair.near };
+    server_connection_pool connections;
+    const listed_server listed = serverAt(socket);
+    const std::string body(64U << 20U, 'x'); // More than the buffers of the connection hold.
+    exchange_options options = optionsFor(listed, caller, each.timeout);
+    options.maxSilence = each.maxSilence;
+    server_exchange exchange { connections, options };
+    BOOST_TEST((exchange.start("POST / HTTP/1.1\r\n\r\n", body, hasExpectedId) == each.state));
+    BOOST_TEST(exchange.hasPeerTimedOut() == each.hasPeerTimedOut);
+}
