--- a/include/radishflow/Fleet/start_check.h
+++ b/include/radishflow/Fleet/start_check.h
@@ -1,7 +1,6 @@
 // Declares start_check, with which a daemon that has started finds out whether the tables that it reads are an old copy.
 #pragma once
 
-#include "radishflow/Routing/fleet_view.h"
 #include "radishflow/Support/monotonic_clock.h"
 
 #include <algorithm>
@@ -9,66 +8,73 @@
 #include <cstddef>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace radishflow {
 
 struct start_check_options {
-    duration maxWait = std::chrono::milliseconds { 1000 }; ///< For the gossip to find other daemons, and for their responses.
-    std::size_t maxDaemons = 3; ///< Daemons to ask.
+    duration maxWait = std::chrono::milliseconds { 1000 }; ///< For other daemons to be found, and for their responses.
+    std::size_t maxResponses = 3; ///< Daemons whose configuration is compared.
 };
 
 /// The platform's store may have come back from a copy that lacks the newest configuration. Daemons that ran before know it,
 /// so one that starts asks some of them before it serves. Not thread-safe.
 class start_check {
 public:
-    explicit start_check(time_point startedAt, const start_check_options& options = {})
+    /// `ownHost` is never asked.
+    start_check(time_point startedAt, const std::string& ownHost, const start_check_options& options = {})
         : m_options(options)
         , m_startedAt(startedAt)
+        , m_known { ownHost }
     {
     }
 
-    /// Returns the daemon to ask next, first those that accept callers; nothing if enough have been asked.
-    std::optional<fleet_daemon> next(const fleet_view& fleet) const
+    /// Adds hosts on which other daemons may run; known ones are ignored.
+    void addHosts(const std::vector<std::string>& hosts)
     {
-        const std::vector<fleet_daemon> others = unasked(fleet);
-        if (others.empty() || m_asked.size() >= m_options.maxDaemons)
+        for (const std::string& host : hosts) {
+            if (m_known.insert(host).second)
+                m_unasked.push_back(host);
+        }
+    }
+
+    /// Records that the platform's list of daemons has been read, so that no further hosts have to be awaited.
+    void recordListRead() { m_hasReadList = true; }
+
+    /// Returns the host to ask next; nothing if enough have responded or no further one is known.
+    std::optional<std::string> next() const
+    {
+        if (m_unasked.empty() || m_responses >= m_options.maxResponses)
             return std::nullopt;
-        const auto accepting = std::find_if(others.begin(), others.end(), [](const fleet_daemon& daemon) { return daemon.acceptsCallers; });
-        return accepting == others.end() ? others.front() : *accepting;
+        return m_unasked.front();
     }
 
-    /// Records that a daemon was asked, and whether it stated a configuration.
-    void recordAsked(const daemon_id& daemon, bool hasConfig)
+    /// Records that the daemon of a host was asked, and whether it stated a configuration.
+    void recordAsked(const std::string& host, bool hasConfig)
     {
-        m_asked.insert(daemon);
+        std::erase(m_unasked, host);
         m_responses += hasConfig ? 1 : 0;
     }
 
-    /// Returns whether all daemons in reach, or enough of them, have been asked, or the wait is over.
-    bool isDone(const fleet_view& fleet, time_point now) const
+    /// Returns whether enough daemons, or all that are known, have been asked, or the wait is over.
+    bool isDone(time_point now) const
     {
-        return now - m_startedAt >= m_options.maxWait || (!m_asked.empty() && !next(fleet));
+        return isWaitOver(now) || (!next() && (m_responses > 0 || m_hasReadList));
     }
 
+    bool isWaitOver(time_point now) const { return now - m_startedAt >= m_options.maxWait; }
+
     /// Returns the number of daemons that stated a configuration.
-    int responses() const { return m_responses; }
+    std::size_t responses() const { return m_responses; }
 
 private:
-    std::vector<fleet_daemon> unasked(const fleet_view& fleet) const
-    {
-        std::vector<fleet_daemon> others;
-        for (const fleet_daemon& daemon : fleet.daemons) {
-            if (daemon.id != fleet.self && !m_asked.contains(daemon.id))
-                others.push_back(daemon);
-        }
-        return others;
-    }
-
     start_check_options m_options;
     time_point m_startedAt;
-    std::set<daemon_id> m_asked;
-    int m_responses = 0;
+    std::set<std::string> m_known;
+    std::vector<std::string> m_unasked; ///< In the order in which they became known.
+    std::size_t m_responses = 0;
+    bool m_hasReadList = false;
 };
 
 } // namespace radishflow
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -187,6 +187,7 @@
         for (const std::string& address : addresses)
             peers.push_back(withPort(address, options.platform.firstPeerPort));
         fleet.seed(peers);
+        feed.addDaemons(addresses, false);
     }
 
     static std::string overloadResponse(std::string_view extraFields)
@@ -328,6 +329,7 @@
                     fleet.recordListedDaemons(addresses.size() + 1);
                 addresses.insert(addresses.end(), options.platform.seedAddresses.begin(), options.platform.seedAddresses.end());
                 seedFleet(addresses);
+                feed.addDaemons({}, true);
                 return true;
             },
             [&](const failure& error) {
