--- a/include/radishflow/Fleet/start_check.h
+++ b/include/radishflow/Fleet/start_check.h
@@ -23,13 +23,19 @@
 class start_check {
 public:
     /// `ownHost` is never asked.
-    start_check(time_point startedAt, const std::string& ownHost, const start_check_options& options = {})
+    explicit start_check(const std::string& ownHost, const start_check_options& options = {})
         : m_options(options)
-        , m_startedAt(startedAt)
         , m_known { ownHost }
     {
     }
 
+    /// Starts the wait, once this daemon has read a table that may be an old copy; later calls have no effect.
+    void begin(time_point now)
+    {
+        if (!m_begunAt)
+            m_begunAt = now;
+    }
+
     /// Adds hosts on which other daemons may run; known ones are ignored.
     void addHosts(const std::vector<std::string>& hosts)
     {
@@ -63,14 +69,14 @@
         return isWaitOver(now) || (!next() && (m_responses > 0 || m_hasReadList));
     }
 
-    bool isWaitOver(time_point now) const { return now - m_startedAt >= m_options.maxWait; }
+    bool isWaitOver(time_point now) const { return m_begunAt && now - *m_begunAt >= m_options.maxWait; }
 
     /// Returns the number of daemons that stated a configuration.
     std::size_t responses() const { return m_responses; }
 
 private:
     start_check_options m_options;
-    time_point m_startedAt;
+    std::optional<time_point> m_begunAt;
     std::set<std::string> m_known;
     std::vector<std::string> m_unasked; ///< In the order in which they became known.
     std::size_t m_responses = 0;
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -28,6 +28,7 @@
 #include <atomic>
 #include <chrono>
 #include <optional>
+#include <stop_token>
 #include <thread>
 #include <utility>
 
@@ -43,6 +44,7 @@
 static constexpr int exitNoticeDivisor = 2;
 static constexpr std::chrono::milliseconds refreshInterval { 250 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
+static constexpr std::chrono::milliseconds startCheckInterval { 10 };
 // Interval at which the store's list of daemons is read, per daemon of the fleet, so that the load on the store does not grow
 // with the fleet. The gossip protocol discovers the whole fleet from any one member.
 static constexpr std::chrono::milliseconds announceIntervalPerDaemon { 1000 };
@@ -107,6 +109,7 @@
     std::unique_ptr<caller_listener> listener;
     std::unique_ptr<periodic_task> refreshTask;
     std::unique_ptr<periodic_task> announceTask;
+    std::jthread startCheck;
     std::unique_ptr<periodic_task> fetchTask;
     std::unique_ptr<periodic_task> catchUpTask;
     std::unique_ptr<periodic_task> crashTask;
@@ -131,6 +134,9 @@
         seedFleet(options.platform.seedAddresses);
         fleet.publishServerAccess(true);
         listener = std::make_unique<caller_listener>(endpoints(), listenerOptions());
+        startCheck = std::jthread { [this](const std::stop_token& stopped) {
+            while (!stopped.stop_requested() && !feed.checkStart())
+                std::this_thread::sleep_for(startCheckInterval); } };
         refreshTask = std::make_unique<periodic_task>(refreshInterval, [this] { refresh(); });
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetryInterval }, [this] { announce(); });
         fetchTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.fetchFromFleet(); });
