--- a/include/radishflow/Fleet/readiness_gate.h
+++ b/include/radishflow/Fleet/readiness_gate.h
@@ -12,7 +12,7 @@
     duration maxWaitForServers = std::chrono::seconds { 2 }; ///< Longest time for which a daemon with a current configuration waits for the list of servers.
 };
 
-/// What a daemon knows of the platform's tables.
+/// Whether a daemon's copies of the platform's tables are current.
 struct table_state {
     bool isConfigCurrent = false; ///< The configuration and a list of servers were read, and the configuration was confirmed lately.
     bool areServersCurrent = false; ///< No change of the list of servers is known that this daemon lacks.
--- a/include/radishflow/Relay/tcp_keep_alive.h
+++ b/include/radishflow/Relay/tcp_keep_alive.h
@@ -10,7 +10,7 @@
 // A connection fails if its peer acknowledges neither data nor keep-alive probes for this time, or accepts no data at all: the kernel cannot
 // tell a host without power from a sound process that is stopped, or whose network path drops segments for a moment.
 
-/// Of a server whose request can go on at another one; longer than sound servers fall silent.
+/// Of a server whose request can go on at another one; longer than the silence of about 1 s that the platform expects of sound servers.
 inline constexpr std::chrono::milliseconds maxSilenceIfRepeatable { 2500 };
 /// Of a server whose request cannot be sent again; longer than the kernel's fifth retransmission takes, which follows a silence of 3 s.
 inline constexpr std::chrono::milliseconds maxSilenceIfNotRepeatable { 7000 };
--- a/test/Relay/paused_peers_test.cpp
+++ b/test/Relay/paused_peers_test.cpp
@@ -53,9 +53,11 @@
 std::vector<received_response> sendOrders(relay_fleet& fleet, const std::string& prefix, std::size_t size, std::chrono::milliseconds pause)
 {
     std::vector<std::future<received_response>> running;
+    running.reserve(orders);
     for (int order = 0; order < orders; ++order)
         running.push_back(std::async(std::launch::async, [&, id = prefix + std::to_string(order)] { return sendOrder(fleet, id, size, pause); }));
     std::vector<received_response> responses;
+    responses.reserve(orders);
     for (auto& response : running)
         responses.push_back(response.get());
     return responses;
--- a/test/Relay/store_return_test.cpp
+++ b/test/Relay/store_return_test.cpp
@@ -97,7 +97,7 @@
         std::map<std::string, double> regainedAt;
         const std::string operatorTable { wire::operatorTable };
         const std::string serverTable { wire::serverTable };
-        const std::regex line { R"(T\d+:(\d+):([\d.]+)Z.* event=dependency_regained dependency=store table=()" + operatorTable + '|' + serverTable + ") " };
+        const std::regex line { R"(T\d+:(\d+):([\d.]+)Z.* event=dependency_regained dependency=store table=(\w+) )" };
         for (std::string text; std::getline(log, text);) {
             std::smatch match;
             if (std::regex_search(text, match, line))
@@ -105,7 +105,8 @@
         }
         BOOST_TEST_CONTEXT(entry.path().filename())
         {
-            BOOST_TEST(regainedAt.size() == 2U);
+            BOOST_TEST(regainedAt.contains(operatorTable));
+            BOOST_TEST(regainedAt.contains(serverTable));
             BOOST_TEST(std::abs(regainedAt[operatorTable] - regainedAt[serverTable]) <= maxDifferenceSeconds);
         }
     }
