--- a/include/radishflow/Relay/tcp_keep_alive.h
+++ b/include/radishflow/Relay/tcp_keep_alive.h
@@ -7,8 +7,8 @@
 
 namespace radishflow {
 
-// A connection fails if its peer acknowledges neither data nor keep-alive probes for this time, or accepts no data at all: the kernel cannot
-// tell a host without power from a sound process that is stopped, or whose network path drops segments for a moment.
+// A connection fails if its peer acknowledges neither data nor keep-alive probes for the given time, or keeps its receive window closed for as
+// long. The kernel cannot distinguish a host without power from a sound process that is stopped, or whose path drops segments for a moment.
 
 /// Of a server whose request can go on at another one; longer than the silence of about 1 s that the platform expects of sound servers.
 inline constexpr std::chrono::milliseconds maxSilenceIfRepeatable { 2500 };
