routing: requests with an earlier list avoid servers that have restarted since

Cause: a new list reaches the balancer before it reaches the routing. The balancer forgets the failures of a restarted server then, so a request that still holds the earlier list chooses the new process under the entry of the former one: its crash is recorded for the former process, which counts once, and its version and coldness are those of the former entry too. Now a server whose entry names another process than the balancer knows is not chosen. Restarts are also noticed if the clock of the host was set back.

--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -230,7 +230,8 @@
     }
 
     /// Discards the records of servers that are no longer listed and have no requests of this daemon in flight, and resets
-    /// the records of servers whose process has restarted, except for the number of requests in flight.
+    /// the records of servers whose process has restarted, except for the number of requests in flight. From then on
+    /// startRequest() avoids such servers in earlier lists, which describe the former process.
     void retain(const server_list& list)
     {
         const std::lock_guard lock { m_mutex };
@@ -240,7 +241,8 @@
         for (const auto& [id, server] : list.servers) {
             m_idsByHash.emplace(serverHashOf(id), id);
             server_record& record = m_records[id];
-            if (server.processStartMs > record.processStartMs)
+            // The start time of a restarted process is an earlier one if the clock of its host was set back.
+            if (server.processStartMs != record.processStartMs)
                 record = { .processStartMs = server.processStartMs, .inFlight = record.inFlight };
         }
     }
@@ -257,6 +259,12 @@
 
     static bool isCold(const listed_server& server, const server_query& query, time_point now) { return query.coldRequestsPerSecond > 0 && server.coldUntil > now; }
 
+    /// Returns whether retain() has received another process of the server than the one that the given list names.
+    static bool isFormerProcess(const listed_server& server, const server_record& record)
+    {
+        return record.processStartMs != 0 && server.processStartMs != record.processStartMs;
+    }
+
     struct service_health {
         decaying_count served;
         decaying_count failed;
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -80,7 +80,7 @@
         const server_record& record = m_records[server->id];
         const bool isOtherVersion = query.version && versionKeyOf(server->service, server->version) != *query.version;
         const bool isExcluded = isOtherVersion || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
-        if (isExcluded || isColdLimited(*server, record, query, now))
+        if (isExcluded || isFormerProcess(*server, record) || isColdLimited(*server, record, query, now))
             continue;
         if (m_limits.timeToSend(*server, *query.fleet, now) != duration::zero()) {
             m_limits.countSkip(*server);
--- a/unittests/Routing/load_balancer_test.cpp
+++ b/unittests/Routing/load_balancer_test.cpp
@@ -4,6 +4,8 @@
 
 #include "test_servers.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <map>
@@ -259,6 +261,20 @@
     BOOST_TEST(distribute(20).contains("s2"));
 }
 
+// Guards against requests that take a restarted server for its former process, with that one's version and crashes.
+BOOST_DATA_TEST_CASE_F(load_balancer_fixture, requestsWithAnEarlierListAvoidRestartedServers, boost::unit_test::data::make({ 6, 4 }), restartedAt)
+{
+    list.servers.at(server_id { "s2" }).processStartMs = 5;
+    balancer.retain(list);
+    BOOST_TEST(distribute(20).contains("s2"));
+    server_list later = list;
+    later.servers.at(server_id { "s2" }).processStartMs = restartedAt;
+    balancer.retain(later);
+    BOOST_TEST(!distribute(20).contains("s2"));
+    list = later;
+    BOOST_TEST(distribute(20).contains("s2"));
+}
+
 BOOST_AUTO_TEST_CASE(chosenServerReportsTheOriginOfThePrompt)
 {
     BOOST_TEST((startRequest()->prompt == prompt_origin::None));
