test: daemons learn of a restart before the next crash, and fleets reserve their ports

Two gaps in tests, found while tracing mixed_builds: - Crashed servers were listed just before the next request.

--- a/test/Relay/mixed_builds_test.cpp
+++ b/test/Relay/mixed_builds_test.cpp
@@ -56,15 +56,15 @@
     return httpCall({ .method = "POST", .url = "http://" + fleet.callerAddress(daemon) + crashingPath, .headers = headersOf({ .id = id, .key = relay_fleet::key, .timeLeft = 4s, .prompt = prompt }), .body = prompt.empty() ? "crashes" : id }).status;
 }
 
-/// Sends requests that crash their servers, which are listed again afterwards.
+/// Sends requests that crash their servers, which are listed again at once and accept requests again before the next one.
 void crashServers(relay_fleet& fleet, const server_behaviour& behaviour, int count, const std::string& prompt)
 {
     setAll(fleet, behaviour);
     for (int crash = 0; crash < count; ++crash) {
         statusOf(fleet, sender, "crash" + std::to_string(crash), prompt);
-        std::this_thread::sleep_for(crashLength);
         for (int server = 0; server < fleet.servers(); ++server)
             fleet.list(server);
+        std::this_thread::sleep_for(crashLength);
     }
 }
 
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -1,6 +1,9 @@
 // Implements relay_fleet: writes the daemons' settings, starts them and sends requests to them.
 #include "relay_fleet.h"
 
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
@@ -22,14 +25,26 @@
     GossipPort,
 };
 
-static int freePortBase()
+// Listens on a loopback address that no daemon uses, which reserves the ports from its own one on for one fleet on this host.
+static Poco::Net::ServerSocket reservePorts()
 {
     // The ports stay below the kernel's range of ephemeral ports.
     constexpr int first = 20000;
     constexpr int step = 10;
     constexpr int choices = 1000;
     std::mt19937 random { static_cast<unsigned>(getpid()) };
-    return first + step * static_cast<int>(random() % choices);
+    for (int attempt = 0; attempt < choices; ++attempt) {
+        const auto port = static_cast<std::uint16_t>(first + step * static_cast<int>(random() % choices));
+        Poco::Net::ServerSocket reservation;
+        try {
+            reservation.bind(Poco::Net::SocketAddress { "127.0.0.9", port }, true, false);
+            reservation.listen();
+            return reservation;
+        } catch (const Poco::Net::NetException&) {
+            continue; // Another fleet has these ports.
+        }
+    }
+    throw std::runtime_error("all ports for fleets are reserved");
 }
 
 // Throws instead of using Boost.Test, because benchmarks use the fleet outside of test cases.
@@ -42,7 +57,8 @@
 relay_fleet::relay_fleet(const relay_fleet_options& options)
     : m_options(options)
     , m_folder(std::filesystem::temp_directory_path() / ("relay-fleet-" + std::to_string(getpid())))
-    , m_port(freePortBase())
+    , m_portReservation(reservePorts())
+    , m_port(m_portReservation.address().port())
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::filesystem::create_directories(m_folder);
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -12,6 +12,8 @@
 #include "store_standin.h"
 #include "test_request.h"
 
+#include <Poco/Net/ServerSocket.h>
+
 #include <chrono>
 #include <filesystem>
 #include <memory>
@@ -102,6 +104,7 @@
     relay_fleet_options m_options;
     std::filesystem::path m_folder;
     std::vector<std::string> m_programs; ///< By daemon.
+    Poco::Net::ServerSocket m_portReservation;
     int m_port = 0; ///< First of the ports that every daemon uses on its own address.
     store_standin m_store;
     std::vector<std::unique_ptr<server_standin>> m_servers;
