relayd: streams avoid servers that may have restarted under their entry

Cause: a server may start again under its id, as another version, while it cannot reach the store. Its entry then names the former process, and was trusted until it changed.

Once a server has refused connections, streams that may be resumed go there only after it has stated the start of its process, or its entry names another one. Daemons learn from the crash records of others which processes ended.

The test failed before: 6 of 24 streams had events of two versions.

--- a/include/radishflow/Relay/planned_exits.h
+++ b/include/radishflow/Relay/planned_exits.h
@@ -21,6 +21,13 @@
     return server_id { server.id.value() + '@' + std::to_string(server.processStartMs) };
 }
 
+/// Returns the entry that names a process; null if none does.
+inline const listed_server* findProcess(const server_list& list, const server_id& process)
+{
+    const auto found = list.servers.find(server_id { process.value().substr(0, process.value().rfind('@')) });
+    return found != list.servers.end() && processIdOf(found->second) == process ? &found->second : nullptr;
+}
+
 struct planned_exits_options {
     duration minNotice = std::chrono::seconds { 1 }; ///< Minimum time between the announcement and a planned exit; a process that ends sooner has crashed.
     duration memory = std::chrono::minutes { 31 }; ///< Longer than records of crashes are kept.
--- a/include/radishflow/Relay/relay_call_crashes.h
+++ b/include/radishflow/Relay/relay_call_crashes.h
@@ -41,6 +41,7 @@
     m_suspectedServer = server.id;
     ++m_suspectedCrashes;
     m_context.access.recordConnectFailure(server);
+    m_context.balancer.recordRefused(server);
     m_context.access.suspectCrash(server);
 }
 
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -261,6 +261,7 @@
         .priority = m_admitted.priority(),
         .coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0,
         .version = m_version,
+        .needsKnownProcess = m_admitted.target->isResumable,
         .excluded = m_history.servers,
         .fleet = &fleet,
     };
@@ -367,8 +368,10 @@
         return handleResponse(server, exchange, metadata);
     case exchange_state::NotSent:
         --m_contactedServers;
-        if (now() < m_deadline)
+        if (now() < m_deadline) {
             m_context.access.recordConnectFailure(server);
+            m_context.balancer.recordRefused(server);
+        }
         if (m_context.crashes.hasAbandonedAt(server) && probe(server) == io_outcome::Broken)
             m_context.access.suspectCrash(server);
         return recordFailure(server, server_outcome::Unreachable, false, unreachableResult);
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -6,6 +6,7 @@
 #include "radishflow/Routing/chosen_server.h"
 #include "radishflow/Routing/cold_senders.h"
 #include "radishflow/Routing/priority_gate.h"
+#include "radishflow/Routing/process_identities.h"
 #include "radishflow/Routing/prompt_holder_table.h"
 #include "radishflow/Routing/server_limit_table.h"
 #include "radishflow/Routing/server_list.h"
@@ -110,6 +111,34 @@
         m_restrictions.recordLeaving(server, m_clock.now());
     }
 
+    /// Records that the server refused connections, so that another process may run at its address soon.
+    void recordRefused(const listed_server& server)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_identities.recordRefused(server, m_clock.now());
+    }
+
+    /// Makes the questions to the servers of a service due at once, since they are reached again.
+    void resetIdentification(const server_list& list, const service_id& service)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_identities.resetIntervals(list, service, m_clock.now());
+    }
+
+    /// Returns the servers of the list to ask for the start of their process, since requests need to know which one runs.
+    std::vector<listed_server> takeServersToIdentify(const server_list& list)
+    {
+        const std::lock_guard lock { m_mutex };
+        return m_identities.takeDueQuestions(list, m_clock.now());
+    }
+
+    /// Records the start of the process that a server stated in a response to a question asked at a time; 0 if it stated none.
+    void recordProcess(const server_id& server, std::int64_t processStartMs, time_point askedAt)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_identities.recordProcess(server, processStartMs, askedAt);
+    }
+
     /// Records that the server wants no requests from this daemon for some time.
     void recordPause(const listed_server& server, duration pause)
     {
@@ -237,6 +266,7 @@
         const std::lock_guard lock { m_mutex };
         std::erase_if(m_records, [&](const auto& entry) { return entry.second.inFlight.current() == 0 && !list.servers.contains(entry.first); });
         m_limits.retain([&](const server_id& server) { return list.servers.contains(server); });
+        m_identities.retain(list, m_clock.now());
         m_idsByHash.clear();
         for (const auto& [id, server] : list.servers) {
             m_idsByHash.emplace(serverHashOf(id), id);
@@ -351,6 +381,7 @@
     std::unordered_map<service_id, service_health> m_health;
     std::unordered_map<std::uint32_t, server_id> m_idsByHash;
     prompt_holder_table m_promptHolders;
+    process_identities m_identities;
     server_restrictions m_restrictions;
     server_limit_table m_limits;
     std::unordered_map<service_id, priority_gate> m_gates; ///< By service.
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -82,6 +82,10 @@
         const bool isExcluded = isOtherVersion || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
         if (isExcluded || isFormerProcess(*server, record) || isColdLimited(*server, record, query, now))
             continue;
+        if (query.needsKnownProcess && !m_identities.isKnown(*server)) {
+            m_identities.recordNeed(server->id);
+            continue;
+        }
         if (m_limits.timeToSend(*server, *query.fleet, now) != duration::zero()) {
             m_limits.countSkip(*server);
             continue;
--- a/include/radishflow/Routing/server_query.h
+++ b/include/radishflow/Routing/server_query.h
@@ -19,6 +19,7 @@
     int priority = 0; ///< 0 is the most urgent.
     double coldRequestsPerSecond = 0; ///< Request rate of one cold server, from the policy of the service; 0 sets no limit.
     std::optional<version_key> version; ///< Only servers of this software version may be chosen.
+    bool needsKnownProcess = false; ///< Only servers whose entry describes the process that runs may be chosen.
     std::vector<server_id> excluded; ///< Servers to which the request was already sent.
     const fleet_view* fleet = nullptr;
 };
--- a/test/Relay/stream_versions_test.cpp
+++ b/test/Relay/stream_versions_test.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <functional>
+#include <future>
 #include <ostream>
 #include <set>
 #include <thread>
@@ -67,7 +68,7 @@
     for (int server = 0; server < fleet.servers(); ++server) {
         for (const received_request& received : fleet.server(server).seen()) {
             if (ids.contains(received.id))
-                versions.insert(fleet.server(server).version());
+                versions.insert(received.version);
         }
     }
     return versions;
@@ -172,3 +173,60 @@
         BOOST_TEST(services.size() == 1U);
     }
 }
+
+namespace {
+
+/// What happens to two of the servers in turn, whose entries stay as they are.
+struct break_case {
+    const char* name;
+    bool restarts; ///< As another software version.
+
+    friend std::ostream& operator<<(std::ostream& out, const break_case& testCase) { return out << testCase.name; }
+};
+
+const break_case breaks[] {
+    { "restart as another version", true },
+    { "connections refused for a time", false },
+};
+
+} // namespace
+
+// Guards against streams that go on at another version, since the entry of a server that has restarted still names the former one.
+BOOST_DATA_TEST_CASE(streamsAvoidServersThatRestartedUnderTheirEntry, boost::unit_test::data::make(breaks), testCase)
+{
+    constexpr auto breakInterval = 2500ms; ///< Longer than daemons avoid a server after a failure.
+    relay_fleet fleet { { .daemons = 3, .servers = 4, .behaviour = { .events = 100, .pause = 50ms } } };
+    const auto startStreams = [&](const std::string& prefix) {
+        std::vector<std::future<received_response>> running;
+        running.reserve(streams);
+        for (int number = 0; number < streams; ++number)
+            running.push_back(std::async(std::launch::async, [&fleet, number, id = prefix + std::to_string(number)] { return fleet.stream(number % fleet.daemons(), "/resumable-stream/" + id, { .id = id, .key = relay_fleet::key, .timeLeft = 9s }); }));
+        return running;
+    };
+    // Checks that no stream has events of two versions, and returns how many are complete.
+    const auto awaitStreams = [&](std::vector<std::future<received_response>>& running, const std::string& prefix) {
+        int complete = 0;
+        for (int number = 0; number < streams; ++number) {
+            complete += running[static_cast<std::size_t>(number)].get().isComplete ? 1 : 0;
+            BOOST_TEST(versionsOf(fleet, { prefix + std::to_string(number) }).size() == 1U);
+        }
+        return complete;
+    };
+    auto first = startStreams("first");
+    std::this_thread::sleep_for(500ms);
+    for (const int server : { 0, 1 }) {
+        testCase.restarts ? fleet.server(server).restart("v2") : fleet.server(server).interrupt();
+        std::this_thread::sleep_for(breakInterval);
+    }
+    const int runsBefore = fleet.server(0).runs();
+    auto second = startStreams("second");
+    BOOST_TEST(2 * awaitStreams(first, "first") >= streams); // Some are cut twice.
+    BOOST_TEST(awaitStreams(second, "second") == streams);
+    BOOST_TEST((fleet.server(0).runs() > runsBefore) == !testCase.restarts);
+    for (const int server : { 0, 1 })
+        fleet.list(server);
+    std::this_thread::sleep_for(1s);
+    auto third = startStreams("third");
+    BOOST_TEST(awaitStreams(third, "third") == streams);
+    BOOST_TEST(fleet.server(0).runs() > runsBefore);
+}
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -20,6 +20,7 @@
 #include "lookup_response.h"
 #include "peer_changes.h"
 #include "platform_feed.h"
+#include "server_report.h"
 #include "wire_protocol.h"
 
 #include <spdlog/spdlog.h>
@@ -45,6 +46,9 @@
 static constexpr std::chrono::milliseconds refreshInterval { 250 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 static constexpr std::chrono::milliseconds startCheckInterval { 10 };
+static constexpr std::chrono::milliseconds identifyInterval { 50 };
+// A server responds to questions about its state without a queue.
+static constexpr std::chrono::milliseconds reportTimeout { 150 };
 // Interval at which the store's list of daemons is read, per daemon of the fleet, so that the load on the store does not grow
 // with the fleet. The gossip protocol discovers the whole fleet from any one member.
 static constexpr std::chrono::milliseconds announceIntervalPerDaemon { 1000 };
@@ -113,6 +117,7 @@
     std::unique_ptr<periodic_task> fetchTask;
     std::unique_ptr<periodic_task> catchUpTask;
     std::unique_ptr<periodic_task> crashTask;
+    std::unique_ptr<periodic_task> identifyTask;
 
     explicit state(const relay_daemon_options& daemonOptions)
         : options(daemonOptions)
@@ -123,7 +128,7 @@
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
-        , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { balancer.forgetFailures(service); } })
+        , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { recordRecovery(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
         , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
@@ -141,6 +146,7 @@
         announceTask = std::make_unique<periodic_task>(std::chrono::milliseconds { announceRetryInterval }, [this] { announce(); });
         fetchTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.fetchFromFleet(); });
         catchUpTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.catchUp(); });
+        identifyTask = std::make_unique<periodic_task>(identifyInterval, [this] { identifyServers(); });
         crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
     }
 
@@ -156,10 +162,49 @@
         balancer.mergePromptUpdates(received.promptHolders);
         if (const auto servers = routing.servers(); servers && !received.limits.empty())
             balancer.recordPeerLimits(*servers, received.limits);
+        recordRefusedAtPeers(received.crashes);
         crashes.merge(received.crashes);
         crashes.mergeParts(received.parts);
     }
 
+    // A daemon without connections to a server does not notice that they broke.
+    void recordRefusedAtPeers(const std::vector<crash_record>& records)
+    {
+        const auto servers = records.empty() ? nullptr : routing.servers();
+        for (const crash_record& record : records) {
+            if (const listed_server* server = servers ? findProcess(*servers, record.server) : nullptr)
+                balancer.recordRefused(*server);
+        }
+    }
+
+    void recordRecovery(const service_id& service)
+    {
+        balancer.forgetFailures(service);
+        if (const auto servers = routing.servers())
+            balancer.resetIdentification(*servers, service);
+    }
+
+    void identifyServers()
+    {
+        const auto servers = routing.servers();
+        if (!servers)
+            return;
+        for (const listed_server& server : balancer.takeServersToIdentify(*servers)) {
+            const time_point askedAt = clock.now();
+            valueOr(
+                [&]() -> result<bool> {
+                    BOOST_LEAF_AUTO(processStartMs, readProcessStart(server.address, reportTimeout));
+                    balancer.recordProcess(server.id, processStartMs, askedAt);
+                    spdlog::info("event=server_identified server={} listed_start={} start={}", server.id.value(), server.processStartMs, processStartMs);
+                    return true;
+                },
+                [&](const failure& error) {
+                    spdlog::info("event=server_not_identified server={} step=\"{}\" peer={} error=\"{}\"", server.id.value(), error.step, error.peer, error.detail);
+                    return false;
+                });
+        }
+    }
+
     // A service whose servers have had only one version for long needs no record of its streams, such as after a restart of
     // all daemons that had one. A daemon that no longer learns of changes cannot know that.
     std::optional<version_key> findOrigin(const service_id& service, const request_id& request)
