--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -135,6 +135,7 @@
     int m_contactedServers = 0; ///< Number of attempts that sent the request to a server.
     server_id m_suspectedServer; ///< Server that may have crashed in the last attempt; empty if none.
     int m_suspectedCrashes = 0;
+    time_point m_attemptBegunAt {}; ///< Of the current attempt at a server.
     int m_attempts = 0; ///< Number of attempts at servers and other daemons.
     std::vector<daemon_id> m_triedPeers;
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
--- a/include/radishflow/Relay/relay_call_crashes.h
+++ b/include/radishflow/Relay/relay_call_crashes.h
@@ -41,7 +41,7 @@
     m_suspectedServer = server.id;
     ++m_suspectedCrashes;
     m_context.access.recordConnectFailure(server);
-    m_context.balancer.recordRefused(server);
+    m_context.balancer.recordConnectFailure(server, now());
     m_context.access.suspectCrash(server);
 }
 
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -349,6 +349,7 @@
         return metadata.requestId ? *metadata.requestId == m_request.id : !exchange.isReused() || m_request.id.empty();
     };
     ++m_contactedServers;
+    m_attemptBegunAt = now();
     exchange_state state = exchange.start(head, m_message.body, belongsToRequest);
     if (state == exchange_state::TimedOut && now() < m_deadline) {
         attempt_history withThisAttempt = m_history;
@@ -370,7 +371,7 @@
         --m_contactedServers;
         if (now() < m_deadline) {
             m_context.access.recordConnectFailure(server);
-            m_context.balancer.recordRefused(server);
+            m_context.balancer.recordConnectFailure(server, m_attemptBegunAt);
         }
         if (m_context.crashes.hasAbandonedAt(server) && probe(server) == io_outcome::Broken)
             m_context.access.suspectCrash(server);
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -111,32 +111,39 @@
         m_restrictions.recordLeaving(server, m_clock.now());
     }
 
-    /// Records that the server refused connections, so that another process may run at its address soon.
-    void recordRefused(const listed_server& server)
+    /// Records that a connection to the server which was begun at a time could not be established; another process may run there soon.
+    void recordConnectFailure(const listed_server& server, time_point begunAt)
     {
         const std::lock_guard lock { m_mutex };
-        m_identities.recordRefused(server, m_clock.now());
+        m_identities.recordConnectFailure(server, begunAt);
     }
 
-    /// Makes the questions to the servers of a service due at once, since they are reached again.
+    /// Makes the queries to the servers of a service for their processes due at once.
     void resetIdentification(const server_list& list, const service_id& service)
     {
         const std::lock_guard lock { m_mutex };
         m_identities.resetIntervals(list, service, m_clock.now());
     }
 
-    /// Returns the servers of the list to ask for the start of their process, since requests need to know which one runs.
-    std::vector<listed_server> takeServersToIdentify(const server_list& list)
+    /// Returns the servers of the list to query now for the start of their process, as requests need to know which one runs.
+    std::vector<listed_server> takeServersToIdentify(const server_list& list, std::size_t maxCount)
     {
         const std::lock_guard lock { m_mutex };
-        return m_identities.takeDueQuestions(list, m_clock.now());
+        return m_identities.takeDueQueries(list, m_clock.now(), maxCount);
     }
 
-    /// Records the start of the process that a server stated in a response to a question asked at a time; 0 if it stated none.
-    void recordProcess(const server_id& server, std::int64_t processStartMs, time_point askedAt)
+    /// Records the start of the process in the response to a query that was sent at a time; 0 if the server does not state it.
+    void recordProcess(const listed_server& server, std::int64_t processStartMs, time_point queriedAt)
     {
         const std::lock_guard lock { m_mutex };
-        m_identities.recordProcess(server, processStartMs, askedAt);
+        m_identities.recordProcess(server, processStartMs, queriedAt);
+    }
+
+    /// Records that all entries of the list were renewed since a time.
+    void recordRenewals(const server_list& list, time_point renewedSince)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_identities.recordRenewals(list, renewedSince);
     }
 
     /// Records that the server wants no requests from this daemon for some time.
--- a/include/radishflow/Routing/process_identities.h
+++ b/include/radishflow/Routing/process_identities.h
@@ -9,20 +9,22 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace radishflow {
 
 struct process_identities_options {
-    duration minInterval = std::chrono::milliseconds { 100 }; ///< Between two questions to a server; doubles with each one.
+    duration minInterval = std::chrono::milliseconds { 100 }; ///< Between two queries to a server; doubles with each one.
     duration maxInterval = std::chrono::milliseconds { 800 };
     duration memory = std::chrono::seconds { 60 }; ///< Time for which a server that is not listed is kept.
 };
 
-/// A server may start again under its id without a new entry in the list, such as while it cannot reach the platform. After its
-/// connections broke, the entry is trusted again only once the server has stated the start of its process, or the entry names
-/// another process. Not thread-safe.
+/// A server may start again under its id without a new entry in the list, such as while it cannot reach the platform. After a
+/// connection to it failed, its entry is trusted again once the server has stated the start of the process that the entry names, the
+/// entry has been renewed, or it names a later process. Not thread-safe.
 class process_identities {
 public:
     explicit process_identities(const process_identities_options& options = {})
@@ -30,34 +32,37 @@
     {
     }
 
-    /// Records that the server refused connections, so that the process which its entry names may have ended.
-    void recordRefused(const listed_server& server, time_point now)
+    /// Records that a connection which was begun at a time could not be established, so that the process may have ended.
+    void recordConnectFailure(const listed_server& server, time_point begunAt)
     {
         // Processes without a known start cannot be told apart.
         if (server.processStartMs == 0)
             return;
-        unidentified_server& recorded = m_unidentified[server.id];
-        const bool isNewProcess = recorded.processStartMs != server.processStartMs;
-        recorded = { .processStartMs = server.processStartMs, .recordedAt = now, .nextQuestionAt = now, .isNeeded = !isNewProcess && recorded.isNeeded };
+        const auto [entry, isNew] = m_unidentified.try_emplace(server.id);
+        unidentified_server& recorded = entry->second;
+        if (isNew || recorded.processStartMs != server.processStartMs)
+            recorded = { .processStartMs = server.processStartMs, .failedAt = begunAt, .nextQueryAt = begunAt };
+        recorded.failedAt = std::max(recorded.failedAt, begunAt);
+        recorded.statedStartMs.reset();
     }
 
-    /// Records which process responded to a question asked at a time; 0 if the server does not state it.
-    void recordProcess(const server_id& server, std::int64_t processStartMs, time_point askedAt)
+    /// Records the start of the process in the response to a query that was sent at a time; 0 if the server does not state it.
+    void recordProcess(const listed_server& server, std::int64_t processStartMs, time_point queriedAt)
     {
-        const auto found = m_unidentified.find(server);
-        if (found == m_unidentified.end() || found->second.recordedAt > askedAt)
+        const auto found = m_unidentified.find(server.id);
+        if (found == m_unidentified.end() || found->second.failedAt > queriedAt)
             return;
-        if (processStartMs == 0 || processStartMs == found->second.processStartMs)
+        if (processStartMs == 0 || processStartMs == server.processStartMs)
             m_unidentified.erase(found);
         else
-            found->second.isOtherProcess = true;
+            found->second.statedStartMs = processStartMs;
     }
 
     /// Returns whether the entry describes the process that runs, as far as is known.
     bool isKnown(const listed_server& server) const
     {
         const auto found = m_unidentified.find(server.id);
-        return found == m_unidentified.end() || found->second.processStartMs != server.processStartMs;
+        return found == m_unidentified.end() || server.processStartMs == 0 || namesSuccessor(server, found->second);
     }
 
     /// Records that a request needs to know which process of the server runs.
@@ -67,39 +72,52 @@
             found->second.isNeeded = true;
     }
 
-    /// Makes the questions to the servers of a service due at once, since they are reached again.
+    /// Makes the queries to the servers of a service due at once.
     void resetIntervals(const server_list& list, const service_id& service, time_point now)
     {
         for (auto& [id, unidentified] : m_unidentified) {
             const auto server = list.servers.find(id);
             if (server == list.servers.end() || server->second.service != service)
                 continue;
-            unidentified.nextQuestionAt = now;
+            unidentified.nextQueryAt = now;
             unidentified.interval = {};
         }
     }
 
-    /// Returns the servers to ask now for the start of their process.
-    std::vector<listed_server> takeDueQuestions(const server_list& list, time_point now)
+    /// Returns the servers to query now for the start of their process, those with the fewest queries so far first.
+    std::vector<listed_server> takeDueQueries(const server_list& list, time_point now, std::size_t maxCount)
     {
-        std::vector<listed_server> due;
-        for (auto& [id, unidentified] : m_unidentified) {
+        std::vector<std::pair<duration, server_id>> due;
+        for (const auto& [id, unidentified] : m_unidentified) {
             const auto server = list.servers.find(id);
-            if (server == list.servers.end() || isKnown(server->second) || !unidentified.isNeeded || unidentified.isOtherProcess || now < unidentified.nextQuestionAt)
-                continue;
-            due.push_back(server->second);
-            unidentified.interval = unidentified.interval == duration::zero() ? m_options.minInterval : std::min(2 * unidentified.interval, m_options.maxInterval);
-            unidentified.nextQuestionAt = now + unidentified.interval;
+            if (server != list.servers.end() && !isKnown(server->second) && unidentified.isNeeded && !unidentified.statedStartMs && now >= unidentified.nextQueryAt)
+                due.emplace_back(unidentified.interval, id);
         }
-        return due;
+        std::sort(due.begin(), due.end());
+        due.resize(std::min(due.size(), maxCount));
+        std::vector<listed_server> servers;
+        servers.reserve(due.size());
+        for (const auto& [interval, id] : due) {
+            unidentified_server& unidentified = m_unidentified.at(id);
+            unidentified.interval = interval == duration::zero() ? m_options.minInterval : std::min(2 * interval, m_options.maxInterval);
+            unidentified.nextQueryAt = now + unidentified.interval;
+            servers.push_back(list.servers.at(id));
+        }
+        return servers;
+    }
+
+    /// Trusts the entries of the list that were renewed since a time: only the process that an entry names renews it.
+    void recordRenewals(const server_list& list, time_point renewedSince)
+    {
+        std::erase_if(m_unidentified, [&](const auto& pair) { return list.servers.contains(pair.first) && !pair.second.statedStartMs && pair.second.failedAt < renewedSince; });
     }
 
-    /// Forgets servers whose entry names another process by now. One that is no longer listed may return with its former entry.
+    /// Forgets servers whose entry names the process that runs by now. One that is no longer listed may return with its former entry.
     void retain(const server_list& list, time_point now)
     {
         std::erase_if(m_unidentified, [&](const auto& pair) {
             const auto server = list.servers.find(pair.first);
-            return server == list.servers.end() ? now - pair.second.recordedAt > m_options.memory : isKnown(server->second);
+            return server == list.servers.end() ? now - pair.second.failedAt > m_options.memory : namesSuccessor(server->second, pair.second);
         });
     }
 
@@ -107,14 +125,20 @@
 
 private:
     struct unidentified_server {
-        std::int64_t processStartMs = 0; ///< Of the process that the entry names.
-        time_point recordedAt {};
-        time_point nextQuestionAt {};
-        duration interval {};
+        std::int64_t processStartMs = 0; ///< Of the process to which the connection failed.
+        time_point failedAt {};
+        time_point nextQueryAt {};
+        duration interval {}; ///< Until the next query; zero before the first one.
         bool isNeeded = false; ///< A request needs to know which process runs.
-        bool isOtherProcess = false; ///< The server has stated another process.
+        std::optional<std::int64_t> statedStartMs; ///< Another process that the server has stated since.
     };
 
+    // An entry from an older copy of the list names an earlier process.
+    static bool namesSuccessor(const listed_server& server, const unidentified_server& unidentified)
+    {
+        return unidentified.statedStartMs ? server.processStartMs == *unidentified.statedStartMs : server.processStartMs > unidentified.processStartMs;
+    }
+
     process_identities_options m_options;
     std::unordered_map<server_id, unidentified_server> m_unidentified;
 };
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -28,6 +28,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <optional>
 #include <stop_token>
 #include <thread>
@@ -47,8 +48,12 @@
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 static constexpr std::chrono::milliseconds startCheckInterval { 10 };
 static constexpr std::chrono::milliseconds identifyInterval { 50 };
-// A server responds to questions about its state without a queue.
-static constexpr std::chrono::milliseconds reportTimeout { 150 };
+// A server responds to queries for its state without a queue, but its host may be slow.
+static constexpr std::chrono::milliseconds reportTimeout { 400 };
+// Queries to hosts without power must not delay those to servers that respond.
+static constexpr std::size_t maxServersToIdentify = 16;
+// The platform removes an entry after three intervals without a renewal; the fourth one covers the way of the list to this daemon.
+static constexpr int renewalsToLapse = 4;
 // Interval at which the store's list of daemons is read, per daemon of the fleet, so that the load on the store does not grow
 // with the fleet. The gossip protocol discovers the whole fleet from any one member.
 static constexpr std::chrono::milliseconds announceIntervalPerDaemon { 1000 };
@@ -162,18 +167,18 @@
         balancer.mergePromptUpdates(received.promptHolders);
         if (const auto servers = routing.servers(); servers && !received.limits.empty())
             balancer.recordPeerLimits(*servers, received.limits);
-        recordRefusedAtPeers(received.crashes);
+        recordCrashesAtPeers(received.crashes);
         crashes.merge(received.crashes);
         crashes.mergeParts(received.parts);
     }
 
-    // A daemon without connections to a server does not notice that they broke.
-    void recordRefusedAtPeers(const std::vector<crash_record>& records)
+    // A daemon that had no connection to a crashed server does not notice the crash itself.
+    void recordCrashesAtPeers(const std::vector<crash_record>& records)
     {
         const auto servers = records.empty() ? nullptr : routing.servers();
         for (const crash_record& record : records) {
             if (const listed_server* server = servers ? findProcess(*servers, record.server) : nullptr)
-                balancer.recordRefused(*server);
+                balancer.recordConnectFailure(*server, clock.now());
         }
     }
 
@@ -189,20 +194,29 @@
         const auto servers = routing.servers();
         if (!servers)
             return;
-        for (const listed_server& server : balancer.takeServersToIdentify(*servers)) {
-            const time_point askedAt = clock.now();
-            valueOr(
-                [&]() -> result<bool> {
-                    BOOST_LEAF_AUTO(processStartMs, readProcessStart(server.address, reportTimeout));
-                    balancer.recordProcess(server.id, processStartMs, askedAt);
-                    spdlog::info("event=server_identified server={} listed_start={} start={}", server.id.value(), server.processStartMs, processStartMs);
-                    return true;
-                },
-                [&](const failure& error) {
-                    spdlog::info("event=server_not_identified server={} step=\"{}\" peer={} error=\"{}\"", server.id.value(), error.step, error.peer, error.detail);
-                    return false;
-                });
-        }
+        const std::vector<listed_server> due = balancer.takeServersToIdentify(*servers, maxServersToIdentify);
+        std::vector<std::future<void>> running;
+        running.reserve(due.size());
+        for (const listed_server& server : due)
+            running.push_back(std::async(std::launch::async, [this, &server] { identify(server); }));
+        for (std::future<void>& query : running)
+            query.get();
+    }
+
+    void identify(const listed_server& server)
+    {
+        const time_point queriedAt = clock.now();
+        valueOr(
+            [&]() -> result<bool> {
+                BOOST_LEAF_AUTO(processStartMs, readProcessStart(server.address, reportTimeout));
+                balancer.recordProcess(server, processStartMs, queriedAt);
+                spdlog::info("event=server_identified server={} listed_start={} start={}", server.id.value(), server.processStartMs, processStartMs);
+                return true;
+            },
+            [&](const failure& error) {
+                spdlog::info("event=server_not_identified server={} step=\"{}\" peer={} error=\"{}\"", server.id.value(), error.step, error.peer, error.detail);
+                return false;
+            });
     }
 
     // A service whose servers have had only one version for long needs no record of its streams, such as after a restart of
@@ -323,6 +337,8 @@
         if (const auto servers = routing.servers()) {
             versions.record(*servers, clock.now());
             crashes.applyServerList(servers, feed.serversConfirmedAt());
+            if (!feed.areRemovalsDeferred())
+                balancer.recordRenewals(*servers, feed.serversConfirmedAt() - renewalsToLapse * options.platform.renewalInterval);
         }
         const std::vector<crash_record> newCrashes = crashes.takeNewRecords();
         crashRows.add(newCrashes, clock.now());
--- a/unittests/Routing/process_identities_test.cpp
+++ b/unittests/Routing/process_identities_test.cpp
@@ -1,4 +1,4 @@
-// Tests which entries of servers are trusted after their connections broke.
+// Tests which entries of servers are trusted after connections to them failed.
 #include "radishflow/Routing/process_identities.h"
 
 #include "test_servers.h"
@@ -28,14 +28,14 @@
             entry.processStartMs = listedStart;
     }
 
-    std::size_t questions(time_point now) { return identities.takeDueQuestions(list, now).size(); }
+    std::size_t queries(time_point now, std::size_t maxCount = 10) { return identities.takeDueQueries(list, now, maxCount).size(); }
 };
 
-/// What a server that refused connections states later.
+/// What a server to which a connection failed states later.
 struct statement_case {
     const char* name;
     std::int64_t processStartMs;
-    duration askedAfter; ///< The refusal.
+    duration queriedAfter; ///< The connection failed.
     bool isKnown;
 
     friend std::ostream& operator<<(std::ostream& out, const statement_case& testCase) { return out << testCase.name; }
@@ -46,7 +46,7 @@
     { "later process", listedStart + 5, 1s, false },
     { "process of a host whose clock was set back", listedStart - 5, 1s, false },
     { "no process", 0, 1s, true },
-    { "same process, asked before the refusal", listedStart, -1s, false },
+    { "same process, queried before the failure", listedStart, -1s, false },
 };
 
 } // namespace
@@ -56,15 +56,15 @@
 BOOST_DATA_TEST_CASE_F(process_identities_fixture, serverIsKnownByWhatItStates, boost::unit_test::data::make(statements), testCase)
 {
     BOOST_TEST(identities.isKnown(server));
-    identities.recordRefused(server, start);
+    identities.recordConnectFailure(server, start);
     BOOST_TEST(!identities.isKnown(server));
-    identities.recordProcess(server.id, testCase.processStartMs, start + testCase.askedAfter);
+    identities.recordProcess(server, testCase.processStartMs, start + testCase.queriedAfter);
     BOOST_TEST(identities.isKnown(server) == testCase.isKnown);
 }
 
 BOOST_AUTO_TEST_CASE(entryOfAnotherProcessIsTrusted)
 {
-    identities.recordRefused(server, start);
+    identities.recordConnectFailure(server, start);
     server.processStartMs = listedStart + 5;
     BOOST_TEST(identities.isKnown(server));
     identities.retain(list, start);
@@ -73,33 +73,87 @@
 
 BOOST_AUTO_TEST_CASE(formerEntryThatReturnsIsNotTrusted)
 {
-    identities.recordRefused(server, start);
+    identities.recordConnectFailure(server, start);
     identities.retain({}, start + 10s);
     BOOST_TEST(!identities.isKnown(server));
     identities.retain({}, start + 100s);
     BOOST_TEST(identities.size() == 0U);
 }
 
+// Guards against an entry that returns from an older copy of the list, or lacks its start for a time, and is trusted then.
+BOOST_DATA_TEST_CASE_F(process_identities_fixture, formerEntryIsNotTrustedAfterAnotherOne, boost::unit_test::data::make({ std::int64_t { 0 }, listedStart - 5 }), meanwhile)
+{
+    identities.recordConnectFailure(server, start);
+    identities.recordProcess(server, listedStart + 5, start + 1s);
+    server.processStartMs = meanwhile;
+    BOOST_TEST(identities.isKnown(server) == (meanwhile == 0));
+    identities.retain(list, start + 2s);
+    server.processStartMs = listedStart;
+    BOOST_TEST(!identities.isKnown(server));
+    server.processStartMs = listedStart + 5;
+    BOOST_TEST(identities.isKnown(server));
+}
+
+// Guards against servers that serve but are never trusted, since their reports are late.
+BOOST_AUTO_TEST_CASE(renewedEntryIsTrustedUnlessAnotherProcessWasStated)
+{
+    identities.recordConnectFailure(server, start);
+    identities.recordRenewals(list, start);
+    BOOST_TEST(!identities.isKnown(server));
+    identities.recordRenewals(list, start + 1ms);
+    BOOST_TEST(identities.isKnown(server));
+    identities.recordConnectFailure(server, start);
+    identities.recordProcess(server, listedStart + 5, start);
+    identities.recordRenewals(list, start + 1s);
+    BOOST_TEST(!identities.isKnown(server));
+}
+
+// Guards against connections that fail so often that each response is discarded.
+BOOST_AUTO_TEST_CASE(failureOfAConnectionBegunBeforeTheQueryDiscardsNoResponse)
+{
+    identities.recordConnectFailure(server, start);
+    identities.recordNeed(server.id);
+    BOOST_TEST(queries(start) == 1U);
+    identities.recordConnectFailure(server, start + 10ms);
+    BOOST_TEST(queries(start + 50ms) == 0U);
+    identities.recordProcess(server, listedStart, start + 20ms);
+    BOOST_TEST(identities.isKnown(server));
+}
+
+// Guards against servers that respond but wait behind silent ones.
+BOOST_AUTO_TEST_CASE(serversWithTheFewestQueriesComeFirst)
+{
+    listed_server& other = list.servers.rbegin()->second;
+    identities.recordConnectFailure(server, start);
+    identities.recordNeed(server.id);
+    BOOST_TEST(queries(start) == 1U);
+    identities.recordConnectFailure(other, start);
+    identities.recordNeed(other.id);
+    const auto due = identities.takeDueQueries(list, start + 1s, 1);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST(due.front().id.value() == other.id.value());
+}
+
 BOOST_AUTO_TEST_CASE(serversWithoutAKnownStartAreTrusted)
 {
     server.processStartMs = 0;
-    identities.recordRefused(server, start);
+    identities.recordConnectFailure(server, start);
     BOOST_TEST(identities.isKnown(server));
 }
 
-BOOST_AUTO_TEST_CASE(onlyNeededServersAreAskedAndEachTimeLater)
+BOOST_AUTO_TEST_CASE(onlyNeededServersAreQueriedAndEachTimeLater)
 {
-    identities.recordRefused(server, start);
-    BOOST_TEST(questions(start) == 0U);
+    identities.recordConnectFailure(server, start);
+    BOOST_TEST(queries(start) == 0U);
     identities.recordNeed(server.id);
-    int asked = 0;
+    int sent = 0;
     for (time_point now = start; now < start + 4s; now += 50ms)
-        asked += static_cast<int>(questions(now));
-    BOOST_TEST(asked == 8); // After 0, 0.1, 0.3, 0.7, 1.5, 2.3, 3.1 and 3.9 s.
+        sent += static_cast<int>(queries(now));
+    BOOST_TEST(sent == 8); // After 0, 0.1, 0.3, 0.7, 1.5, 2.3, 3.1 and 3.9 s.
     identities.resetIntervals(list, server.service, start + 4s);
-    BOOST_TEST(questions(start + 4s) == 1U);
-    identities.recordProcess(server.id, listedStart + 5, start + 4s);
-    BOOST_TEST(questions(start + 10s) == 0U);
+    BOOST_TEST(queries(start + 4s) == 1U);
+    identities.recordProcess(server, listedStart + 5, start + 4s);
+    BOOST_TEST(queries(start + 10s) == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
