quarantine: a crash after steady progress says little against a request

Callers saw: streams that two ends of servers had cut were refused for 30 minutes ("Request crashes servers") when the ends were not announced, or the announcement came after the caller, while all new streams began.

Cause: the quarantine counted presence at two crashes as guilt, though the servers had sent these streams for seconds and a request that crashes servers does so as it begins to run.

Change: a record states whether the server had sent parts of the response for at least a second. Such records weigh 2, others 5, and 10 refuse the request, so one that crashes servers late is refused after its fifth crash. Prompt parts are not blamed for a crash after progress.

--- a/include/radishflow/Admission/quarantine.h
+++ b/include/radishflow/Admission/quarantine.h
@@ -17,11 +17,12 @@
 
 enum class quarantine_state {
     Clear,
-    Suspect, ///< In flight at the crash of one server; may only run on a server that runs no other suspect.
-    Quarantined, ///< In flight at the crashes of two servers; must not run.
+    Suspect, ///< In flight at too few crashes to be blamed; may only run on a server that runs no other suspect.
+    Quarantined, ///< In flight at the crashes of two servers, or of more if some of them had made progress on it; must not run.
 };
 
-/// Keeps which requests were in flight at crashes that this daemon or others detected. Not thread-safe.
+/// Keeps which requests were in flight at crashes that this daemon or others detected. A request that crashes servers does so as it
+/// begins to run, so a crash after steady progress weighs less. Not thread-safe.
 template <monotonic_clock Clock>
 class quarantine {
 public:
@@ -36,29 +37,33 @@
         const auto found = m_crashes.find(fingerprint);
         if (found == m_crashes.end())
             return quarantine_state::Clear;
-        const auto isCurrent = [now = m_clock.now()](const crash& recorded) { return recorded.expiresAt > now; };
-        const auto count = std::count_if(found->second.begin(), found->second.end(), isCurrent);
-        if (count == 0)
+        const int weight = weightAt(found->second, m_clock.now());
+        if (weight == 0)
             return quarantine_state::Clear;
-        return count == 1 ? quarantine_state::Suspect : quarantine_state::Quarantined;
+        return weight < quarantineWeight ? quarantine_state::Suspect : quarantine_state::Quarantined;
     }
 
     /// Returns the time until a quarantined request may be sent again, for Retry-After.
     duration remaining(const request_fingerprint& fingerprint) const
     {
         const auto found = m_crashes.find(fingerprint);
-        if (found == m_crashes.end() || found->second.size() < 2)
+        if (found == m_crashes.end())
             return duration::zero();
-        const auto earliest = std::min_element(found->second.begin(), found->second.end(),
-            [](const crash& left, const crash& right) { return left.expiresAt < right.expiresAt; });
-        return std::max(earliest->expiresAt - m_clock.now(), duration::zero());
+        const time_point now = m_clock.now();
+        time_point end = now;
+        for (const crash& recorded : found->second) {
+            // The quarantine ends with the last crash without which the later ones do not suffice.
+            if (recorded.expiresAt > end && weightAt(found->second, recorded.expiresAt - duration { 1 }) >= quarantineWeight)
+                end = recorded.expiresAt;
+        }
+        return end - now;
     }
 
     /// Records that a server crashed with these requests in flight.
-    void recordCrash(const server_id& server, const std::vector<request_fingerprint>& inFlight)
+    void recordCrash(const server_id& server, const std::vector<request_fingerprint>& inFlight, response_progress progress = response_progress::None)
     {
         for (const request_fingerprint& fingerprint : inFlight)
-            add({ .fingerprint = fingerprint, .server = server, .remaining = m_options.retention }, true);
+            add({ .fingerprint = fingerprint, .server = server, .remaining = m_options.retention, .progress = progress }, true);
     }
 
     /// Removes the crashes of a server that are recorded from the given time on, since its exit was planned. Returns those that this daemon
@@ -92,7 +97,7 @@
         std::vector<crash_record> entries;
         for (const auto& [fingerprint, crashes] : m_crashes) {
             for (const crash& recorded : crashes)
-                entries.push_back({ .fingerprint = fingerprint, .server = recorded.server, .remaining = recorded.expiresAt - m_clock.now() });
+                entries.push_back({ .fingerprint = fingerprint, .server = recorded.server, .remaining = recorded.expiresAt - m_clock.now(), .progress = recorded.progress });
         }
         std::erase_if(entries, [](const crash_record& entry) { return entry.remaining <= duration::zero(); });
         return entries;
@@ -108,15 +113,28 @@
     std::size_t size() const { return m_crashes.size(); }
 
 private:
-    /// Crashes of two servers quarantine a request; further crashes are not kept.
-    static constexpr std::size_t crashesToQuarantine = 2;
+    // Two crashes without progress quarantine a request, five with it, or one without and three with it.
+    static constexpr int weightWithoutProgress = 5;
+    static constexpr int weightWithProgress = 2;
+    static constexpr int quarantineWeight = 10; ///< Further crashes are not kept.
 
     struct crash {
         server_id server;
         time_point expiresAt;
+        response_progress progress = response_progress::None;
         bool isOwn = false; ///< Detected by this daemon.
     };
 
+    static int weightAt(const std::vector<crash>& crashes, time_point at)
+    {
+        int weight = 0;
+        for (const crash& recorded : crashes) {
+            if (recorded.expiresAt > at)
+                weight += recorded.progress == response_progress::Steady ? weightWithProgress : weightWithoutProgress;
+        }
+        return weight;
+    }
+
     void add(const crash_record& record, bool isOwn)
     {
         const time_point now = m_clock.now();
@@ -126,14 +144,20 @@
         evictIfFull(record.fingerprint, now);
         std::vector<crash>& crashes = m_crashes[record.fingerprint];
         std::erase_if(crashes, [&](const crash& recorded) { return recorded.expiresAt <= now; });
-        const bool isRecorded = std::any_of(crashes.begin(), crashes.end(),
-            [&](const crash& recorded) { return recorded.server == record.server; });
+        const auto recorded = std::find_if(crashes.begin(), crashes.end(), [&](const crash& known) { return known.server == record.server; });
         // A crash that is already recorded keeps its expiry time: records that daemons send to each other in a cycle would
-        // otherwise never expire.
-        if (isRecorded || crashes.size() >= crashesToQuarantine)
-            return;
-        crashes.push_back({ .server = record.server, .expiresAt = now + remaining, .isOwn = isOwn });
-        m_newRecords.push_back({ .fingerprint = record.fingerprint, .server = record.server, .remaining = remaining });
+        // otherwise never expire. Of two attempts at the same process the one without progress counts.
+        if (recorded != crashes.end()) {
+            if (recorded->progress <= record.progress)
+                return;
+            recorded->progress = record.progress;
+            recorded->isOwn |= isOwn;
+        } else {
+            if (weightAt(crashes, now) >= quarantineWeight)
+                return;
+            crashes.push_back({ .server = record.server, .expiresAt = now + remaining, .progress = record.progress, .isOwn = isOwn });
+        }
+        m_newRecords.push_back({ .fingerprint = record.fingerprint, .server = record.server, .remaining = remaining, .progress = record.progress });
         if (m_newRecords.size() > m_options.capacity)
             m_newRecords.erase(m_newRecords.begin());
     }
@@ -155,7 +179,7 @@
             return;
         // Suspects are evicted before quarantined requests: a suspect that crashes another server is detected again.
         const auto evicted = std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& left, const auto& right) {
-            const auto key = [](const auto& pair) { return std::pair { pair.second.size(), lastExpiry(pair.second) }; };
+            const auto key = [](const auto& pair) { return std::pair { weightAt(pair.second, {}), lastExpiry(pair.second) }; };
             return key(left) < key(right);
         });
         m_crashes.erase(evicted);
--- a/include/radishflow/Relay/abandoned_attempts.h
+++ b/include/radishflow/Relay/abandoned_attempts.h
@@ -1,6 +1,7 @@
 // Declares abandoned_attempts, which attributes the crash of a backend server to requests that were no longer awaited there.
 #pragma once
 
+#include "radishflow/Admission/crash_record.h"
 #include "radishflow/Relay/request_identity.h"
 #include "radishflow/Routing/server_list.h"
 #include "radishflow/Support/monotonic_clock.h"
@@ -20,6 +21,7 @@
 struct abandoned_attempt {
     listed_server server;
     request_identity request;
+    response_progress progress = response_progress::None;
     time_point abandonedAt {};
 };
 
@@ -42,11 +44,11 @@
     {
     }
 
-    void add(const listed_server& server, const request_identity& request)
+    void add(const listed_server& server, const request_identity& request, response_progress progress = response_progress::None)
     {
         if (m_attempts.size() >= maxAttempts)
             m_attempts.erase(m_attempts.begin());
-        m_attempts.push_back({ .server = server, .request = request, .abandonedAt = m_clock.now() });
+        m_attempts.push_back({ .server = server, .request = request, .progress = progress, .abandonedAt = m_clock.now() });
     }
 
     /// Returns and forgets the attempts at a process that has crashed.
--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -44,11 +44,11 @@
     bool hasQuarantinedParts(const request_identity&) const;
 
     /// Records that a server crashed before it completed the response, also for the requests abandoned at it.
-    void recordCrash(const request_identity&, const listed_server&);
+    void recordCrash(const request_identity&, const listed_server&, response_progress = response_progress::None);
     /// Records the crash of a server for the requests abandoned at it.
     void recordCrash(const listed_server&);
     /// Records that the relay stopped awaiting a response which the server may still work on.
-    void recordAbandoned(const request_identity&, const listed_server&);
+    void recordAbandoned(const request_identity&, const listed_server&, response_progress = response_progress::None);
     bool hasAbandonedAt(const listed_server&) const;
     /// Records that a server has said that it leaves.
     void recordLeaving(const listed_server&);
@@ -76,7 +76,7 @@
 
 private:
     /// Records a crash for one request unless the process exited by plan; the caller holds the lock, as for all below.
-    void addCrash(const request_identity&, const listed_server&, process_end, time_point endedBy);
+    void addCrash(const abandoned_attempt&, process_end, time_point endedBy);
     /// Returns whether what is taken for a crash was a planned exit, and logs it.
     bool isPlannedExit(const server_id& process, process_end, time_point endedBy) const;
     /// Forgets records that the announcement of a planned exit explains.
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -61,6 +61,9 @@
     /// Records that the connection to a server broke; suspects a crash if its host refuses new ones.
     void recordIfCrashed(const listed_server&);
     void recordAbandoned(const listed_server&);
+    /// Records that the server has sent a part of the response body.
+    void recordProgress();
+    response_progress progress() const;
     /// Records that a server has said that it leaves.
     void recordLeaving(const listed_server&);
     void suspectCrash(const listed_server&);
@@ -136,6 +139,8 @@
     server_id m_suspectedServer; ///< Server that may have crashed in the last attempt; empty if none.
     int m_suspectedCrashes = 0;
     time_point m_attemptBegunAt {}; ///< Of the current attempt at a server.
+    std::optional<time_point> m_firstPartAt; ///< When the first part of the response body was received in this attempt.
+    time_point m_lastPartAt {};
     int m_attempts = 0; ///< Number of attempts at servers and other daemons.
     std::vector<daemon_id> m_triedPeers;
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
--- a/include/radishflow/Relay/relay_call_crashes.h
+++ b/include/radishflow/Relay/relay_call_crashes.h
@@ -9,6 +9,8 @@
 
 // A running server accepts connections within a few milliseconds.
 inline constexpr std::chrono::milliseconds crashProbeTimeout { 60 };
+// A server that a request crashes ends within this time of the first part of its response.
+inline constexpr std::chrono::seconds steadyProgressTime { 1 };
 
 template <relay_protocol Protocol>
 request_identity relay_call<Protocol>::identify() const
@@ -57,7 +59,22 @@
 void relay_call<Protocol>::recordAbandoned(const listed_server& server)
 {
     if (!m_peer)
-        m_context.crashes.recordAbandoned(m_identity, server);
+        m_context.crashes.recordAbandoned(m_identity, server, progress());
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::recordProgress()
+{
+    m_lastPartAt = now();
+    if (!m_firstPartAt)
+        m_firstPartAt = m_lastPartAt;
+}
+
+// The time until the connection broke does not count: a server may hang before it crashes.
+template <relay_protocol Protocol>
+response_progress relay_call<Protocol>::progress() const
+{
+    return m_firstPartAt && m_lastPartAt - *m_firstPartAt >= steadyProgressTime ? response_progress::Steady : response_progress::None;
 }
 
 template <relay_protocol Protocol>
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -350,6 +350,7 @@
     };
     ++m_contactedServers;
     m_attemptBegunAt = now();
+    m_firstPartAt.reset();
     exchange_state state = exchange.start(head, m_message.body, belongsToRequest);
     if (state == exchange_state::TimedOut && now() < m_deadline) {
         attempt_history withThisAttempt = m_history;
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -56,6 +56,8 @@
         if (body.size() > maxBufferedBytes || !m_context.bufferedResponses.tryAdd(added))
             return body_read_result::Broken;
         m_bufferedBytes += added;
+        if (added > 0)
+            recordProgress();
     }
     return bodyResult;
 }
@@ -123,6 +125,8 @@
         std::string events;
         const bool isInOrder = m_eventSplitter.feed(received, events);
         const bool isEnd = bodyResult == body_read_result::Complete && isInOrder && received.empty();
+        if (!events.empty())
+            recordProgress();
         if (!events.empty() || isEnd) {
             std::string text;
             if (!std::exchange(m_hasResponseStarted, true)) {
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -40,6 +40,8 @@
         hint.fingerprint_low = static_cast<std::int64_t>(crash.fingerprint.low);
         hint.server = crash.server.value();
         hint.remaining_ms = static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(crash.remaining).count());
+        if (crash.progress == response_progress::Steady)
+            hint.__set_had_progress(true);
         wire.crashes.push_back(hint);
     }
     for (std::size_t index = 0; index < std::min(hints.promptHolders.size(), maxPromptHints); ++index) {
@@ -110,6 +112,7 @@
             .fingerprint = { .high = static_cast<std::uint64_t>(crash.fingerprint_high), .low = static_cast<std::uint64_t>(crash.fingerprint_low) },
             .server = server_id { crash.server },
             .remaining = std::chrono::milliseconds { crash.remaining_ms },
+            .progress = crash.__isset.had_progress && crash.had_progress ? response_progress::Steady : response_progress::None,
         });
     }
     for (const hints_wire::PartHint& part : wire.parts) {
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -23,9 +23,9 @@
 {
 }
 
-static void logCrash(const char* event, const request_fingerprint& request, const server_id& server)
+static void logCrash(const char* event, const request_fingerprint& request, const server_id& server, response_progress progress = response_progress::None)
 {
-    spdlog::warn("event={} fingerprint={} server={}", event, toHex(request), server.value());
+    spdlog::warn("event={} fingerprint={} server={} had_progress={}", event, toHex(request), server.value(), progress == response_progress::Steady);
 }
 
 // The service is left out, so that a request stays quarantined when its route moves to another service.
@@ -52,26 +52,29 @@
     return true;
 }
 
-// A server that has restarted under its former id is another process, whose crash counts again.
-void crash_quarantine::addCrash(const request_identity& request, const listed_server& server, process_end end, time_point endedBy)
+// A server that has restarted under its former id is another process, whose crash counts again. A prompt part crashes a server as it
+// begins to write a response, so a server that has made progress on one did not crash because of its parts.
+void crash_quarantine::addCrash(const abandoned_attempt& attempt, process_end end, time_point endedBy)
 {
-    const server_id process = processIdOf(server);
+    const request_identity& request = attempt.request;
+    const server_id process = processIdOf(attempt.server);
     if (isPlannedExit(process, end, endedBy))
         return;
-    m_parts.recordCrash(process, server.zone, request.sharedParts);
+    if (attempt.progress == response_progress::None)
+        m_parts.recordCrash(process, attempt.server.zone, request.sharedParts);
     if (request.variant && m_served.find(*request.variant, m_clock.now())) {
         logCrash("crash_ignored", request.content, process);
         return;
     }
-    logCrash("crash_recorded", request.content, process);
-    m_quarantine.recordCrash(process, { request.content });
+    logCrash("crash_recorded", request.content, process, attempt.progress);
+    m_quarantine.recordCrash(process, { request.content }, attempt.progress);
 }
 
-void crash_quarantine::recordCrash(const request_identity& request, const listed_server& server)
+void crash_quarantine::recordCrash(const request_identity& request, const listed_server& server, response_progress progress)
 {
     {
         const std::lock_guard lock { m_mutex };
-        addCrash(request, server, process_end::Broken, m_clock.now());
+        addCrash({ .server = server, .request = request, .progress = progress }, process_end::Broken, m_clock.now());
     }
     recordCrash(server);
 }
@@ -80,13 +83,13 @@
 {
     const std::lock_guard lock { m_mutex };
     for (const abandoned_attempt& attempt : m_abandoned.takeAttemptsAt(server))
-        addCrash(attempt.request, attempt.server, process_end::Broken, m_clock.now());
+        addCrash(attempt, process_end::Broken, m_clock.now());
 }
 
-void crash_quarantine::recordAbandoned(const request_identity& request, const listed_server& server)
+void crash_quarantine::recordAbandoned(const request_identity& request, const listed_server& server, response_progress progress)
 {
     const std::lock_guard lock { m_mutex };
-    m_abandoned.add(server, request);
+    m_abandoned.add(server, request, progress);
 }
 
 bool crash_quarantine::hasAbandonedAt(const listed_server& server) const
@@ -133,7 +136,7 @@
     }
     const auto isPlanned = [this](const listed_server& server, time_point endedBy) { return isPlannedExit(processIdOf(server), process_end::Replaced, endedBy); };
     for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list, isPlanned))
-        addCrash(attempt.request, attempt.server, process_end::Replaced, m_clock.now());
+        addCrash(attempt, process_end::Replaced, m_clock.now());
 }
 
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_identity& request) const
@@ -163,7 +166,7 @@
     std::vector<crash_record> own = m_quarantine.takeNewRecords();
     m_quarantine.merge(crashes);
     for (const crash_record& record : m_quarantine.takeNewRecords())
-        logCrash("crash_learned", record.fingerprint, record.server);
+        logCrash("crash_learned", record.fingerprint, record.server, record.progress);
     m_pendingRecords.insert(m_pendingRecords.end(), own.begin(), own.end());
 }
 
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -7,6 +7,8 @@
   2: i64 fingerprint_low
   3: string server
   4: i32 remaining_ms
+  // The server had sent parts of the response for some time. Daemons of earlier versions do not state it.
+  5: optional bool had_progress
 }
 
 // A prompt part was in flight when a backend server crashed, or, with an empty process, a response to it is complete. Clocks
--- a/unittests/Admission/quarantine_test.cpp
+++ b/unittests/Admission/quarantine_test.cpp
@@ -2,8 +2,13 @@
 #include "radishflow/Admission/quarantine.h"
 #include "radishflow/Support/manual_clock.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <ostream>
+#include <vector>
+
 using namespace radishflow;
 using namespace std::chrono_literals;
 
@@ -33,6 +38,70 @@
     BOOST_TEST((local.stateOf(fingerprintNumber(1)) == quarantine_state::Clear));
 }
 
+namespace {
+
+constexpr auto none = response_progress::None;
+constexpr auto steady = response_progress::Steady;
+
+struct progress_case {
+    const char* name;
+    std::vector<response_progress> crashes; ///< One a minute, each of another server.
+    quarantine_state state;
+    std::chrono::minutes remaining; ///< Of a retention of 30 minutes, at the last crash.
+
+    friend std::ostream& operator<<(std::ostream& out, const progress_case& testCase) { return out << testCase.name; }
+};
+
+const progress_case progressCases[] {
+    { "one without progress", { none }, quarantine_state::Suspect, 0min },
+    { "two without", { none, none }, quarantine_state::Quarantined, 29min },
+    { "one with progress", { steady }, quarantine_state::Suspect, 0min },
+    { "two with", { steady, steady }, quarantine_state::Suspect, 0min },
+    { "four with", { steady, steady, steady, steady }, quarantine_state::Suspect, 0min },
+    { "five with", { steady, steady, steady, steady, steady }, quarantine_state::Quarantined, 26min },
+    { "one without, two with", { none, steady, steady }, quarantine_state::Suspect, 0min },
+    { "one without, three with", { none, steady, steady, steady }, quarantine_state::Quarantined, 27min },
+    { "one with, two without", { steady, none, none }, quarantine_state::Quarantined, 29min },
+};
+
+} // namespace
+
+// Guards against refusals of streams that ran beside a crash, and against requests that crash servers late without end.
+BOOST_DATA_TEST_CASE(crashesAfterProgressWeighLess, boost::unit_test::data::make(progressCases), testCase)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    quarantine<manual_clock> local { clock, { .retention = 30min } };
+    quarantine<manual_clock> other { clock, { .retention = 30min } };
+    for (std::size_t crash = 0; crash < testCase.crashes.size(); ++crash) {
+        if (crash > 0)
+            clock.advance(1min);
+        local.recordCrash(server_id { "i-" + std::to_string(crash) }, { fingerprintNumber(1) }, testCase.crashes[crash]);
+    }
+    other.merge(local.allRecords());
+    for (const auto* each : { &local, &other }) {
+        BOOST_TEST((each->stateOf(fingerprintNumber(1)) == testCase.state));
+        BOOST_TEST((each->remaining(fingerprintNumber(1)) == testCase.remaining));
+    }
+}
+
+// Two callers send the same request to one server, which makes progress on one of them before it crashes.
+BOOST_AUTO_TEST_CASE(ofTwoAttemptsAtAServerTheOneWithoutProgressCounts)
+{
+    for (const bool isProgressFirst : { true, false }) {
+        manual_clock clock;
+        quarantine<manual_clock> local { clock, {} };
+        quarantine<manual_clock> other { clock, {} };
+        for (const server_id& server : { one, two }) {
+            local.recordCrash(server, { fingerprintNumber(1) }, isProgressFirst ? steady : none);
+            local.recordCrash(server, { fingerprintNumber(1) }, isProgressFirst ? none : steady);
+        }
+        other.merge(local.takeNewRecords());
+        BOOST_TEST((local.stateOf(fingerprintNumber(1)) == quarantine_state::Quarantined));
+        BOOST_TEST((other.stateOf(fingerprintNumber(1)) == quarantine_state::Quarantined));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(crashesDetectedByTwoDaemonsAreCombined)
 {
     manual_clock clock;
