relayd: a server that sends too much takes no room from the others

Cause: one budget counted all buffered responses, so the server that filled it failed sound responses of others with 502. Events in progress did not count. Bodies were held twice while slow callers read them.

Change: response_memory gives a server as much as all servers leave free. Events count. A body of known length without room is forwarded as it arrives. Large bodies are sent without a copy.

--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -28,7 +28,6 @@
     /// `forwarded` is what the daemon states that forwarded the request to this one; null for a request of a caller.
     relay_call(const Protocol&, const relay_context&, relay_socket& caller, const caller_message&, bool keepsOpen, const forwarded_request* forwarded = nullptr);
 
-    ~relay_call() { m_context.bufferedResponses.remove(m_bufferedBytes); }
     relay_call(const relay_call&) = delete;
     relay_call& operator=(const relay_call&) = delete;
 
@@ -41,10 +40,15 @@
         Failed, ///< The attempt failed; another server may be tried.
         CallerGone, ///< The caller disconnected.
     };
+    /// A body that is held in memory, and the memory that is reserved for it.
+    struct buffered_body {
+        std::string bytes;
+        response_reservation memory;
+    };
     /// Complete error response (status 5xx) of a backend server.
     struct server_error_response {
         response_head head;
-        std::string body;
+        buffered_body body;
         const char* outcome = "server_error"; ///< As recorded if the response is forwarded.
     };
 
@@ -100,15 +104,22 @@
     void applyServerStatements(const server_id&, const response_metadata&);
     attempt_result handleExchangeState(const listed_server&, server_exchange&, exchange_state, const response_metadata&);
     attempt_result handleResponse(const listed_server&, server_exchange&, const response_metadata&);
+    /// Returns a reservation for a response of the server that responds to the current attempt.
+    response_reservation reserveFor(const listed_server&) const;
     /// Reads a body into memory; returns Broken if it is too large.
-    body_read_result readWholeBody(server_exchange&, std::string& body);
+    body_read_result readWholeBody(server_exchange&, buffered_body&);
     attempt_result forwardResponse(const listed_server&, server_exchange&);
+    /// Forwards a body of known length as it arrives.
+    attempt_result forwardUnbuffered(const listed_server&, server_exchange&);
+    attempt_result finishResponse(const listed_server&, const server_exchange&, bool isSent);
     attempt_result forwardEvents(const listed_server&, server_exchange&);
     /// Records what the end of a response shows about crashes.
     void recordCompletion(const listed_server&, const server_exchange&);
     attempt_result handleBodyFailure(const listed_server&, body_read_result);
     attempt_result recordFailure(const listed_server&, server_outcome, bool mayHaveRun, const char* result);
     bool sendToCaller(std::string_view);
+    /// Sends a complete response.
+    bool sendToCaller(std::string head, const std::string& body);
     bool sendFailure();
     void recordAttempt(const listed_server&, const char* result);
     void recordOutcome(int status, const char* outcome);
@@ -134,7 +145,6 @@
     bool m_isResendReserved = false; ///< A resend was taken from the retry budget and has not been used yet.
     bool m_hasResponseStarted = false; ///< Part of the response was sent to the caller.
     bool m_isResponseComplete = false;
-    std::size_t m_bufferedBytes = 0; ///< Counted in the daemon's bufferedResponses.
     int m_contactedServers = 0; ///< Number of attempts that sent the request to a server.
     server_id m_suspectedServer; ///< Server that may have crashed in the last attempt; empty if none.
     int m_suspectedCrashes = 0;
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -157,6 +157,8 @@
             recordOutcome(0, "caller_gone");
             return false;
         case attempt_result::Failed:
+            if (m_isFinal)
+                return sendFailure();
             break;
         }
     }
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -135,7 +135,7 @@
     if (!facts.execution && exchange.head().status < firstServerError)
         return metadata.isEventStream ? forwardEvents(target, exchange) : forwardResponse(target, exchange);
     // The other daemon has used the attempts that the request has, or refuses it for a reason that holds at any daemon.
-    server_error_response failure { .head = exchange.head(), .body = {} };
+    server_error_response failure { .head = exchange.head(), .body = { .bytes = {}, .memory = reserveFor(target) } };
     if (readWholeBody(exchange, failure.body) != body_read_result::Complete)
         return recordPeerFailure(peer, peer_outcome::Failed, !isNotRun, "broke_off");
     exchange.releaseConnection();
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -7,7 +7,7 @@
 
 namespace radishflow {
 
-inline constexpr std::size_t maxBufferedBytes = 16U << 20U; // Limit on the body of a response that is not a stream, since such bodies are held in memory.
+inline constexpr std::size_t maxBufferedBytes = 16U << 20U; // Limit on the body of a response that is not a stream.
 inline constexpr std::size_t maxEventBytes = 1U << 20U; // Events are held in memory until they are complete.
 // Maximum time to send one part of a response to the caller.
 inline constexpr std::chrono::seconds callerSendTimeout { 10 };
@@ -36,7 +36,7 @@
         return recordFailure(server, server_outcome::Failed, true, notAStreamResult);
     if (exchange.head().status < firstServerError)
         return metadata.isEventStream ? forwardEvents(server, exchange) : forwardResponse(server, exchange);
-    server_error_response failure { .head = exchange.head(), .body = {} };
+    server_error_response failure { .head = exchange.head(), .body = { .bytes = {}, .memory = reserveFor(server) } };
     const body_read_result bodyResult = readWholeBody(exchange, failure.body);
     if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
@@ -45,18 +45,26 @@
     return recordFailure(server, server_outcome::Failed, true, "server_error");
 }
 
+// A response that another daemon passes on counts for the server that sent it.
 template <relay_protocol Protocol>
-body_read_result relay_call<Protocol>::readWholeBody(server_exchange& exchange, std::string& body)
+response_reservation relay_call<Protocol>::reserveFor(const listed_server& server) const
 {
+    return { m_context.bufferedResponses, m_respondingServer.empty() ? server.id : m_respondingServer };
+}
+
+template <relay_protocol Protocol>
+body_read_result relay_call<Protocol>::readWholeBody(server_exchange& exchange, buffered_body& body)
+{
+    const std::uint64_t expected = exchange.remainingBytes();
+    if (expected > maxBufferedBytes || !body.memory.tryGrow(expected))
+        return body_read_result::Broken;
+    body.bytes.reserve(expected);
     body_read_result bodyResult = body_read_result::Data;
     while (bodyResult == body_read_result::Data) {
-        const std::size_t before = body.size();
-        bodyResult = exchange.read(body);
-        const std::size_t added = body.size() - before;
-        if (body.size() > maxBufferedBytes || !m_context.bufferedResponses.tryAdd(added))
+        bodyResult = exchange.read(body.bytes);
+        if (body.bytes.size() > maxBufferedBytes || !body.memory.tryGrow(body.bytes.capacity()))
             return body_read_result::Broken;
-        m_bufferedBytes += added;
-        if (added > 0)
+        if (!body.bytes.empty())
             recordProgress();
     }
     return bodyResult;
@@ -65,17 +73,50 @@
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::forwardResponse(const listed_server& server, server_exchange& exchange)
 {
-    std::string body;
+    buffered_body body { .bytes = {}, .memory = reserveFor(server) };
+    const std::uint64_t expected = exchange.remainingBytes();
+    if (expected <= maxBufferedBytes && !body.memory.tryGrow(expected))
+        return forwardUnbuffered(server, exchange);
     const body_read_result bodyResult = readWholeBody(exchange, body);
     if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
     exchange.releaseConnection();
     finishAttempt(server, server_outcome::Served);
     recordAttempt(server, "served");
-    std::string text = writeResponseHead(exchange.head(), body.size(), m_keepsOpen, forwardedFields());
-    if (m_message.head.method != "HEAD")
-        text += body;
-    const bool isSent = sendToCaller(text);
+    const bool isSent = sendToCaller(writeResponseHead(exchange.head(), body.bytes.size(), m_keepsOpen, forwardedFields()), body.bytes);
+    return finishResponse(server, exchange, isSent);
+}
+
+// A server that breaks off the body leaves the caller with an incomplete response, which its length shows, so the request is not resent.
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_result relay_call<Protocol>::forwardUnbuffered(const listed_server& server, server_exchange& exchange)
+{
+    std::string part = writeResponseHead(exchange.head(), exchange.remainingBytes(), m_keepsOpen, forwardedFields());
+    m_hasResponseStarted = true;
+    m_isFinal = true;
+    body_read_result bodyResult = body_read_result::Data;
+    while (bodyResult == body_read_result::Data) {
+        bodyResult = exchange.read(part);
+        recordProgress();
+        if (!sendToCaller(part)) {
+            recordAbandoned(server);
+            finishAttempt(server, server_outcome::Abandoned);
+            recordAttempt(server, "caller_gone");
+            return attempt_result::CallerGone;
+        }
+        part.clear();
+    }
+    if (bodyResult != body_read_result::Complete)
+        return handleBodyFailure(server, bodyResult);
+    exchange.releaseConnection();
+    finishAttempt(server, server_outcome::Served);
+    recordAttempt(server, "served");
+    return finishResponse(server, exchange, true);
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_result relay_call<Protocol>::finishResponse(const listed_server& server, const server_exchange& exchange, bool isSent)
+{
     recordCompletion(server, exchange);
     if (!isSent)
         return attempt_result::CallerGone;
@@ -119,9 +160,11 @@
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::forwardEvents(const listed_server& server, server_exchange& exchange)
 {
-    std::string received;
+    buffered_body body { .bytes = {}, .memory = reserveFor(server) };
+    std::string& received = body.bytes;
     while (true) {
         const body_read_result bodyResult = exchange.read(received);
+        const bool hasRoom = body.memory.tryGrow(received.capacity());
         std::string events;
         const bool isInOrder = m_eventSplitter.feed(received, events);
         const bool isEnd = bodyResult == body_read_result::Complete && isInOrder && received.empty();
@@ -137,7 +180,14 @@
                 appendChunk(text, events);
             if (isEnd)
                 text += lastChunk;
-            if (!sendToCaller(text)) {
+            // A large event is held once while the caller reads it.
+            if (received.capacity() > response_reservation::uncountedBytes) {
+                received.shrink_to_fit();
+                std::string {}.swap(events);
+            }
+            const bool isSent = sendToCaller(text);
+            body.memory.shrinkTo(received.capacity());
+            if (!isSent) {
                 recordAbandoned(server);
                 finishAttempt(server, server_outcome::Abandoned);
                 return attempt_result::CallerGone;
@@ -152,7 +202,7 @@
             m_isResponseComplete = true;
             return attempt_result::Finished;
         }
-        if (bodyResult != body_read_result::Data || !isInOrder || received.size() > maxEventBytes)
+        if (bodyResult != body_read_result::Data || !isInOrder || !hasRoom || received.size() > maxEventBytes)
             return handleBodyFailure(server, isInOrder && (bodyResult == body_read_result::TimedOut || bodyResult == body_read_result::CallerGone) ? bodyResult : body_read_result::Broken);
     }
 }
@@ -199,7 +249,8 @@
             reason.retryAfter = *m_peerRetryAfter;
         return refuse(reason, reason.execution == execution_state::NotRun ? refusal_scope::Capacity : refusal_scope::Request);
     }
-    const bool isSent = sendToCaller(writeResponseHead(m_serverError->head, m_serverError->body.size(), m_keepsOpen, forwardedFields()) + m_serverError->body);
+    const std::string& body = m_serverError->body.bytes;
+    const bool isSent = sendToCaller(writeResponseHead(m_serverError->head, body.size(), m_keepsOpen, forwardedFields()), body);
     recordOutcome(m_serverError->head.status, m_serverError->outcome);
     return isSent;
 }
@@ -222,6 +273,18 @@
     return m_caller.send(text, now() + callerSendTimeout) == io_outcome::Done;
 }
 
+// A large body is not copied, as a daemon has memory for few of them.
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::sendToCaller(std::string head, const std::string& body)
+{
+    constexpr std::size_t maxJoinedBytes = 16384;
+    if (m_message.head.method == "HEAD")
+        return sendToCaller(head);
+    if (body.size() <= maxJoinedBytes)
+        return sendToCaller(head.append(body));
+    return sendToCaller(head) && m_caller.send(body, std::max<time_point>(m_deadline, now() + callerSendTimeout)) == io_outcome::Done;
+}
+
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordAttempt(const listed_server& server, const char* result)
 {
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -5,6 +5,7 @@
 #include "radishflow/Relay/body_memory.h"
 #include "radishflow/Relay/crash_quarantine.h"
 #include "radishflow/Relay/forwarding_settings.h"
+#include "radishflow/Relay/response_memory.h"
 #include "radishflow/Relay/response_times.h"
 #include "radishflow/Relay/retry_shares.h"
 #include "radishflow/Relay/server_access.h"
@@ -31,7 +32,7 @@
     const forwarding_settings& forwarding;
     const stream_origins& origins;
     body_memory& requestBodies;
-    body_memory& bufferedResponses;
+    response_memory& bufferedResponses;
     response_times<boottime_clock>& responseTimes;
     const stop_state& stop;
     relay_metrics& metrics;
--- a/include/radishflow/Relay/server_exchange.h
+++ b/include/radishflow/Relay/server_exchange.h
@@ -10,6 +10,7 @@
 #include "radishflow/Support/boottime_clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -51,6 +52,8 @@
 
     /// Returns whether the body ends with the connection; call it after start() succeeded.
     bool endsWithConnection() const { return m_decoder && m_decoder->endsWithConnection(); }
+    /// Returns the number of bytes of the body that have not been read; 0 if only its end will show how many.
+    std::uint64_t remainingBytes() const { return m_decoder ? m_decoder->remainingBytes() : 0; }
     const response_head& head() const { return m_head; }
     bool isReused() const { return m_isReused; }
     /// Returns whether the connection failed because the server was silent for longer than allowed.
--- a/include/radishflow/Support/lock_rank.h
+++ b/include/radishflow/Support/lock_rank.h
@@ -20,6 +20,7 @@
     Streams = 70,
     OneStream = 80,
     Connections = 90,
+    ResponseMemory = 95,
     Statistics = 100,
 };
 
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -97,7 +97,7 @@
     stream_origins origins;
     server_connection_pool connections;
     body_memory requestBodies { shareOfMemory(options, requestBodyShare) };
-    body_memory bufferedResponses { shareOfMemory(options, responseBodyShare) };
+    response_memory bufferedResponses { shareOfMemory(options, responseBodyShare) };
     response_times<boottime_clock> responseTimes { clock };
     stop_state stop;
     relay_metrics metrics;
@@ -314,6 +314,7 @@
         metrics.setGauge("busy", listener->activeConnections());
         metrics.setGauge("connections", listener->connections());
         metrics.setGauge("request_body_bytes", static_cast<double>(requestBodies.bytes()));
+        metrics.setGauge("buffered_response_bytes", static_cast<double>(bufferedResponses.bytes()));
         metrics.setGauge("fleet_size", static_cast<double>(routing.fleet()->size));
         metrics.setGauge("config_age_seconds", std::chrono::duration<double>(freshness.age(clock.now())).count());
         metrics.setGauge("follows_store", feed.isFollower() ? 1 : 0);
