--- a/test/Relay/body_memory_test.cpp
+++ b/test/Relay/body_memory_test.cpp
@@ -97,3 +97,23 @@
     }
     BOOST_TEST(waitUntil(2s, [&] { return fleet.metric(0, "radishflow_state{name=\"request_body_bytes\"}") == 0; }));
 }
+
+// Guards against daemons that the platform kills because of bodies sent with requests for documents.
+BOOST_AUTO_TEST_CASE(bodiesOfDocumentRequestsAreRefused)
+{
+    constexpr int documentCallers = 100;
+    const std::string request = "POST " + lookupTarget() + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes - 1, 'b');
+    relay_fleet fleet { { .daemons = 1, .servers = 1 } };
+    std::vector<std::future<int>> callers;
+    callers.reserve(documentCallers);
+    for (int caller = 0; caller < documentCallers; ++caller) {
+        callers.push_back(std::async(std::launch::async, [&] {
+            caller_connection connection;
+            return connection.open(fleet.lookupAddress(0)) ? connection.run(request, 2000ms).status : 0;
+        }));
+    }
+    for (std::future<int>& status : callers)
+        BOOST_TEST(status.get() != 200);
+    BOOST_TEST(peakMemoryKiB(fleet.daemon(0).pid()) < memoryLimitKiB);
+    BOOST_TEST(fleet.lookUp(0).size() == 1U);
+}
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -243,9 +243,14 @@
     return { lines, response.isComplete };
 }
 
+std::string relay_fleet::lookupAddress(int daemon) const
+{
+    return ipOf(daemon) + ':' + std::to_string(portOf(LookupPort));
+}
+
 std::vector<std::string> relay_fleet::lookUp(int daemon, std::chrono::milliseconds timeout) const
 {
-    const http_call_reply reply = httpCall({ .url = "http://" + ipOf(daemon) + ':' + std::to_string(portOf(LookupPort)) + lookupTarget(), .timeout = timeout });
+    const http_call_reply reply = httpCall({ .url = "http://" + lookupAddress(daemon) + lookupTarget(), .timeout = timeout });
     return reply.status == 200 ? readLookupResponse(reply.body) : std::vector<std::string> {};
 }
 
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -75,6 +75,8 @@
     void list(int server, const std::string& state = "ready", int coldForMs = 0);
 
     std::string callerAddress(int daemon) const;
+    /// Returns the address at which a daemon responds to address lookups.
+    std::string lookupAddress(int daemon) const;
     /// Returns the address at which a daemon accepts requests that other daemons forward.
     std::string forwardingAddress(int daemon) const;
     /// Returns the sum of a counter of a daemon over all labels that start with the given text, or 0 if there is none.
