--- a/test/Relay/body_memory_test.cpp
+++ b/test/Relay/body_memory_test.cpp
@@ -104,15 +104,15 @@
     constexpr int documentCallers = 100;
     const std::string request = "POST " + lookupTarget() + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes - 1, 'b');
     relay_fleet fleet { { .daemons = 1, .servers = 1 } };
-    std::vector<std::future<int>> callers;
-    callers.reserve(documentCallers);
+    std::vector<std::future<int>> lookups;
+    lookups.reserve(documentCallers);
     for (int caller = 0; caller < documentCallers; ++caller) {
-        callers.push_back(std::async(std::launch::async, [&] {
+        lookups.push_back(std::async(std::launch::async, [&] {
             caller_connection connection;
             return connection.open(fleet.lookupAddress(0)) ? connection.run(request, 2000ms).status : 0;
         }));
     }
-    for (std::future<int>& status : callers)
+    for (std::future<int>& status : lookups)
         BOOST_TEST(status.get() != 200);
     BOOST_TEST(peakMemoryKiB(fleet.daemon(0).pid()) < memoryLimitKiB);
     BOOST_TEST(fleet.lookUp(0).size() == 1U);
--- a/test/Relay/response_memory_test.cpp
+++ b/test/Relay/response_memory_test.cpp
@@ -5,7 +5,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
-
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
