--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -67,6 +67,7 @@
     void recordAbandoned(const listed_server&);
     /// Records that the server has sent a part of the response body.
     void recordProgress();
+    /// Returns what the server has sent in the current attempt, for the record of a crash.
     response_progress progress() const;
     /// Records that a server has said that it leaves.
     void recordLeaving(const listed_server&);
