--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -20,8 +20,8 @@
 namespace radishflow {
 
 /// Keeps requests from crashing further servers: once two processes of servers have crashed while running a request (more if they had
-/// made progress on it), or several while running requests with the same prompt part, every daemon refuses it for a limited time. Planned exits of servers are no crashes, whichever
-/// daemon took them for such. Thread-safe; uses one lock of rank Crashes.
+/// made progress on it), or several while running requests with the same prompt part, every daemon refuses it for a limited time. Planned
+/// exits of servers are no crashes, whichever daemon took them for such. Thread-safe; uses one lock of rank Crashes.
 class crash_quarantine {
 public:
     /// Time for which a crash counts. The platform sets no time after which a request that has crashed servers may be sent to
