--- a/include/radishflow/Fleet/hint_exchange.h
+++ b/include/radishflow/Fleet/hint_exchange.h
@@ -34,8 +34,8 @@
     hint_exchange(const hint_exchange&) = delete;
     hint_exchange& operator=(const hint_exchange&) = delete;
 
-    /// Sends hints to a random sample of the fleet, or to the whole fleet if they include crashes or evidence on prompt
-    /// parts, which are rare. These are sent in as many datagrams as they need.
+    /// Sends hints to a random sample of the fleet, or to the whole fleet if they include crashes, evidence on prompt parts or the
+    /// suspension of a roll-out, which are rare. These are sent in as many datagrams as they need.
     void send(const server_hints&, const fleet_view&);
     /// Sends hints to the daemon on a host at once.
     void sendTo(const server_hints&, const std::string& host);
--- a/include/radishflow/Fleet/server_hints.h
+++ b/include/radishflow/Fleet/server_hints.h
@@ -4,6 +4,7 @@
 #include "radishflow/Admission/crash_record.h"
 #include "radishflow/Admission/part_evidence.h"
 #include "radishflow/Routing/prompt_holder.h"
+#include "radishflow/Routing/rollout_evidence.h"
 #include "radishflow/Routing/service_contact.h"
 #include "radishflow/Routing/shared_limit.h"
 #include "radishflow/Routing/shared_load.h"
@@ -21,6 +22,8 @@
     std::vector<part_evidence> parts; ///< On which prompt parts crash servers.
     std::vector<service_contact> contacts; ///< Services whose servers the sender reaches.
     std::vector<std::uint32_t> askedServices; ///< Hashes of the services whose servers the sender does not reach; it asks whether the receiver does.
+    std::vector<rollout_notice> rolloutNotices;
+    std::vector<rollout_evidence> rolloutEvidence; ///< For the coordinators of the roll-outs.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Metrics/relay_metrics.h
+++ b/include/radishflow/Metrics/relay_metrics.h
@@ -3,8 +3,11 @@
 
 #include "radishflow/Requests/request_record.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace radishflow {
 
@@ -19,6 +22,8 @@
     void count(const request_record&);
     /// Sets a gauge, such as the number of open connections.
     void setGauge(const std::string& name, double value);
+    /// Sets the share of requests that the target of a service's roll-out gets, and named counts of it.
+    void setRollout(const std::string& service, const std::string& target, double share, const std::vector<std::pair<std::string, std::uint64_t>>& counts);
     /// Returns the text of the Prometheus exposition format.
     std::string text() const;
 
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -14,6 +14,7 @@
 #include "radishflow/Relay/server_exchange.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -86,6 +87,12 @@
     void recordOrigin(const listed_server&);
     std::optional<chosen_server> chooseServer();
     server_query queryFor(const fleet_view&) const;
+    /// Returns the versions that a roll-out allows for the next attempt.
+    version_restriction restrictionForRollout() const;
+    /// Records a complete response of a server for the roll-out of its service.
+    void recordForRollout(const listed_server&, bool isFailure);
+    /// Returns the time for the whole response, or for one event of a stream; nothing if it says little about the server's software.
+    std::optional<duration> responsePace() const;
     std::uint64_t affinity() const;
     attempt_result attempt(const chosen_server&);
     duration responseTimeout() const;
@@ -152,6 +159,8 @@
     time_point m_attemptBegunAt {}; ///< Of the current attempt at a server.
     std::optional<time_point> m_firstPartAt; ///< When the first part of the response body was received in this attempt.
     time_point m_lastPartAt {};
+    std::uint64_t m_lastEventBeforeAttempt = 0;
+    prompt_origin m_promptOrigin = prompt_origin::None; ///< Of the current attempt.
     int m_attempts = 0; ///< Number of attempts at servers and other daemons.
     std::vector<daemon_id> m_triedPeers;
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
@@ -168,4 +177,5 @@
 #include "radishflow/Relay/relay_call_dispatch.h"
 #include "radishflow/Relay/relay_call_forwarding.h"
 #include "radishflow/Relay/relay_call_responses.h"
+#include "radishflow/Relay/relay_call_rollouts.h"
 #include "radishflow/Relay/relay_call_stopping.h"
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -263,6 +263,7 @@
         .priority = m_admitted.priority(),
         .coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0,
         .version = m_version,
+        .restriction = restrictionForRollout(),
         .needsKnownProcess = m_admitted.target->isResumable,
         .excluded = m_history.servers,
         .fleet = &fleet,
@@ -279,7 +280,12 @@
         m_servers = m_context.routing.servers();
         m_fleet = m_context.routing.fleet();
         m_record.eligibleServers = m_servers->eligible(m_admitted.service).size();
-        auto server = m_context.balancer.startRequest(*m_servers, queryFor(*m_fleet));
+        server_query query = queryFor(*m_fleet);
+        auto server = m_context.balancer.startRequest(*m_servers, query);
+        if (!server && query.restriction.hasAlternative) {
+            query.restriction.side = rollout_side::Base;
+            server = m_context.balancer.startRequest(*m_servers, query);
+        }
         if (server || m_record.eligibleServers == 0 || m_context.balancer.timeToFirstServer(*m_servers, queryFor(*m_fleet)) || now() + serverWaitInterval > waitEnd || m_caller.hasPeerDisconnected())
             return server;
         std::this_thread::sleep_for(serverWaitInterval);
@@ -351,8 +357,11 @@
         return metadata.requestId ? *metadata.requestId == m_request.id : !exchange.isReused() || m_request.id.empty();
     };
     ++m_contactedServers;
+    m_context.rollouts.recordSend(server);
     m_attemptBegunAt = now();
     m_firstPartAt.reset();
+    m_lastEventBeforeAttempt = m_eventSplitter.lastId();
+    m_promptOrigin = chosen.prompt;
     exchange_state state = exchange.start(head, m_message.body, belongsToRequest);
     if (state == exchange_state::TimedOut && now() < m_deadline) {
         attempt_history withThisAttempt = m_history;
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -42,6 +42,7 @@
         return handleBodyFailure(server, bodyResult);
     exchange.releaseConnection();
     m_serverError = std::move(failure);
+    recordForRollout(server, true);
     return recordFailure(server, server_outcome::Failed, true, "server_error");
 }
 
@@ -81,6 +82,7 @@
     if (bodyResult != body_read_result::Complete)
         return handleBodyFailure(server, bodyResult);
     exchange.releaseConnection();
+    recordForRollout(server, false);
     finishAttempt(server, server_outcome::Served);
     recordAttempt(server, "served");
     const bool isSent = sendToCaller(writeResponseHead(exchange.head(), body.bytes.size(), m_keepsOpen, forwardedFields()), body.bytes);
@@ -195,6 +197,7 @@
         }
         if (isEnd) {
             exchange.releaseConnection();
+            recordForRollout(server, false);
             finishAttempt(server, server_outcome::Served);
             recordAttempt(server, "served");
             recordCompletion(server, exchange);
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -14,6 +14,7 @@
 #include "radishflow/Relay/stream_origins.h"
 #include "radishflow/Routing/key_freshness.h"
 #include "radishflow/Routing/load_balancer.h"
+#include "radishflow/Routing/rollout_manager.h"
 #include "radishflow/Routing/shared_routing.h"
 #include "radishflow/Support/boottime_clock.h"
 
@@ -29,6 +30,7 @@
     crash_quarantine& crashes;
     server_connection_pool& connections; ///< To servers, and to the daemons to which requests are forwarded.
     server_access& access;
+    rollout_manager<boottime_clock>& rollouts;
     const forwarding_settings& forwarding;
     const stream_origins& origins;
     body_memory& requestBodies;
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -89,6 +89,19 @@
             ejectIfFailing(record, health, now);
     }
 
+    /// Returns the number of requests of this daemon in flight at the servers of a service that have another version.
+    int inFlightAtOtherVersions(const server_list& list, const service_id& service, const software_version& version) const
+    {
+        const std::lock_guard lock { m_mutex };
+        int count = 0;
+        for (const listed_server* server : list.serversOf(service)) {
+            const auto record = m_records.find(server->id);
+            if (server->version != version && record != m_records.end())
+                count += record->second.inFlight.current();
+        }
+        return count;
+    }
+
     /// Discards the failures recorded for the servers of a service, since they were failures of this daemon's path to them.
     void forgetFailures(const service_id& service)
     {
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -79,7 +79,7 @@
     for (const listed_server* server : eligible) {
         const server_record& record = m_records[server->id];
         const bool isOtherVersion = query.version && versionKeyOf(server->service, server->version) != *query.version;
-        const bool isExcluded = isOtherVersion || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
+        const bool isExcluded = isOtherVersion || !query.restriction.admits(*server) || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
         if (isExcluded || isFormerProcess(*server, record) || isColdLimited(*server, record, query, now))
             continue;
         if (query.needsKnownProcess && !m_identities.isKnown(*server)) {
--- a/include/radishflow/Routing/server_query.h
+++ b/include/radishflow/Routing/server_query.h
@@ -3,6 +3,7 @@
 
 #include "radishflow/Routing/fleet_view.h"
 #include "radishflow/Routing/stream_origin.h"
+#include "radishflow/Routing/version_restriction.h"
 #include "radishflow/Support/ids.h"
 
 #include <cstdint>
@@ -19,6 +20,7 @@
     int priority = 0; ///< 0 is the most urgent.
     double coldRequestsPerSecond = 0; ///< Request rate of one cold server, from the policy of the service; 0 sets no limit.
     std::optional<version_key> version; ///< Only servers of this software version may be chosen.
+    version_restriction restriction; ///< Versions that a roll-out allows.
     bool needsKnownProcess = false; ///< Only servers whose entry describes the process that runs may be chosen.
     std::vector<server_id> excluded; ///< Servers to which the request was already sent.
     const fleet_view* fleet = nullptr;
--- a/include/radishflow/Support/lock_rank.h
+++ b/include/radishflow/Support/lock_rank.h
@@ -13,6 +13,7 @@
     Admission = 40,
     Crashes = 45,
     RetryBudget = 46,
+    Rollouts = 48,
     Placement = 50,
     Servers = 52,
     Prefixes = 55,
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -22,8 +22,68 @@
 static constexpr int maxLimitAgeMs = 3600000; // Longer than limits are published.
 static constexpr int maxContactAgeMs = 60000; // Older contacts show nothing.
 static constexpr std::size_t maxZoneBytes = 64;
+static constexpr int maxNoticeAgeMs = 60000; // Longer than notices count.
+static constexpr double shareUnit = 1e6; // Shares are sent in millionths.
+// Outcomes of responses that are no bucket of a pace.
+static constexpr std::int32_t noPace = -1;
+static constexpr std::int32_t failedResponse = -2;
 static constexpr std::size_t expectedDatagramBytes = 1200;
 
+static hints_wire::RouteTally encodeTally(const route_tally& tally)
+{
+    hints_wire::RouteTally wire;
+    wire.route = static_cast<std::int32_t>(tally.route);
+    wire.responses = static_cast<std::int32_t>(tally.responses);
+    wire.failures = static_cast<std::int32_t>(tally.failures);
+    for (std::size_t bucket = 0; bucket < paceBuckets; ++bucket) {
+        if (tally.paces[bucket] == 0)
+            continue;
+        wire.paces.push_back(static_cast<std::int32_t>(bucket));
+        wire.paces.push_back(static_cast<std::int32_t>(tally.paces[bucket]));
+    }
+    return wire;
+}
+
+static hints_wire::RolloutEvidence encodeEvidence(const rollout_evidence& evidence)
+{
+    hints_wire::RolloutEvidence wire;
+    wire.service_key = static_cast<std::int32_t>(evidence.service);
+    wire.order = static_cast<std::int64_t>(evidence.order);
+    wire.requests = static_cast<std::int64_t>(evidence.requests);
+    wire.target_requests = static_cast<std::int64_t>(evidence.targetRequests);
+    wire.base_in_flight = static_cast<std::int32_t>(evidence.baseInFlight);
+    for (std::size_t index = 0; index < std::min(evidence.base.size(), maxRolloutRoutes); ++index)
+        wire.base.push_back(encodeTally(evidence.base[index]));
+    const std::size_t first = evidence.target.size() - std::min(evidence.target.size(), maxRolloutSamples);
+    for (std::size_t index = first; index < evidence.target.size(); ++index) {
+        const version_sample& sample = evidence.target[index];
+        wire.target_routes.push_back(static_cast<std::int32_t>(sample.route));
+        wire.target_servers.push_back(static_cast<std::int32_t>(sample.server));
+        wire.target_outcomes.push_back(sample.isFailure ? failedResponse : sample.pace ? static_cast<std::int32_t>(*sample.pace)
+                                                                                       : noPace);
+    }
+    return wire;
+}
+
+static void encodeRollouts(const server_hints& hints, hints_wire::Hints& wire)
+{
+    for (std::size_t index = 0; index < std::min(hints.rolloutNotices.size(), maxRolloutNotices); ++index) {
+        const rollout_notice& notice = hints.rolloutNotices[index];
+        hints_wire::RolloutNotice hint;
+        hint.service_key = static_cast<std::int32_t>(notice.service);
+        hint.order = static_cast<std::int64_t>(notice.order);
+        hint.state = static_cast<std::int32_t>(notice.state);
+        hint.suspended = notice.isSuspended;
+        hint.trial = notice.isTrial;
+        hint.share_per_million = static_cast<std::int32_t>(std::lround(std::clamp(notice.share, 0.0, 1.0) * shareUnit));
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(notice.age);
+        hint.age_ms = static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxNoticeAgeMs));
+        wire.rollout_notices.push_back(hint);
+    }
+    for (const rollout_evidence& evidence : hints.rolloutEvidence)
+        wire.rollout_evidence.push_back(encodeEvidence(evidence));
+}
+
 std::string encodeHints(const server_hints& hints)
 {
     hints_wire::Hints wire;
@@ -75,9 +135,36 @@
     }
     for (std::size_t index = 0; index < std::min(hints.askedServices.size(), maxContactHints); ++index)
         wire.asked_services.push_back(static_cast<std::int32_t>(hints.askedServices[index]));
+    encodeRollouts(hints, wire);
     return encodeCompact(wire, expectedDatagramBytes);
 }
 
+static bool isValid(const hints_wire::RouteTally& tally)
+{
+    if (tally.responses < 0 || tally.failures < 0 || tally.failures > tally.responses || tally.paces.size() % 2 != 0 || tally.paces.size() > 2 * paceBuckets)
+        return false;
+    for (std::size_t index = 0; index < tally.paces.size(); index += 2) {
+        if (tally.paces[index] < 0 || tally.paces[index] >= static_cast<std::int32_t>(paceBuckets) || tally.paces[index + 1] < 0)
+            return false;
+    }
+    return true;
+}
+
+static bool isValid(const hints_wire::RolloutEvidence& evidence)
+{
+    const bool hasValidTallies = evidence.base.size() <= maxRolloutRoutes && std::all_of(evidence.base.begin(), evidence.base.end(), [](const hints_wire::RouteTally& tally) { return isValid(tally); });
+    const bool hasValidSamples = evidence.target_routes.size() <= maxRolloutSamples && evidence.target_servers.size() == evidence.target_routes.size() && evidence.target_outcomes.size() == evidence.target_routes.size();
+    const bool hasValidOutcomes = std::all_of(evidence.target_outcomes.begin(), evidence.target_outcomes.end(), [](std::int32_t outcome) { return outcome >= failedResponse && outcome < static_cast<std::int32_t>(paceBuckets); });
+    return hasValidTallies && hasValidSamples && hasValidOutcomes && evidence.requests >= 0 && evidence.target_requests >= 0 && evidence.base_in_flight >= 0;
+}
+
+static bool hasValidRollouts(const hints_wire::Hints& wire)
+{
+    const auto isValidNotice = [](const hints_wire::RolloutNotice& notice) { return notice.share_per_million >= 0 && notice.share_per_million <= static_cast<std::int32_t>(shareUnit) && notice.age_ms >= 0 && notice.age_ms <= maxNoticeAgeMs && notice.state >= 0 && notice.state <= static_cast<std::int32_t>(rollout_state::RolledBack); };
+    return wire.rollout_notices.size() <= maxRolloutNotices && std::all_of(wire.rollout_notices.begin(), wire.rollout_notices.end(), isValidNotice)
+        && std::all_of(wire.rollout_evidence.begin(), wire.rollout_evidence.end(), [](const hints_wire::RolloutEvidence& evidence) { return isValid(evidence); });
+}
+
 static bool isValid(const hints_wire::Hints& wire)
 {
     const bool hasValidLoads = std::all_of(wire.loads.begin(), wire.loads.end(), [](int requests) { return requests >= 0 && requests <= maxRequestsPerServer; });
@@ -88,7 +175,53 @@
     const bool hasValidLimits = std::all_of(wire.limits.begin(), wire.limits.end(), [](const hints_wire::LimitHint& limit) { return limit.age_ms >= 0 && limit.age_ms <= maxLimitAgeMs && (!limit.__isset.milli_requests_per_second || limit.milli_requests_per_second >= 0); });
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
     const bool hasValidContacts = wire.contact_services.size() == wire.contact_ages_ms.size() && wire.contact_services.size() <= maxContactHints && wire.asked_services.size() <= maxContactHints && std::all_of(wire.contact_ages_ms.begin(), wire.contact_ages_ms.end(), [](int age) { return age >= 0 && age <= maxContactAgeMs; });
-    return hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    return hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+}
+
+static rollout_evidence decodeEvidence(const hints_wire::RolloutEvidence& wire)
+{
+    rollout_evidence evidence {
+        .service = static_cast<std::uint32_t>(wire.service_key),
+        .order = static_cast<std::uint64_t>(wire.order),
+        .requests = static_cast<std::uint64_t>(wire.requests),
+        .targetRequests = static_cast<std::uint64_t>(wire.target_requests),
+        .baseInFlight = static_cast<std::uint32_t>(wire.base_in_flight),
+        .base = {},
+        .target = {},
+    };
+    for (const hints_wire::RouteTally& tally : wire.base) {
+        route_tally decoded { .route = static_cast<std::uint32_t>(tally.route), .responses = static_cast<std::uint32_t>(tally.responses), .failures = static_cast<std::uint32_t>(tally.failures) };
+        for (std::size_t index = 0; index < tally.paces.size(); index += 2)
+            decoded.paces[static_cast<std::size_t>(tally.paces[index])] = static_cast<std::uint32_t>(tally.paces[index + 1]);
+        evidence.base.push_back(decoded);
+    }
+    for (std::size_t index = 0; index < wire.target_routes.size(); ++index) {
+        const std::int32_t outcome = wire.target_outcomes[index];
+        evidence.target.push_back({
+            .route = static_cast<std::uint32_t>(wire.target_routes[index]),
+            .server = static_cast<std::uint32_t>(wire.target_servers[index]),
+            .isFailure = outcome == failedResponse,
+            .pace = outcome >= 0 ? std::optional { static_cast<std::size_t>(outcome) } : std::nullopt,
+        });
+    }
+    return evidence;
+}
+
+static void decodeRollouts(const hints_wire::Hints& wire, server_hints& hints)
+{
+    for (const hints_wire::RolloutNotice& notice : wire.rollout_notices) {
+        hints.rolloutNotices.push_back({
+            .service = static_cast<std::uint32_t>(notice.service_key),
+            .order = static_cast<std::uint64_t>(notice.order),
+            .state = static_cast<rollout_state>(notice.state),
+            .isSuspended = notice.suspended,
+            .isTrial = notice.trial,
+            .share = notice.share_per_million / shareUnit,
+            .age = std::chrono::milliseconds { notice.age_ms },
+        });
+    }
+    for (const hints_wire::RolloutEvidence& evidence : wire.rollout_evidence)
+        hints.rolloutEvidence.push_back(decodeEvidence(evidence));
 }
 
 std::optional<server_hints> decodeHints(std::string_view bytes)
@@ -130,6 +263,7 @@
             .age = std::chrono::milliseconds { limit.age_ms },
         });
     }
+    decodeRollouts(wire, hints);
     return hints;
 }
 
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -51,6 +51,8 @@
         const auto begin = hints.limits.begin() + static_cast<std::ptrdiff_t>(index);
         sendDatagram({ .limits = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxLimitHints, limitEnd - index)) } }, fleet);
     }
+    if (!hints.rolloutNotices.empty())
+        sendDatagram({ .rolloutNotices = hints.rolloutNotices }, fleet);
     if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty() && hints.askedServices.empty())
         return;
     const std::size_t first = std::min(hints.crashes.size(), maxCrashHints);
@@ -62,6 +64,12 @@
     }
 }
 
+// These are rare, and each daemon needs them soon.
+static bool concernsAllDaemons(const server_hints& hints)
+{
+    return !hints.crashes.empty() || !hints.parts.empty() || std::any_of(hints.rolloutNotices.begin(), hints.rolloutNotices.end(), [](const rollout_notice& notice) { return notice.isSuspended; });
+}
+
 void hint_exchange::sendDatagram(const server_hints& hints, const fleet_view& fleet)
 {
     static thread_local std::minstd_rand random { std::random_device {}() };
@@ -72,7 +80,7 @@
             peers.push_back(&daemon);
     }
     std::vector<const fleet_daemon*> recipients;
-    std::sample(peers.begin(), peers.end(), std::back_inserter(recipients), hints.crashes.empty() && hints.parts.empty() ? m_options.peersPerRound : peers.size(), random);
+    std::sample(peers.begin(), peers.end(), std::back_inserter(recipients), concernsAllDaemons(hints) ? peers.size() : m_options.peersPerRound, random);
     const std::string datagram = encodeHints(hints);
     for (const fleet_daemon* peer : recipients)
         sendBytes(datagram, peer->callerAddress.substr(0, peer->callerAddress.find(':')));
--- a/lib/Metrics/relay_metrics.cpp
+++ b/lib/Metrics/relay_metrics.cpp
@@ -22,6 +22,8 @@
     prometheus::Family<prometheus::Histogram>& firstBytes = prometheus::BuildHistogram().Name("radishflow_first_bytes_seconds").Help("From the request to the first bytes of its answer.").Register(registry);
     prometheus::Family<prometheus::Histogram>& total = prometheus::BuildHistogram().Name("radishflow_request_seconds").Help("From the request to the end of its answer.").Register(registry);
     prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge().Name("radishflow_state").Help("State of the process by name.").Register(registry);
+    prometheus::Family<prometheus::Gauge>& rolloutShares = prometheus::BuildGauge().Name("radishflow_rollout_share").Help("Share of a service's requests that the target of its roll-out gets.").Register(registry);
+    prometheus::Family<prometheus::Gauge>& rolloutCounts = prometheus::BuildGauge().Name("radishflow_rollout_evidence").Help("Requests and responses of a roll-out by name, of all daemons at a coordinator.").Register(registry);
 };
 
 relay_metrics::relay_metrics()
@@ -58,6 +60,13 @@
     m_state->gauges.Add({ { "name", name } }).Set(value);
 }
 
+void relay_metrics::setRollout(const std::string& service, const std::string& target, double share, const std::vector<std::pair<std::string, std::uint64_t>>& counts)
+{
+    m_state->rolloutShares.Add({ { "service", service }, { "target", target } }).Set(share);
+    for (const auto& [name, value] : counts)
+        m_state->rolloutCounts.Add({ { "service", service }, { "target", target }, { "name", name } }).Set(static_cast<double>(value));
+}
+
 std::string relay_metrics::text() const
 {
     return prometheus::TextSerializer {}.Serialize(m_state->registry.Collect());
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -160,6 +160,7 @@
         .maxRevocationDelay = m_options.revocationDelay,
         .stopGrace = m_options.stopGrace,
         .isFirstStart = m_daemons[static_cast<std::size_t>(number)] == nullptr,
+        .contracts = m_options.contracts,
     });
     m_daemons[static_cast<std::size_t>(number)] = std::make_unique<child_process>(child_options {
         .program = m_programs[static_cast<std::size_t>(number)],
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -28,6 +28,39 @@
   3: i32 age_ms
 }
 
+// Responses of the other versions of a service under a roll-out, by route. The paces alternate between a bucket and its count.
+struct RouteTally {
+  1: i32 route
+  2: i32 responses
+  3: i32 failures
+  4: list<i32> paces
+}
+
+// What the sender has seen of the roll-out of a service; sent to the coordinators.
+struct RolloutEvidence {
+  1: i32 service_key
+  2: i64 order
+  3: i64 requests
+  4: i64 target_requests
+  5: i32 base_in_flight
+  6: list<RouteTally> base
+  // Parallel lists: newest responses of the target, with the pace's bucket, -1 for none and -2 for a failure.
+  7: list<i32> target_routes
+  8: list<i32> target_servers
+  9: list<i32> target_outcomes
+}
+
+// How a coordinator goes on with the roll-out of a service. Clocks differ, so the age of the decision is sent.
+struct RolloutNotice {
+  1: i32 service_key
+  2: i64 order
+  3: bool suspended
+  4: bool trial
+  5: i32 share_per_million
+  6: i32 age_ms
+  7: i32 state  // 0 running, 1 done, 2 rolled back
+}
+
 struct Hints {
   // Parallel lists: the hash of a server's id, the number of its running and waiting requests, and the age of that report.
   // Daemons of earlier versions send no ages.
@@ -46,4 +79,6 @@
   10: list<i32> contact_ages_ms
   // Services whose servers the sender does not reach; it asks whether the receiver does.
   11: list<i32> asked_services
+  12: list<RolloutNotice> rollout_notices
+  13: list<RolloutEvidence> rollout_evidence
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -20,6 +20,7 @@
 #include "lookup_response.h"
 #include "peer_changes.h"
 #include "platform_feed.h"
+#include "rollout_statuses.h"
 #include "server_report.h"
 #include "wire_protocol.h"
 
@@ -92,6 +93,7 @@
     retry_shares<boottime_clock> retries;
     key_freshness freshness;
     crash_quarantine crashes;
+    rollout_manager<boottime_clock> rollouts;
     stream_origin_exchange originExchange;
     version_history versions;
     stream_origins origins;
@@ -108,6 +110,7 @@
     relay_context parts;
     crash_table crashRows;
     platform_feed feed;
+    rollout_statuses rolloutRows; // Used by coordinateRollouts() only.
     daemon_registry rows;
     std::optional<time_point> lastAnnouncedAt;
     std::uint64_t announcedEra = 0;
@@ -123,12 +126,14 @@
     std::unique_ptr<periodic_task> catchUpTask;
     std::unique_ptr<periodic_task> crashTask;
     std::unique_ptr<periodic_task> identifyTask;
+    std::unique_ptr<periodic_task> rolloutTask; ///< Null if the operator orders no roll-outs.
 
     explicit state(const relay_daemon_options& daemonOptions)
         : options(daemonOptions)
         , retries(clock, { .ratio = options.platform.retryRatio, .slack = options.platform.retrySlack, .startsFull = options.platform.isFirstStart })
         , freshness(options.platform.areKeysRevokedStrictly ? duration { options.platform.maxRevocationDelay } : duration { unboundedKeyTrust })
         , crashes({ .minNotice = options.platform.maxDrainDelay / exitNoticeDivisor })
+        , rollouts(clock, { .isEnabled = options.platform.hasRollouts, .maxExposure = options.platform.maxRolloutExposure })
         , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
@@ -136,9 +141,10 @@
         , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { recordRecovery(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .rollouts = rollouts, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
-        , feed(options.platform, routing, balancer, freshness, crashRows)
+        , feed(options.platform, routing, balancer, freshness, crashRows, rollouts)
+        , rolloutRows({ .storeAddress = options.platform.storeAddress, .toStoreTime = [this](time_point time) { return feed.toStoreTime(time); }, .toLocalTime = [this](std::chrono::milliseconds storeTime) { return feed.toLocalTime(storeTime); } }, rollouts)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
         seedFleet(options.platform.seedAddresses);
@@ -152,6 +158,8 @@
         fetchTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.fetchFromFleet(); });
         catchUpTask = std::make_unique<periodic_task>(catchUpInterval, [this] { feed.catchUp(); });
         identifyTask = std::make_unique<periodic_task>(identifyInterval, [this] { identifyServers(); });
+        if (rollouts.isEnabled())
+            rolloutTask = std::make_unique<periodic_task>(refreshInterval, [this] { coordinateRollouts(); });
         crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
     }
 
@@ -167,6 +175,10 @@
         balancer.mergePromptUpdates(received.promptHolders);
         if (const auto servers = routing.servers(); servers && !received.limits.empty())
             balancer.recordPeerLimits(*servers, received.limits);
+        for (const rollout_notice& notice : received.rolloutNotices)
+            rollouts.mergeNotice(notice);
+        for (const rollout_evidence& evidence : received.rolloutEvidence)
+            rollouts.mergeEvidence(host, evidence);
         recordCrashesAtPeers(received.crashes);
         crashes.merge(received.crashes);
         crashes.mergeParts(received.parts);
@@ -321,6 +333,8 @@
         metrics.setGauge("unavailable_services", static_cast<double>(access.unavailableServices()));
         metrics.setGauge("dropped_log_lines", static_cast<double>(droppedLogLines()));
         metrics.setGauge("limited_servers", static_cast<double>(balancer.limitedServers()));
+        for (const rollout_summary& rollout : rollouts.summaries())
+            metrics.setRollout(rollout.service.value(), rollout.target.value(), rollout.share, { { "requests", rollout.requests }, { "target_requests", rollout.targetRequests }, { "target_responses", rollout.samples }, { "target_failures", rollout.badSamples } });
         const auto routes = routing.routes();
         metrics.setGauge("config_version", routes ? static_cast<double>(routes->version().value()) : 0);
         return { .status = 200, .contentType = "text/plain; version=0.0.4", .body = metrics.text() };
@@ -345,7 +359,7 @@
         crashRows.add(newCrashes, clock.now());
         crashRows.remove(crashes.takeWithdrawnRecords());
         crashRows.change(crashes.takePartTableChanges(), clock.now());
-        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts() }, *view);
+        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts(), .rolloutNotices = rollouts.notices() }, *view);
         for (const limit_event& event : balancer.takeLimitEvents())
             logLimitEvent(event);
         const bool isConfigCurrent = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
@@ -367,6 +381,26 @@
             spdlog::info("event=server_limit_changed server={} limit={} previous={} source={}", event.server.value(), text(event.current), text(event.previous), source);
     }
 
+    // Calls to the store may take a second, so a task of its own makes them.
+    void coordinateRollouts()
+    {
+        const auto servers = routing.servers();
+        const auto view = routing.fleet();
+        if (!servers)
+            return;
+        const auto baseInFlight = [&](const service_id& service, const software_version& target) { return balancer.inFlightAtOtherVersions(*servers, service, target); };
+        for (auto& [service, evidence] : rollouts.takeEvidence(baseInFlight)) {
+            for (const fleet_daemon* coordinator : rolloutCoordinators(*view, service)) {
+                if (coordinator->id != view->self)
+                    hints.sendTo({ .rolloutEvidence = { evidence } }, coordinator->callerAddress.substr(0, coordinator->callerAddress.find(':')));
+            }
+        }
+        for (const rollout_action& action : rollouts.coordinate(*servers, *view))
+            rolloutRows.execute(action);
+        for (const rollout_event& event : rollouts.takeEvents())
+            spdlog::info("event=rollout service={} target={} order={} change={} detail=\"{}\"", event.service.value(), event.target.value(), event.order, event.what, event.detail);
+    }
+
     // One daemon is enough to remove expired rows of the store.
     bool isFirstFollower() const
     {
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -55,6 +55,57 @@
     }
 }
 
+// Evidence of a roll-out travels in datagrams of its own; the newest responses of the target are kept.
+BOOST_DATA_TEST_CASE(rolloutEvidenceIsDecodedUnchangedUpToTheMaximumOfADatagram, boost::unit_test::data::make({ 0, 1, 60, 90 }), count)
+{
+    rollout_evidence evidence { .service = 0xfffffff0U, .order = 77, .requests = 1000, .targetRequests = 60, .baseInFlight = 3, .base = {}, .target = {} };
+    for (std::uint32_t number = 0; number < static_cast<std::uint32_t>(count) / 6; ++number) {
+        evidence.base.push_back({ .route = 0xf0000000U + number, .responses = 40, .failures = 2 });
+        evidence.base.back().paces[7] = 30;
+        evidence.base.back().paces[paceBuckets - 1] = number;
+    }
+    for (std::uint32_t number = 0; number < static_cast<std::uint32_t>(count); ++number)
+        evidence.target.push_back({ .route = 0xf0000000U, .server = number, .isFailure = number % 3 == 0, .pace = number % 3 == 1 ? std::optional { std::size_t { number % paceBuckets } } : std::nullopt });
+    const std::string datagram = encodeHints({ .rolloutEvidence = { evidence } });
+    BOOST_TEST(datagram.size() <= 1200U);
+    const auto decoded = decodeHints(datagram);
+    BOOST_REQUIRE(decoded && decoded->rolloutEvidence.size() == 1U);
+    const rollout_evidence& received = decoded->rolloutEvidence.front();
+    BOOST_TEST(received.service == evidence.service);
+    BOOST_TEST(received.order == 77U);
+    BOOST_TEST(received.requests == 1000U);
+    BOOST_TEST(received.targetRequests == 60U);
+    BOOST_TEST(received.baseInFlight == 3U);
+    BOOST_REQUIRE(received.base.size() == evidence.base.size());
+    for (std::size_t index = 0; index < received.base.size(); ++index) {
+        BOOST_TEST(received.base[index].route == evidence.base[index].route);
+        BOOST_TEST((received.base[index].paces == evidence.base[index].paces));
+    }
+    const std::size_t kept = std::min(evidence.target.size(), maxRolloutSamples);
+    BOOST_REQUIRE(received.target.size() == kept);
+    for (std::size_t index = 0; index < kept; ++index) {
+        const version_sample& sent = evidence.target[evidence.target.size() - kept + index];
+        BOOST_TEST(received.target[index].server == sent.server);
+        BOOST_TEST(received.target[index].isFailure == sent.isFailure);
+        BOOST_TEST((received.target[index].pace == (sent.isFailure ? std::nullopt : sent.pace)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(rolloutNoticesAreDecodedUnchanged)
+{
+    const rollout_notice notice { .service = 0xfffffff0U, .order = 9, .state = rollout_state::RolledBack, .isSuspended = true, .isTrial = false, .share = 0.25, .age = 700ms };
+    const auto decoded = decodeHints(encodeHints({ .rolloutNotices = { notice } }));
+    BOOST_REQUIRE(decoded && decoded->rolloutNotices.size() == 1U);
+    const rollout_notice& received = decoded->rolloutNotices.front();
+    BOOST_TEST(received.service == notice.service);
+    BOOST_TEST(received.order == 9U);
+    BOOST_TEST((received.state == notice.state));
+    BOOST_TEST(received.isSuspended);
+    BOOST_TEST(!received.isTrial);
+    BOOST_TEST(received.share == 0.25);
+    BOOST_TEST((received.age == 700ms));
+}
+
 // Evidence on prompt parts travels in datagrams of its own.
 BOOST_DATA_TEST_CASE(partHintsAreDecodedUnchangedUpToTheMaximumOfADatagram, boost::unit_test::data::make({ 1, 11, 12, 40 }), count)
 {
