--- a/include/radishflow/Routing/rollout_manager.h
+++ b/include/radishflow/Routing/rollout_manager.h
@@ -168,14 +168,14 @@
     {
         return status.target == order.target && (status.era != order.era || status.order == order.revision);
     }
-    void addEvent(const execution& rollout, std::string what, std::string detail = {})
+    void addEvent(const execution& rollout, const std::string& what, const std::string& detail = {})
     {
-        m_events.push_back({ .service = rollout.order.service, .target = rollout.order.target, .order = rollout.order.revision, .what = std::move(what), .detail = std::move(detail) });
+        m_events.push_back({ .service = rollout.order.service, .target = rollout.order.target, .order = rollout.order.revision, .what = what, .detail = detail });
     }
     execution* find(std::uint32_t service, std::uint64_t order);
     bool isNoticeFresh(const execution& rollout, time_point now) const { return rollout.notice && now - rollout.noticeAt < m_options.noticeLifetime; }
     void selectTrialServers(execution&, const std::vector<const listed_server*>& targetServers) const;
-    void suspend(execution&, std::string reason);
+    void suspend(execution&, const std::string& reason);
     bool isCoordinating(const execution&, const fleet_view&, time_point now) const;
     std::optional<rollout_action> decide(execution&, std::size_t baseServers, time_point now);
     /// Publishes the end of an order, and records it again if the store has lost it.
@@ -200,9 +200,9 @@
         rollout.noticeAt = now;
     }
     std::set<version_key> withheldVersions(const std::vector<const listed_server*>&, time_point confirmedAt) const;
-    rollout_action recordAction(const execution& rollout, rollout_state state, std::string reason) const
+    rollout_action recordAction(const execution& rollout, rollout_state state, const std::string& reason) const
     {
-        return { .service = rollout.order.service, .status = statusOf(rollout, state), .reason = std::move(reason) };
+        return { .service = rollout.order.service, .status = statusOf(rollout, state), .reason = reason };
     }
     rollout_status statusOf(const execution& rollout, rollout_state state) const
     {
--- a/include/radishflow/Routing/rollout_manager_coordination.h
+++ b/include/radishflow/Routing/rollout_manager_coordination.h
@@ -28,7 +28,8 @@
     for (auto& [service, rollout] : m_rollouts) {
         std::erase_if(rollout.peers, [&](const auto& entry) { return now - entry.second.receivedAt > m_options.evidenceMemory; });
         const auto servers = list.eligible(service);
-        rollout.targetServers = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&](const listed_server* server) { return server->version == rollout.order.target; }));
+        const software_version& target = rollout.order.target;
+        rollout.targetServers = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&target](const listed_server* server) { return server->version == target; }));
         // A daemon with enough evidence of its own does not wait for a coordinator.
         if (!rollout.isSuspended && !(rollout.state && hasEnded(*rollout.state))) {
             if (const auto fault = findFault(rollout))
--- a/include/radishflow/Routing/rollout_manager_requests.h
+++ b/include/radishflow/Routing/rollout_manager_requests.h
@@ -106,7 +106,7 @@
         return { .withheldVersions = withheldVersions(servers, confirmedAt) };
     execution& rollout = found->second;
     const version_key target = targetOf(rollout.order);
-    const version_restriction base { .side = rollout_side::Base, .target = target };
+    version_restriction base { .side = rollout_side::Base, .target = target };
     if (rollout.state == rollout_state::Done)
         return { .side = rollout_side::Target, .target = target };
     if (rollout.state == rollout_state::RolledBack || rollout.isSuspended)
@@ -272,10 +272,10 @@
 }
 
 template <monotonic_clock Clock>
-void rollout_manager<Clock>::suspend(execution& rollout, std::string reason)
+void rollout_manager<Clock>::suspend(execution& rollout, const std::string& reason)
 {
     rollout.isSuspended = true;
-    rollout.suspensionReason = std::move(reason);
+    rollout.suspensionReason = reason;
     addEvent(rollout, "suspended", rollout.suspensionReason);
 }
 
--- a/lib/Routing/rollout_coordinators.cpp
+++ b/lib/Routing/rollout_coordinators.cpp
@@ -19,7 +19,8 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
     std::vector<const fleet_daemon*> coordinators;
     for (const bool isFirstOfZone : { true, false }) {
-        for (const auto& [rank, daemon] : ranked) {
+        for (const auto& entry : ranked) {
+            const fleet_daemon* daemon = entry.second;
             const bool isZoneCovered = std::any_of(coordinators.begin(), coordinators.end(), [&](const fleet_daemon* coordinator) { return coordinator->zone == daemon->zone; });
             const bool isChosen = std::find(coordinators.begin(), coordinators.end(), daemon) != coordinators.end();
             if (coordinators.size() < rolloutCoordinatorCount && !isChosen && isZoneCovered != isFirstOfZone)
