--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -26,6 +26,8 @@
     void publishReadiness(bool acceptsCallers);
     /// Publishes whether this daemon reaches backend servers, with its token for forwarded requests.
     void publishServerAccess(bool reachesServers);
+    /// Publishes how many cores the platform allows this daemon.
+    void publishProcessorShare(double cores);
     const std::string& forwardingToken() const { return m_forwardingToken; }
     /// Announces that this daemon leaves the fleet; the others stop directing callers to it.
     void leave();
--- a/include/radishflow/Fleet/hint_exchange.h
+++ b/include/radishflow/Fleet/hint_exchange.h
@@ -28,6 +28,9 @@
 /// observations. Thread-safe.
 class hint_exchange {
 public:
+    /// Bounds the traffic of prompt reports; a daemon with more of them sends the rest in the next round.
+    static constexpr std::size_t maxPromptReportsPerRound = 280;
+
     /// Throws Poco::Exception if the address cannot be bound.
     explicit hint_exchange(hint_exchange_options);
     ~hint_exchange();
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -93,6 +93,13 @@
     void recordForRollout(const listed_server&, bool isFailure);
     /// Returns the time for the whole response, or for one event of a stream; nothing if it says little about the server's software.
     std::optional<duration> responsePace() const;
+    std::shared_ptr<const dispatch_plan> dispatchPlan();
+    /// Returns the daemon that dispatches the next attempt; nothing if this daemon sends the request to servers itself.
+    std::optional<fleet_daemon> nextDispatcher();
+    /// Forwards the request to a daemon that dispatches it; returns nothing if this daemon sends it to servers itself.
+    std::optional<attempt_result> attemptAtDispatcher();
+    /// Waits for a slot of a service that this daemon dispatches, and holds it for the attempt.
+    std::optional<chosen_server> chooseServerWithSlot();
     std::uint64_t affinity() const;
     attempt_result attempt(const chosen_server&);
     duration responseTimeout() const;
@@ -105,6 +112,8 @@
     bool isAccessLost() { return !m_forwarded && m_context.access.isLost(m_admitted.service); }
     /// Forwards the request to another daemon; returns nothing if none takes requests.
     std::optional<attempt_result> attemptAtPeer();
+    /// Forwards the request to the daemon, which the peer selector counts as in use.
+    attempt_result attemptAt(const fleet_daemon&);
     attempt_result handlePeerState(const fleet_daemon&, const listed_server&, server_exchange&, exchange_state);
     attempt_result handlePeerResponse(const fleet_daemon&, const listed_server&, server_exchange&);
     attempt_result recordPeerFailure(const fleet_daemon&, peer_outcome, bool mayHaveRun, const char* result);
@@ -163,6 +172,9 @@
     prompt_origin m_promptOrigin = prompt_origin::None; ///< Of the current attempt.
     int m_attempts = 0; ///< Number of attempts at servers and other daemons.
     std::vector<daemon_id> m_triedPeers;
+    int m_dispatches = 0; ///< Attempts at daemons that dispatch the request.
+    std::optional<held_slot> m_slot; ///< Held during an attempt at a server of a service that this daemon dispatches.
+    std::optional<duration> m_slotRetryAfter; ///< Set if the request was refused for want of a slot.
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
     server_id m_respondingServer; ///< Server that sent the response to this or another daemon.
     std::optional<std::chrono::milliseconds> m_peerRetryAfter; ///< Of the last daemon that refused the request.
@@ -178,4 +190,5 @@
 #include "radishflow/Relay/relay_call_forwarding.h"
 #include "radishflow/Relay/relay_call_responses.h"
 #include "radishflow/Relay/relay_call_rollouts.h"
+#include "radishflow/Relay/relay_call_slots.h"
 #include "radishflow/Relay/relay_call_stopping.h"
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -135,6 +135,17 @@
             if (result)
                 continue;
         }
+        if (const auto result = attemptAtDispatcher()) {
+            if (result == attempt_result::Finished)
+                return m_isResponseComplete;
+            if (result == attempt_result::CallerGone) {
+                recordOutcome(0, "caller_gone");
+                return false;
+            }
+            if (m_isFinal)
+                return sendFailure();
+            continue;
+        }
         if (!canResend(*m_admitted.target, m_history))
             return sendFailure();
         const auto server = chooseServer();
@@ -280,6 +291,8 @@
         m_servers = m_context.routing.servers();
         m_fleet = m_context.routing.fleet();
         m_record.eligibleServers = m_servers->eligible(m_admitted.service).size();
+        if (dispatchPlan()->dispatchesItself())
+            return chooseServerWithSlot();
         server_query query = queryFor(*m_fleet);
         auto server = m_context.balancer.startRequest(*m_servers, query);
         if (!server && query.restriction.hasAlternative) {
@@ -324,6 +337,7 @@
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     if (remaining.count() <= 0) {
         m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
+        m_slot.reset();
         recordAttempt(server, "no_time");
         ++m_history.notRun;
         return attempt_result::Failed;
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -55,7 +55,14 @@
     m_peer = m_context.access.peers().choose(*m_fleet, serviceHashOf(m_admitted.service), m_context.access.monitorOf(m_admitted.service).doubtBeganAt(), m_triedPeers, stableHash(m_request.id.value(), std::to_string(m_attempts)));
     if (!m_peer)
         return std::nullopt;
-    const fleet_daemon peer = *m_peer;
+    return attemptAt(*m_peer);
+}
+
+template <relay_protocol Protocol>
+typename relay_call<Protocol>::attempt_result relay_call<Protocol>::attemptAt(const fleet_daemon& peer)
+{
+    m_peer = peer;
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     m_triedPeers.push_back(peer.id);
     m_record.forwardedTo = peer.id;
     m_respondingServer = {};
@@ -172,7 +179,8 @@
 void relay_call<Protocol>::finishAttempt(const listed_server& server, server_outcome outcome)
 {
     if (!m_peer) {
-        m_context.balancer.finishRequest(server.id, outcome);
+        m_context.balancer.finishRequest(server.id, outcome, now() - m_attemptBegunAt);
+        m_slot.reset();
         return;
     }
     m_context.access.peers().finish(*m_peer, outcome == server_outcome::Failed ? peer_outcome::Refused : peer_outcome::Served);
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -248,6 +248,11 @@
         const auto pause = m_servers && reason.execution == execution_state::NotRun ? m_context.balancer.timeToFirstServer(*m_servers, queryFor(*m_fleet)) : std::nullopt;
         if (pause)
             reason.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*pause);
+        if (m_slotRetryAfter && reason.execution == execution_state::NotRun) {
+            reason.title = "No slot in time";
+            reason.detail = "all slots of the service are in use, and too many requests wait for them";
+            reason.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*m_slotRetryAfter);
+        }
         if (m_peerRetryAfter && reason.execution == execution_state::NotRun)
             reason.retryAfter = *m_peerRetryAfter;
         return refuse(reason, reason.execution == execution_state::NotRun ? refusal_scope::Capacity : refusal_scope::Request);
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -10,6 +10,7 @@
 #include "radishflow/Relay/retry_shares.h"
 #include "radishflow/Relay/server_access.h"
 #include "radishflow/Relay/server_connection_pool.h"
+#include "radishflow/Relay/slot_dispatch.h"
 #include "radishflow/Relay/stop_state.h"
 #include "radishflow/Relay/stream_origins.h"
 #include "radishflow/Routing/key_freshness.h"
@@ -31,6 +32,7 @@
     server_connection_pool& connections; ///< To servers, and to the daemons to which requests are forwarded.
     server_access& access;
     rollout_manager<boottime_clock>& rollouts;
+    slot_dispatch& slots;
     const forwarding_settings& forwarding;
     const stream_origins& origins;
     body_memory& requestBodies;
--- a/include/radishflow/Routing/fleet_daemon.h
+++ b/include/radishflow/Routing/fleet_daemon.h
@@ -12,6 +12,7 @@
     zone_id zone;
     std::string callerAddress; ///< "IP:port" at which callers connect.
     std::string forwardingToken; ///< Proves that a forwarded request comes from this daemon; empty if it has published none.
+    double processorShare = 0; ///< Cores that the platform allows the daemon; 0 if it has published none.
     bool reachesServers = true; ///< The daemon has not stated that it lost access to the backend servers.
     bool acceptsCallers = false; ///< The daemon has a configuration and is not stopping.
 };
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -7,6 +7,7 @@
 #include "radishflow/Routing/cold_senders.h"
 #include "radishflow/Routing/priority_gate.h"
 #include "radishflow/Routing/process_identities.h"
+#include "radishflow/Routing/prompt_directory.h"
 #include "radishflow/Routing/prompt_holder_table.h"
 #include "radishflow/Routing/server_limit_table.h"
 #include "radishflow/Routing/server_list.h"
@@ -20,6 +21,7 @@
 #include <boost/container/static_vector.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cmath>
 #include <cstdint>
@@ -47,6 +49,11 @@
     int maxUnreachableDoublings = 2;
     duration otherDaemonRetryAfter = std::chrono::milliseconds { 500 }; ///< When callers return if only other daemons may send to the servers.
     duration minRetryAfter = std::chrono::milliseconds { 100 }; ///< Minimum time until callers return if all servers have reached their limits.
+    double requestTimeWeight = 0.05; ///< Weight of the newest request in the mean time of a service's requests.
+    duration usualRequestTime = std::chrono::milliseconds { 700 }; ///< Assumed before any has ended.
+    duration listingDelay = std::chrono::seconds { 2 }; ///< By which daemons may differ in when they first see a server listed.
+    load_range contendedHolder { .fullMultiple = 1, .fullSlack = 1.5, .maxMultiple = 1.6, .maxSlack = 2.5 }; ///< As choose_server_options::holder, while the balancer is set to contended: other servers copy the prompt from a holder that is known.
+    std::size_t contendedSample = 3; ///< As choose_server_options::sampleSize, while the balancer is set to contended.
     choose_server_options choice;
 };
 
@@ -66,13 +73,16 @@
     /// take the request now.
     std::optional<chosen_server> startRequest(const server_list& list, const server_query& query);
 
-    /// Ends a request that startRequest() sent to the server and records its outcome.
-    void finishRequest(const server_id& server, server_outcome outcome)
+    /// Ends a request that startRequest() sent to the server and records its outcome, and for how long the server had it if that is
+    /// known.
+    void finishRequest(const server_id& server, server_outcome outcome, std::optional<duration> held = {})
     {
         const std::lock_guard lock { m_mutex };
         server_record& record = m_records[server];
         const time_point now = m_clock.now();
         record.inFlight.finish(now);
+        if (held)
+            recordRequestTime(record.service, *held);
         if (outcome == server_outcome::Abandoned)
             return;
         if (outcome == server_outcome::Unreachable) {
@@ -219,6 +229,10 @@
         record.report = report;
         record.reportedAt = m_clock.now();
         record.inFlightAtReport = record.inFlight.current();
+        recordForForecast(record);
+        m_reportingServices.insert(record.service);
+        if (report.slowdown)
+            setContended();
         m_unpublished.insert(server);
     }
 
@@ -254,11 +268,44 @@
             record.report = load_sample { .running = load.requests };
             record.reportedAt = now - load.age;
             record.inFlightAtReport = record.inFlight.at(record.reportedAt);
+            recordForForecast(record);
             if (forwardsLoads && load.age < m_options.maxForwardedAge)
                 m_unpublished.insert(server->second);
         }
     }
 
+    /// Balances for a deployment whose callers compete for room, or whose servers share their hosts with others: prompts are looked up in
+    /// the directory that the fleet shares. Also called when a server reports the speed of its host.
+    void setContended() { m_isContended = true; }
+    bool isContended() const { return m_isContended; }
+
+    /// Returns whether servers of the service have reported their load to this daemon.
+    bool reportsLoad(const service_id& service) const
+    {
+        const std::lock_guard lock { m_mutex };
+        return m_reportingServices.contains(service);
+    }
+
+    /// Returns reports of prompts to publish to other daemons, at most a number.
+    std::vector<prompt_report> takePromptReports(std::size_t maxCount)
+    {
+        const std::lock_guard lock { m_mutex };
+        return m_promptDirectory.takeReports(m_clock.now(), maxCount);
+    }
+
+    /// Records reports of prompts that another daemon published. A process of a server holds nothing that was used before it was listed.
+    void mergePromptReports(const server_list& list, const std::vector<prompt_report>& reports)
+    {
+        const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
+        for (const prompt_report& report : reports) {
+            const auto id = m_idsByHash.find(report.server);
+            const auto server = id == m_idsByHash.end() ? list.servers.end() : list.servers.find(id->second);
+            if (server != list.servers.end() && server->second.listedAt <= now - report.age + m_options.listingDelay)
+                m_promptDirectory.merge(report, now);
+        }
+    }
+
     /// Returns the updates of prompt holders since the last call, for publication to other daemons.
     std::vector<prompt_holder> takePromptUpdates()
     {
@@ -292,8 +339,10 @@
             m_idsByHash.emplace(serverHashOf(id), id);
             server_record& record = m_records[id];
             // The start time of a restarted process is an earlier one if the clock of its host was set back.
-            if (server.processStartMs != record.processStartMs)
-                record = { .processStartMs = server.processStartMs, .inFlight = record.inFlight };
+            if (server.processStartMs == record.processStartMs)
+                continue;
+            record = { .processStartMs = server.processStartMs, .inFlight = record.inFlight };
+            m_promptDirectory.forgetServer(serverHashOf(id));
         }
     }
 
@@ -320,6 +369,18 @@
         decaying_count failed;
     };
 
+    static void recordForForecast(server_record& record)
+    {
+        record.forecast.record(std::max(record.report->running + record.report->waiting - record.inFlightAtReport, 0), record.reportedAt);
+    }
+
+    void recordRequestTime(const service_id& service, duration held)
+    {
+        const auto [time, isFirst] = m_requestTimes.try_emplace(service, held);
+        if (!isFirst)
+            time->second += std::chrono::duration_cast<duration>((held - time->second) * m_options.requestTimeWeight);
+    }
+
     bool isColdLimited(const listed_server& server, const server_record& record, const server_query& query, time_point now) const
     {
         return isCold(server, query, now) && (!isColdSender(*query.fleet, server.id) || !record.coldShare.hasToken(now, coldRate(query)));
@@ -335,20 +396,25 @@
     /// Listed servers that hold a prompt, including those that accept no new requests: prompts can still be copied from
     /// their caches.
     struct listed_holders {
-        const listed_server* primary = nullptr;
-        const listed_server* secondary = nullptr;
+        const listed_server* primary = nullptr; ///< Keeps the prompt while it accepts requests; null if the fleet shares its directory of prompts.
+        boost::container::static_vector<const listed_server*, prompt_directory::maxHolders> all;
+
+        bool contain(const listed_server& server) const { return std::find(all.begin(), all.end(), &server) != all.end(); }
     };
 
     listed_holders holdersOf(const server_list& list, const server_query& query, time_point now) const;
 
-    static boost::container::static_vector<std::size_t, 2> candidateIndicesOf(const std::vector<server_candidate>& candidates, const listed_holders& holders)
+    std::vector<std::size_t> candidateIndicesOf(const std::vector<server_candidate>& candidates, const listed_holders& holders) const
     {
-        boost::container::static_vector<std::size_t, 2> indices;
-        for (const listed_server* holder : { holders.primary, holders.secondary }) {
+        std::vector<std::size_t> indices;
+        indices.reserve(holders.all.size());
+        for (const listed_server* holder : holders.all) {
             const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const server_candidate& candidate) { return candidate.server == holder; });
             if (found != candidates.end())
                 indices.push_back(static_cast<std::size_t>(found - candidates.begin()));
         }
+        if (m_isContended)
+            std::sort(indices.begin(), indices.end(), [&](std::size_t left, std::size_t right) { return candidates[left].load < candidates[right].load; });
         return indices;
     }
 
@@ -401,10 +467,14 @@
     std::unordered_map<service_id, service_health> m_health;
     std::unordered_map<std::uint32_t, server_id> m_idsByHash;
     prompt_holder_table m_promptHolders;
+    prompt_directory m_promptDirectory; ///< Used instead of the table while m_isContended.
+    std::atomic<bool> m_isContended = false;
     process_identities m_identities;
     server_restrictions m_restrictions;
     server_limit_table m_limits;
     std::unordered_map<service_id, priority_gate> m_gates; ///< By service.
+    std::unordered_map<service_id, duration> m_requestTimes; ///< Mean time for which a server has a request.
+    std::unordered_set<service_id> m_reportingServices;
     std::unordered_set<server_id> m_unpublished; ///< Servers whose last report has not been published to other daemons.
 };
 
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -23,12 +23,18 @@
         return std::nullopt;
     const listed_holders holders = holdersOf(list, query, now);
     std::optional<std::size_t> chosen = indexToProbe(candidates, now);
+    choose_server_options choice = m_options.choice;
+    if (m_isContended) {
+        choice.choosesOfTwo = true;
+        choice.holder = m_options.contendedHolder;
+        choice.sampleSize = m_options.contendedSample;
+    }
     if (!chosen)
-        chosen = chooseServer(candidates, servers.size(), query.affinity, query.tieBreak, m_options.choice, candidateIndicesOf(candidates, holders));
+        chosen = chooseServer(candidates, servers.size(), query.affinity, query.tieBreak, choice, candidateIndicesOf(candidates, holders));
     if (!chosen)
         return std::nullopt;
     const listed_server& server = *candidates[*chosen].server;
-    const bool isHeld = &server == holders.primary || &server == holders.secondary;
+    const bool isHeld = holders.contain(server);
     const std::string cacheSource = isHeld ? std::string {} : cacheSourceAddress(servers, query, holders, server, now);
     if (query.affinity != 0)
         recordHolders(list, query, holders.primary, server, now);
@@ -79,7 +85,7 @@
     for (const listed_server* server : eligible) {
         const server_record& record = m_records[server->id];
         const bool isOtherVersion = query.version && versionKeyOf(server->service, server->version) != *query.version;
-        const bool isExcluded = isOtherVersion || !query.restriction.admits(*server) || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
+        const bool isExcluded = isOtherVersion || (query.allowed && !query.allowed->contains(server->id)) || !query.restriction.admits(*server) || std::find(query.excluded.begin(), query.excluded.end(), server->id) != query.excluded.end();
         if (isExcluded || isFormerProcess(*server, record) || isColdLimited(*server, record, query, now))
             continue;
         if (query.needsKnownProcess && !m_identities.isKnown(*server)) {
@@ -96,7 +102,7 @@
     }
     if (healthy.size() < ejected.size())
         healthy.insert(healthy.end(), ejected.begin(), ejected.end());
-    return healthy.empty() ? unreachable : healthy;
+    return healthy.empty() && !query.allowed ? unreachable : healthy;
 }
 
 template <monotonic_clock Clock>
@@ -140,8 +146,21 @@
         const auto server = id == m_idsByHash.end() ? list.servers.end() : list.servers.find(id->second);
         return server == list.servers.end() || server->second.service != query.service ? nullptr : &server->second;
     };
+    listed_holders holders;
+    const auto add = [&](std::uint32_t hash) {
+        if (const listed_server* server = findListed(hash))
+            holders.all.push_back(server);
+    };
+    if (m_isContended) {
+        for (const std::uint32_t hash : m_promptDirectory.find(promptHashOf(query.affinity), now))
+            add(hash);
+        return holders;
+    }
     const auto hashes = m_promptHolders.find(promptHashOf(query.affinity), now);
-    return { .primary = hashes.empty() ? nullptr : findListed(hashes.front()), .secondary = hashes.size() < 2 ? nullptr : findListed(hashes.back()) };
+    for (const std::uint32_t hash : hashes)
+        add(hash);
+    holders.primary = hashes.empty() ? nullptr : findListed(hashes.front());
+    return holders;
 }
 
 // A primary holder that is overloaded or temporarily failing keeps its prompts. One that accepts no new requests is
@@ -150,6 +169,10 @@
 void load_balancer<Clock>::recordHolders(const server_list& list, const server_query& query, const listed_server* primary, const listed_server& chosen, time_point now)
 {
     const std::uint32_t prompt = promptHashOf(query.affinity);
+    if (m_isContended) {
+        m_promptDirectory.record(prompt, serverHashOf(chosen.id), now);
+        return;
+    }
     const listed_server& kept = primary && list.takesNewWork(*primary) ? *primary : chosen;
     m_promptHolders.recordPrimary({ .prompt = prompt, .server = serverHashOf(kept.id) }, now);
     m_promptHolders.recordSecondary({ .prompt = prompt, .server = serverHashOf(chosen.id) });
@@ -159,8 +182,8 @@
 template <monotonic_clock Clock>
 std::string load_balancer<Clock>::cacheSourceAddress(std::vector<const listed_server*> servers, const server_query& query, const listed_holders& holders, const listed_server& chosen, time_point now) const
 {
-    for (const listed_server* holder : { holders.primary, holders.secondary }) {
-        if (holder && !isUnreachable(*holder, now))
+    for (const listed_server* holder : holders.all) {
+        if (!isUnreachable(*holder, now))
             return holder->address;
     }
     std::erase_if(servers, [&](const listed_server* server) { return isUnreachable(*server, now); });
@@ -200,6 +223,10 @@
     const auto age = reportAge(record, now);
     if (!age)
         return withoutReport;
+    if (m_isContended) {
+        const auto requestTime = m_requestTimes.find(record.service);
+        return record.inFlight.current() + record.forecast.othersAt(now, requestTime == m_requestTimes.end() ? m_options.usualRequestTime : requestTime->second);
+    }
     const int others = std::max(record.report->running + record.report->waiting - record.inFlightAtReport, 0);
     const double agedPart = std::chrono::duration<double>(*age) / std::chrono::duration<double>(m_options.reportLifetime);
     return std::lerp(static_cast<double>(others + record.inFlight.current()), withoutReport, agedPart);
--- a/include/radishflow/Routing/peer_selector.h
+++ b/include/radishflow/Routing/peer_selector.h
@@ -86,6 +86,17 @@
         return *chosen;
     }
 
+    /// Counts a request as in flight at a daemon until finish(); returns false if the daemon failed or refused one a moment ago.
+    bool tryStart(const fleet_daemon& daemon)
+    {
+        const std::lock_guard lock { m_mutex };
+        peer& used = m_peers[hostOf(daemon)];
+        if (used.pausedUntil > m_clock.now())
+            return false;
+        ++used.inFlight;
+        return true;
+    }
+
     void finish(const fleet_daemon& daemon, peer_outcome outcome)
     {
         const std::lock_guard lock { m_mutex };
--- a/include/radishflow/Routing/server_query.h
+++ b/include/radishflow/Routing/server_query.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace radishflow {
@@ -22,6 +23,7 @@
     std::optional<version_key> version; ///< Only servers of this software version may be chosen.
     version_restriction restriction; ///< Versions that a roll-out allows.
     bool needsKnownProcess = false; ///< Only servers whose entry describes the process that runs may be chosen.
+    const std::set<server_id>* allowed = nullptr; ///< The only servers that may be chosen, and only while they are reachable; null for all.
     std::vector<server_id> excluded; ///< Servers to which the request was already sent.
     const fleet_view* fleet = nullptr;
 };
--- a/include/radishflow/Routing/server_record.h
+++ b/include/radishflow/Routing/server_record.h
@@ -4,6 +4,7 @@
 #include "radishflow/Routing/cold_share.h"
 #include "radishflow/Routing/decaying_count.h"
 #include "radishflow/Routing/in_flight_history.h"
+#include "radishflow/Routing/load_forecast.h"
 #include "radishflow/Routing/load_sample.h"
 #include "radishflow/Support/ids.h"
 
@@ -18,6 +19,7 @@
     std::optional<load_sample> report;
     time_point reportedAt {};
     int inFlightAtReport = 0; ///< Requests of this daemon at the server when the server made the report.
+    load_forecast forecast; ///< Of the requests of other daemons.
     cold_share coldShare;
     service_id service;
     decaying_count served;
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -5,7 +5,9 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
+#include <cmath>
 #include <random>
 #include <string_view>
 
@@ -22,6 +24,7 @@
 static const std::string forwardingKey = "forwarding";
 static constexpr std::string_view reachesServersWord = "direct";
 static constexpr std::string_view lostServersWord = "lost";
+static const std::string processorKey = "processor";
 static const std::string tableUpdatePrefix = "news/";
 
 static gossip_transport_options transportOptions(const fleet_options& options)
@@ -75,6 +78,24 @@
     m_gossip->publish(forwardingKey, fmt::format("{} {}", reachesServers ? reachesServersWord : lostServersWord, m_forwardingToken));
 }
 
+void fleet_membership::publishProcessorShare(double cores)
+{
+    m_gossip->publish(processorKey, fmt::format("{:.3f}", cores));
+}
+
+// A value that cannot be read counts as none.
+static double parseCores(const member& daemon)
+{
+    const auto record = daemon.records.find(processorKey);
+    double cores = 0;
+    if (record != daemon.records.end()) {
+        const std::string& text = record->second.bytes;
+        if (std::from_chars(text.data(), text.data() + text.size(), cores).ec != std::errc {})
+            return 0;
+    }
+    return std::isfinite(cores) ? std::max(cores, 0.0) : 0;
+}
+
 void fleet_membership::leave()
 {
     m_gossip->leave();
@@ -96,6 +117,7 @@
             .zone = daemon.zone,
             .callerAddress = daemon.http,
             .forwardingToken = separator < forwardingValue.size() ? forwardingValue.substr(separator + 1) : std::string {},
+            .processorShare = parseCores(daemon),
             .reachesServers = forwardingValue.substr(0, separator) != lostServersWord,
             .acceptsCallers = record != daemon.records.end() && record->second.bytes == takesCallersValue,
         });
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -20,6 +20,7 @@
 static constexpr int maxPartAgeMs = 3600000; // Longer than crashes count.
 static constexpr double maxRequestsPerSecond = 1e6; // Higher limits never bind.
 static constexpr int maxLimitAgeMs = 3600000; // Longer than limits are published.
+static constexpr int maxPromptAgeMs = 60000; // Longer than uses of prompts count.
 static constexpr int maxContactAgeMs = 60000; // Older contacts show nothing.
 static constexpr std::size_t maxZoneBytes = 64;
 static constexpr int maxNoticeAgeMs = 60000; // Longer than notices count.
@@ -135,6 +136,13 @@
     }
     for (std::size_t index = 0; index < std::min(hints.askedServices.size(), maxContactHints); ++index)
         wire.asked_services.push_back(static_cast<std::int32_t>(hints.askedServices[index]));
+    for (std::size_t index = 0; index < std::min(hints.promptReports.size(), maxPromptReports); ++index) {
+        const prompt_report& report = hints.promptReports[index];
+        wire.reported_prompts.push_back(static_cast<std::int32_t>(report.prompt));
+        wire.reported_servers.push_back(static_cast<std::int32_t>(report.server));
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(report.age);
+        wire.reported_ages_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxPromptAgeMs)));
+    }
     encodeRollouts(hints, wire);
     return encodeCompact(wire, expectedDatagramBytes);
 }
@@ -175,7 +183,8 @@
     const bool hasValidLimits = std::all_of(wire.limits.begin(), wire.limits.end(), [](const hints_wire::LimitHint& limit) { return limit.age_ms >= 0 && limit.age_ms <= maxLimitAgeMs && (!limit.__isset.milli_requests_per_second || limit.milli_requests_per_second >= 0); });
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
     const bool hasValidContacts = wire.contact_services.size() == wire.contact_ages_ms.size() && wire.contact_services.size() <= maxContactHints && wire.asked_services.size() <= maxContactHints && std::all_of(wire.contact_ages_ms.begin(), wire.contact_ages_ms.end(), [](int age) { return age >= 0 && age <= maxContactAgeMs; });
-    return hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    const bool hasValidReports = wire.reported_prompts.size() <= maxPromptReports && wire.reported_servers.size() == wire.reported_prompts.size() && wire.reported_ages_ms.size() == wire.reported_prompts.size() && std::all_of(wire.reported_ages_ms.begin(), wire.reported_ages_ms.end(), [](int age) { return age >= 0 && age <= maxPromptAgeMs; });
+    return hasValidReports && hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
 }
 
 static rollout_evidence decodeEvidence(const hints_wire::RolloutEvidence& wire)
@@ -263,6 +272,8 @@
             .age = std::chrono::milliseconds { limit.age_ms },
         });
     }
+    for (std::size_t index = 0; index < wire.reported_prompts.size(); ++index)
+        hints.promptReports.push_back({ .prompt = static_cast<std::uint32_t>(wire.reported_prompts[index]), .server = static_cast<std::uint32_t>(wire.reported_servers[index]), .age = std::chrono::milliseconds { wire.reported_ages_ms[index] } });
     decodeRollouts(wire, hints);
     return hints;
 }
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -51,6 +51,10 @@
         const auto begin = hints.limits.begin() + static_cast<std::ptrdiff_t>(index);
         sendDatagram({ .limits = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxLimitHints, limitEnd - index)) } }, fleet);
     }
+    for (std::size_t index = 0; index < hints.promptReports.size(); index += maxPromptReports) {
+        const auto begin = hints.promptReports.begin() + static_cast<std::ptrdiff_t>(index);
+        sendDatagram({ .promptReports = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxPromptReports, hints.promptReports.size() - index)) } }, fleet);
+    }
     if (!hints.rolloutNotices.empty())
         sendDatagram({ .rolloutNotices = hints.rolloutNotices }, fleet);
     if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty() && hints.askedServices.empty())
--- a/lib/Routing/choose_server.cpp
+++ b/lib/Routing/choose_server.cpp
@@ -25,6 +25,21 @@
     return best;
 }
 
+static std::size_t leastLoadedOfSample(std::span<const server_candidate> candidates, std::uint64_t tieBreak, const choose_server_options& options)
+{
+    std::size_t best = 0;
+    double bestLoad = std::numeric_limits<double>::max();
+    for (std::size_t draw = 0; draw < options.sampleSize; ++draw) {
+        const std::size_t index = stableHash("sample", tieBreak + draw) % candidates.size();
+        const double load = candidates[index].load + (candidates[index].isLocalZone ? 0 : options.zonePenalty);
+        if (load < bestLoad) {
+            best = index;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
 // A server reports its load with the response to a request that it has just begun, and not again before the next one, so a
 // report exceeds the average over time by that request.
 static double averageLoadOf(const server_candidate& candidate)
@@ -66,13 +81,24 @@
             return holder;
     }
     std::optional<std::size_t> best;
+    std::optional<std::size_t> second;
+    const auto rank = [&](std::size_t index) { return rankOf(*candidates[index].server, affinity); };
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (best && rankOf(*candidates[index].server, affinity) <= rankOf(*candidates[*best].server, affinity))
+        const bool isAboveSecond = !second || rank(index) > rank(*second);
+        const bool isAboveBest = !best || rank(index) > rank(*best);
+        if (!isAboveBest && (!options.choosesOfTwo || !isAboveSecond))
+            continue;
+        if (!acceptsRequest(options.ranked, candidates[index], mean, tieBreak))
             continue;
-        if (acceptsRequest(options.ranked, candidates[index], mean, tieBreak))
+        second = isAboveBest ? best : std::optional { index };
+        if (isAboveBest)
             best = index;
     }
-    return best ? best : leastLoaded(candidates, tieBreak, options);
+    if (options.choosesOfTwo && second && candidates[*second].load < candidates[*best].load)
+        return second;
+    if (best)
+        return best;
+    return options.sampleSize > 0 ? leastLoadedOfSample(candidates, tieBreak, options) : leastLoaded(candidates, tieBreak, options);
 }
 
 } // namespace radishflow
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -81,4 +81,9 @@
   11: list<i32> asked_services
   12: list<RolloutNotice> rollout_notices
   13: list<RolloutEvidence> rollout_evidence
+  // Parallel lists: the hash of a prompt, the hash of the id of a server that read it, and how long ago a request with it was last
+  // sent there. Receivers publish what they did not know.
+  14: list<i32> reported_prompts
+  15: list<i32> reported_servers
+  16: list<i32> reported_ages_ms
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -94,6 +94,7 @@
     key_freshness freshness;
     crash_quarantine crashes;
     rollout_manager<boottime_clock> rollouts;
+    slot_dispatch slots { [this](const service_id& service) { return balancer.isContended() && !balancer.reportsLoad(service); } };
     stream_origin_exchange originExchange;
     version_history versions;
     stream_origins origins;
@@ -116,6 +117,7 @@
     std::uint64_t announcedEra = 0;
     bool isAnnounced = false;
     bool hasReadDaemonList = false;
+    bool hasPublishedProcessor = false; // Used by refresh() only.
     readiness_gate<boottime_clock> readiness { clock }; // Used by refresh() only.
     std::atomic<bool> isReady = false;
     std::unique_ptr<caller_listener> listener;
@@ -141,12 +143,14 @@
         , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { recordRecovery(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .rollouts = rollouts, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .rollouts = rollouts, .slots = slots, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows, rollouts)
         , rolloutRows({ .storeAddress = options.platform.storeAddress, .toStoreTime = [this](time_point time) { return feed.toStoreTime(time); }, .toLocalTime = [this](std::chrono::milliseconds storeTime) { return feed.toLocalTime(storeTime); } }, rollouts)
         , rows(options.platform.storeAddress, options.platform.daemon, peerAddress())
     {
+        if (options.platform.doCallersCompete)
+            balancer.setContended();
         seedFleet(options.platform.seedAddresses);
         fleet.publishServerAccess(true);
         listener = std::make_unique<caller_listener>(endpoints(), listenerOptions());
@@ -173,8 +177,10 @@
             access.peers().recordStatement(host, contact.service, contact.age);
         balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
         balancer.mergePromptUpdates(received.promptHolders);
-        if (const auto servers = routing.servers(); servers && !received.limits.empty())
+        if (const auto servers = routing.servers()) {
             balancer.recordPeerLimits(*servers, received.limits);
+            balancer.mergePromptReports(*servers, received.promptReports);
+        }
         for (const rollout_notice& notice : received.rolloutNotices)
             rollouts.mergeNotice(notice);
         for (const rollout_evidence& evidence : received.rolloutEvidence)
@@ -332,6 +338,9 @@
         metrics.setGauge("follows_store", feed.isFollower() ? 1 : 0);
         metrics.setGauge("unavailable_services", static_cast<double>(access.unavailableServices()));
         metrics.setGauge("dropped_log_lines", static_cast<double>(droppedLogLines()));
+        metrics.setGauge("busy_slots", static_cast<double>(slots.busy()));
+        metrics.setGauge("requests_waiting_for_slots", static_cast<double>(slots.waiting()));
+        metrics.setGauge("contended", balancer.isContended() ? 1 : 0);
         metrics.setGauge("limited_servers", static_cast<double>(balancer.limitedServers()));
         for (const rollout_summary& rollout : rollouts.summaries())
             metrics.setRollout(rollout.service.value(), rollout.target.value(), rollout.share, { { "requests", rollout.requests }, { "target_requests", rollout.targetRequests }, { "target_responses", rollout.samples }, { "target_failures", rollout.badSamples } });
@@ -343,6 +352,8 @@
     void refresh()
     {
         connections.prune(clock.now());
+        if (balancer.isContended() && !std::exchange(hasPublishedProcessor, true))
+            fleet.publishProcessorShare(options.platform.processorShare);
         const auto previousView = routing.fleet();
         const auto view = fleet.view();
         if (previousView->daemons.size() != view->daemons.size())
@@ -359,7 +370,7 @@
         crashRows.add(newCrashes, clock.now());
         crashRows.remove(crashes.takeWithdrawnRecords());
         crashRows.change(crashes.takePartTableChanges(), clock.now());
-        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts(), .rolloutNotices = rollouts.notices() }, *view);
+        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .promptReports = balancer.takePromptReports(hint_exchange::maxPromptReportsPerRound), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts(), .rolloutNotices = rollouts.notices() }, *view);
         for (const limit_event& event : balancer.takeLimitEvents())
             logLimitEvent(event);
         const bool isConfigCurrent = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
--- a/unittests/Routing/simulated_fleet.h
+++ b/unittests/Routing/simulated_fleet.h
@@ -32,6 +32,7 @@
     double slowdownPerRequest = 0; ///< Share by which each running request extends the duration of a new one.
     double shortShare = 0; ///< Share of the requests that last a tenth of the mean.
     int clump = 1; ///< Requests that arrive at the same time.
+    bool isContended = false; ///< The balancers are set so.
     duration firstTokenDelay = std::chrono::milliseconds { 300 }; ///< The first report of a request arrives with its response head.
 
     friend std::ostream& operator<<(std::ostream& out, const fleet_load& load) { return out << load.daemons << " daemons, " << load.servers << " servers, hot share " << load.hotShare; }
@@ -74,6 +75,8 @@
         for (int number = 0; number < load.daemons; ++number) {
             m_balancers.push_back(std::make_unique<load_balancer<manual_clock>>(m_clock));
             m_balancers.back()->retain(m_list);
+            if (load.isContended)
+                m_balancers.back()->setContended();
             m_views.push_back(testFleet(load.daemons, number));
         }
     }
@@ -87,13 +90,27 @@
             const auto step = std::chrono::duration_cast<duration>(std::chrono::duration<double> { gap(m_random) });
             runEventsUntil(m_clock.now() + step);
             applyDisruption();
+            sampleLoads();
             for (int request = 0; request < m_load.clump; ++request)
                 sendRequest();
         }
         return worstWindow();
     }
 
+    /// Returns the share of requests whose prompt a server read although another one held it, as it neither held nor copied it.
+    double readAgainShare() const { return static_cast<double>(m_readAgain) / static_cast<double>(std::max<std::size_t>(m_sends.size(), 1)); }
+    /// Returns the share of requests whose prompt was copied from another server.
+    double copiedShare() const { return static_cast<double>(m_copied) / static_cast<double>(std::max<std::size_t>(m_sends.size(), 1)); }
+    /// Returns the mean difference between the estimated and the true number of requests at a server that was chosen.
+    double estimateError() const { return m_errorSum / static_cast<double>(std::max<std::size_t>(m_sends.size(), 1)); }
+    /// Returns the mean over all seconds of the most requests that a server had, as a multiple of the mean of all servers.
+    double busiestToMean() const { return m_busiestSamples == 0 ? 0 : m_busiestSum / m_busiestSamples; }
+
 private:
+    static constexpr auto firstSample = std::chrono::seconds { 3 };
+    static constexpr auto sampleInterval = std::chrono::seconds { 1 };
+    static constexpr auto reuseWindow = std::chrono::seconds { 10 }; // As the platform's.
+    static constexpr std::size_t maxReportsPerRound = 280; // As in hint_exchange.h.
     static constexpr auto hintInterval = std::chrono::milliseconds { 250 }; // Interval of the daemon's refresh task.
     static constexpr std::size_t peersPerRound = 6; // As in hint_exchange_options.
     static constexpr std::size_t maxLoadsPerRound = 80; // As in hint_codec.h.
@@ -108,6 +125,7 @@
         std::size_t daemon = 0;
         int incarnation = 0; ///< Of the daemon.
         server_id server;
+        duration held {};
     };
 
     struct send {
@@ -119,6 +137,29 @@
 
     static std::string zoneOf(int server) { return "z" + std::to_string(server % zones); }
 
+    void sampleLoads()
+    {
+        // Few requests run in the first seconds.
+        if (m_clock.now() < std::max(m_nextSample, m_start + firstSample) || m_total == 0)
+            return;
+        m_nextSample = m_clock.now() + sampleInterval;
+        m_busiestSum += *std::max_element(m_running.begin(), m_running.end()) * static_cast<double>(m_running.size()) / static_cast<double>(m_total);
+        ++m_busiestSamples;
+    }
+
+    /// Records which servers hold the prompt, and whether it was read again.
+    void recordPrompt(std::uint64_t prompt, const chosen_server& chosen)
+    {
+        std::map<server_id, time_point>& holders = m_holders[prompt];
+        std::erase_if(holders, [&](const auto& entry) { return m_clock.now() - entry.second > reuseWindow; });
+        const bool isHeldElsewhere = !holders.empty() && !holders.contains(chosen.server.id);
+        const bool isCopied = std::any_of(holders.begin(), holders.end(), [&](const auto& entry) { return entry.first.value() + ":1" == chosen.cacheSource; });
+        m_readAgain += isHeldElsewhere && !isCopied ? 1 : 0;
+        m_copied += isHeldElsewhere && isCopied ? 1 : 0;
+        m_errorSum += std::abs(chosen.basis.load - m_running[indexOf(chosen.server.id)]);
+        holders[chosen.server.id] = m_clock.now();
+    }
+
     void addServer(int number, const std::string& name, time_point coldUntil = {})
     {
         listed_server server = testServer(number, zoneOf(number));
@@ -213,7 +254,7 @@
         --running;
         --m_total;
         if (isKnown)
-            m_balancers[next.daemon]->finishRequest(next.server, server_outcome::Served);
+            m_balancers[next.daemon]->finishRequest(next.server, server_outcome::Served, next.held);
     }
 
     void exchangeHints(std::size_t sender)
@@ -221,12 +262,14 @@
         std::vector<shared_load> loads = m_balancers[sender]->takeLoadUpdates();
         loads.resize(std::min(loads.size(), maxLoadsPerRound));
         const std::vector<prompt_holder> holders = m_balancers[sender]->takePromptUpdates();
+        const std::vector<prompt_report> reports = m_balancers[sender]->takePromptReports(maxReportsPerRound);
         for (std::size_t count = 0; count < peersPerRound; ++count) {
             const std::size_t peer = below(m_balancers.size());
             if (peer == sender)
                 continue;
             m_balancers[peer]->recordPeerLoads(loads, m_balancers.size() > peersPerRound + 1);
             m_balancers[peer]->mergePromptUpdates(holders);
+            m_balancers[peer]->mergePromptReports(m_list, reports);
         }
     }
 
@@ -238,6 +281,7 @@
         const auto chosen = m_balancers[daemon]->startRequest(m_list, { .service = service_id { "model" }, .affinity = prompt * 0x9e3779b97f4a7c15U, .tieBreak = m_random(), .zone = zone_id { zoneOf(static_cast<int>(daemon)) }, .coldRequestsPerSecond = coldRequestsPerSecond, .fleet = &m_views[daemon] });
         if (!chosen)
             return;
+        recordPrompt(prompt, *chosen);
         int& running = m_running[indexOf(chosen->server.id)];
         const double mean = static_cast<double>(m_total) / m_load.servers;
         m_sends.push_back({ m_clock.now(), running > capFactor * mean + capSlack });
@@ -249,7 +293,7 @@
         const auto lasts = std::chrono::duration_cast<duration>(std::chrono::duration<double> { length(m_random) });
         const int incarnation = m_incarnations[daemon];
         m_events.emplace(m_clock.now() + std::min<duration>(m_load.firstTokenDelay, lasts), event { event::kind::Report, daemon, incarnation, chosen->server.id });
-        m_events.emplace(m_clock.now() + lasts, event { event::kind::End, daemon, incarnation, chosen->server.id });
+        m_events.emplace(m_clock.now() + lasts, event { event::kind::End, daemon, incarnation, chosen->server.id, lasts });
     }
 
     double worstWindow() const
@@ -287,6 +331,13 @@
     std::size_t m_nextDaemon = 0;
     std::vector<int> m_running; ///< By the server's number.
     long m_total = 0;
+    std::map<std::uint64_t, std::map<server_id, time_point>> m_holders; ///< When each server last got each prompt.
+    long m_readAgain = 0;
+    long m_copied = 0;
+    double m_errorSum = 0;
+    time_point m_nextSample {};
+    double m_busiestSum = 0;
+    int m_busiestSamples = 0;
     bool m_isOut = false;
     bool m_hasRestarted = false;
     std::deque<send> m_sends;
