--- a/include/radishflow/Fleet/server_hints.h
+++ b/include/radishflow/Fleet/server_hints.h
@@ -11,6 +11,7 @@
 #include "radishflow/Routing/shared_load.h"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace radishflow {
@@ -24,6 +25,8 @@
     std::vector<part_evidence> parts; ///< On which prompt parts crash servers.
     std::vector<service_contact> contacts; ///< Services whose servers the sender reaches.
     std::vector<std::uint32_t> askedServices; ///< Hashes of the services whose servers the sender does not reach; it asks whether the receiver does.
+    daemon_id sender; ///< Empty unless the hints carry the sender's token.
+    std::string senderToken; ///< Proves that forwarded requests come from the sender.
     std::vector<rollout_notice> rolloutNotices;
     std::vector<rollout_evidence> rolloutEvidence; ///< For the coordinators of the roll-outs.
 };
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -173,6 +173,7 @@
     int m_attempts = 0; ///< Number of attempts at servers and other daemons.
     std::vector<daemon_id> m_triedPeers;
     int m_dispatches = 0; ///< Attempts at daemons that dispatch the request.
+    bool m_wasRefusedSlot = false; ///< A daemon that dispatches the request had no slot for it.
     std::optional<held_slot> m_slot; ///< Held during an attempt at a server of a service that this daemon dispatches.
     std::optional<duration> m_slotRetryAfter; ///< Set if the request was refused for want of a slot.
     std::optional<fleet_daemon> m_peer; ///< Daemon at which the current attempt is made; not set for an attempt at a server.
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -227,6 +227,8 @@
 template <relay_protocol Protocol>
 typename relay_call<Protocol>::attempt_result relay_call<Protocol>::recordFailure(const listed_server& server, server_outcome outcome, bool mayHaveRun, const char* result)
 {
+    if (m_slot && !mayHaveRun)
+        m_slot->recordNotRun();
     finishAttempt(server, outcome);
     recordAttempt(server, result);
     ++(mayHaveRun ? m_history.mayHaveRun : m_history.notRun);
--- a/include/radishflow/Relay/relay_call_slots.h
+++ b/include/radishflow/Relay/relay_call_slots.h
@@ -45,7 +45,7 @@
 {
     const auto dispatcher = nextDispatcher();
     if (!dispatcher) {
-        m_isFinal = m_isFinal || (m_dispatches > 0 && m_peerRetryAfter);
+        m_isFinal = m_isFinal || m_wasRefusedSlot;
         return m_isFinal ? std::optional { attempt_result::Failed } : std::nullopt;
     }
     ++m_dispatches;
--- a/include/radishflow/Relay/relay_session.h
+++ b/include/radishflow/Relay/relay_session.h
@@ -44,8 +44,11 @@
 }
 
 /// Returns whether the daemon that the request names has published the token that it carries.
-inline bool isFromFleet(const forwarded_request& request, const fleet_view& fleet)
+inline bool isFromFleet(const forwarded_request& request, const relay_context& context)
 {
+    const fleet_view& fleet = *context.routing.fleet();
+    if (context.forwarding.isKnownToken && context.forwarding.isKnownToken(request.from, request.token))
+        return std::any_of(fleet.daemons.begin(), fleet.daemons.end(), [&](const fleet_daemon& daemon) { return daemon.id == request.from; });
     return std::any_of(fleet.daemons.begin(), fleet.daemons.end(), [&](const fleet_daemon& daemon) { return daemon.id == request.from && daemon.forwardingToken == request.token; });
 }
 
@@ -58,10 +61,10 @@
     const auto recordUnreadable = [&](const refusal& problem) { recordUnreadableRequest(context, problem); };
     return serveMessages(peer, callerSendTimeout, limits, &context.requestBodies, recordUnreadable, [&](caller_message& message) {
         const auto forwarded = readForwardedRequest(message.head.fields);
-        if (!forwarded || !isFromFleet(*forwarded, *context.routing.fleet())) {
+        if (!forwarded || !isFromFleet(*forwarded, context)) {
             const refusal problem { .status = 503, .title = "Unknown daemon", .detail = "the request does not carry the token of a daemon of this fleet", .retryAfter = forwardedRetryAfter };
             recordUnreadable(problem);
-            const std::string fields = writeForwardedFields({ .execution = execution_state::NotRun, .scope = refusal_scope::Capacity });
+            const std::string fields = writeForwardedFields({ .execution = execution_state::NotRun, .scope = refusal_scope::Access });
             return peer.send(writeRefusal(problem, {}, false, fields), boottime_clock {}.now() + callerSendTimeout) == io_outcome::Done ? response_result::Close : response_result::Incomplete;
         }
         removeForwardingFields(message.head.fields);
--- a/include/radishflow/Relay/slot_dispatch.h
+++ b/include/radishflow/Relay/slot_dispatch.h
@@ -16,6 +16,8 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace radishflow {
 
@@ -30,7 +32,8 @@
     /// nothing if the request has waited for as long as it may, or isCancelled(). The ticket is used up. The functions are called under
     /// the lock.
     std::optional<chosen_server> awaitServer(slot_ticket, const std::function<std::optional<chosen_server>(const std::set<server_id>&)>& choose, const std::function<bool()>& isCancelled);
-    void release(const server_id&, duration held);
+    /// Frees a slot; `held` is not set for a request that the server did not run.
+    void release(const server_id&, std::optional<duration> held);
 
     std::size_t waiting() const;
     std::size_t busy() const;
@@ -56,14 +59,18 @@
         , m_server(std::move(server))
     {
     }
-    ~held_slot() { m_pool.release(m_server, boottime_clock {}.now() - m_since); }
+    ~held_slot() { m_pool.release(m_server, m_hasRun ? std::optional { boottime_clock {}.now() - m_since } : std::nullopt); }
     held_slot(const held_slot&) = delete;
     held_slot& operator=(const held_slot&) = delete;
 
+    /// Records that the server did not run the request.
+    void recordNotRun() { m_hasRun = false; }
+
 private:
     slot_pool& m_pool;
     server_id m_server;
     time_point m_since { boottime_clock {}.now() };
+    bool m_hasRun = true;
 };
 
 /// Keeps the plan and the pool of each service. Thread-safe under one lock, which is never held during a call of a pool.
@@ -76,6 +83,8 @@
     std::shared_ptr<const dispatch_plan> planFor(const service_id&, const std::shared_ptr<const server_list>&, const std::shared_ptr<const fleet_view>&);
     /// Returns the pool of a service, which lives as long as this object.
     slot_pool& poolOf(const service_id&);
+    /// Returns the daemons that dispatch any service, except this one.
+    std::vector<fleet_daemon> dispatchers() const;
     /// Return the sums over all services.
     std::size_t waiting() const;
     std::size_t busy() const;
--- a/include/radishflow/Routing/slot_queue.h
+++ b/include/radishflow/Routing/slot_queue.h
@@ -24,13 +24,14 @@
 struct slot_queue_options {
     duration initialHold = std::chrono::milliseconds { 40 }; ///< Assumed time for which a request holds a slot, before any has ended.
     double holdWeight = 0.1; ///< Weight of the newest hold in the mean.
-    double maxWaitShare = 1.0 / 3; ///< Of the time until the deadline, for which a request waits. Callers wait as long for a refusal's retry.
+    double minWaitInHolds = 1; ///< For which a request waits even if it will be late, as a multiple of the time for which one holds a slot.
     duration minRetryAfter = std::chrono::milliseconds { 100 };
 };
 
 /// Answers the load of a service whose few slots are all busy at times. A server that gets more requests than it has slots slows
-/// down, so the requests wait here. Those that can still be on time go first, by priority and time of arrival, then those that will be late.
-/// One whose turn would come too late is refused at once, with the time until the queue has drained. Not thread-safe.
+/// down, so the requests wait here, by priority and time of arrival. One whose turn would come too late for its objective is refused at
+/// once, with the time until the queue has drained: the slots serve as many requests either way, and those that wait longer would
+/// all be late. Not thread-safe.
 template <monotonic_clock Clock>
 class slot_queue {
 public:
@@ -55,11 +56,11 @@
     admission enter(const slot_request& request)
     {
         const time_point now = m_clock.now();
-        const duration wait = expectedWait(request, now);
-        if (m_slots == 0 || wait > maxWait(request, now))
+        const duration limit = maxWait(request, now);
+        if (m_slots == 0 || expectedWait(request) > limit)
             return { .retryAfter = std::max(expectedWaitOf(m_waiting.size()), m_options.minRetryAfter) };
         const slot_ticket ticket { ++m_lastTicket };
-        m_waiting.push_back({ .ticket = ticket, .request = request, .until = now + std::max(maxWait(request, now), wait) });
+        m_waiting.push_back({ .ticket = ticket, .request = request, .until = now + limit });
         return { .ticket = ticket };
     }
 
@@ -68,8 +69,7 @@
     {
         if (m_busy >= m_slots || m_waiting.empty())
             return std::nullopt;
-        const time_point now = m_clock.now();
-        return std::min_element(m_waiting.begin(), m_waiting.end(), [&](const waiter& left, const waiter& right) { return goesBefore(left, right, now); })->ticket;
+        return std::min_element(m_waiting.begin(), m_waiting.end(), goesBefore)->ticket;
     }
 
     /// Returns whether a request has waited for as long as it may.
@@ -92,11 +92,12 @@
         std::erase_if(m_waiting, [&](const waiter& entry) { return entry.ticket == ticket; });
     }
 
-    /// Frees a slot that was held for a time.
-    void finish(duration held)
+    /// Frees a slot that was held for a time, or by a request that did not run.
+    void finish(std::optional<duration> held)
     {
         m_busy -= m_busy > 0 ? 1 : 0;
-        m_meanHold += m_options.holdWeight * (std::chrono::duration<double>(held).count() - m_meanHold);
+        if (held)
+            m_meanHold += m_options.holdWeight * (std::chrono::duration<double>(*held).count() - m_meanHold);
     }
 
 private:
@@ -106,14 +107,8 @@
         time_point until {};
     };
 
-    bool canBeOnTime(const slot_request& request, time_point now) const { return now + meanHold() <= request.objective; }
-
-    bool goesBefore(const waiter& left, const waiter& right, time_point now) const
+    static bool goesBefore(const waiter& left, const waiter& right)
     {
-        const bool isLeftOnTime = canBeOnTime(left.request, now);
-        const bool isRightOnTime = canBeOnTime(right.request, now);
-        if (isLeftOnTime != isRightOnTime)
-            return isLeftOnTime;
         if (left.request.priority != right.request.priority)
             return left.request.priority < right.request.priority;
         return left.ticket < right.ticket;
@@ -127,15 +122,16 @@
         return std::chrono::duration_cast<duration>(std::chrono::duration<double> { turns * m_meanHold });
     }
 
-    duration expectedWait(const slot_request& request, time_point now) const
+    duration expectedWait(const slot_request& request) const
     {
         const waiter added { .ticket = slot_ticket { m_lastTicket + 1 }, .request = request };
-        return expectedWaitOf(static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiter& entry) { return goesBefore(entry, added, now); })));
+        return expectedWaitOf(static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiter& entry) { return goesBefore(entry, added); })));
     }
 
     duration maxWait(const slot_request& request, time_point now) const
     {
-        return std::chrono::duration_cast<duration>(std::max(request.deadline - now, duration {}) * m_options.maxWaitShare);
+        const duration late = std::chrono::duration_cast<duration>(meanHold() * m_options.minWaitInHolds);
+        return std::min(std::max(request.objective - now - meanHold(), late), std::max(request.deadline - now, duration {}));
     }
 
     typename std::vector<waiter>::const_iterator find(slot_ticket ticket) const
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -23,6 +23,7 @@
 static constexpr int maxPromptAgeMs = 60000; // Longer than uses of prompts count.
 static constexpr int maxContactAgeMs = 60000; // Older contacts show nothing.
 static constexpr std::size_t maxZoneBytes = 64;
+static constexpr std::size_t maxSenderBytes = 128;
 static constexpr int maxNoticeAgeMs = 60000; // Longer than notices count.
 static constexpr double shareUnit = 1e6; // Shares are sent in millionths.
 // Outcomes of responses that are no bucket of a pace.
@@ -143,6 +144,10 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(report.age);
         wire.reported_ages_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxPromptAgeMs)));
     }
+    if (!hints.senderToken.empty()) {
+        wire.__set_sender(hints.sender.value());
+        wire.__set_sender_token(hints.senderToken);
+    }
     encodeRollouts(hints, wire);
     return encodeCompact(wire, expectedDatagramBytes);
 }
@@ -184,7 +189,8 @@
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
     const bool hasValidContacts = wire.contact_services.size() == wire.contact_ages_ms.size() && wire.contact_services.size() <= maxContactHints && wire.asked_services.size() <= maxContactHints && std::all_of(wire.contact_ages_ms.begin(), wire.contact_ages_ms.end(), [](int age) { return age >= 0 && age <= maxContactAgeMs; });
     const bool hasValidReports = wire.reported_prompts.size() <= maxPromptReports && wire.reported_servers.size() == wire.reported_prompts.size() && wire.reported_ages_ms.size() == wire.reported_prompts.size() && std::all_of(wire.reported_ages_ms.begin(), wire.reported_ages_ms.end(), [](int age) { return age >= 0 && age <= maxPromptAgeMs; });
-    return hasValidReports && hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    const bool hasValidSender = wire.sender.size() <= maxSenderBytes && wire.sender_token.size() <= maxSenderBytes;
+    return hasValidSender && hasValidReports && hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
 }
 
 static rollout_evidence decodeEvidence(const hints_wire::RolloutEvidence& wire)
@@ -274,6 +280,10 @@
     }
     for (std::size_t index = 0; index < wire.reported_prompts.size(); ++index)
         hints.promptReports.push_back({ .prompt = static_cast<std::uint32_t>(wire.reported_prompts[index]), .server = static_cast<std::uint32_t>(wire.reported_servers[index]), .age = std::chrono::milliseconds { wire.reported_ages_ms[index] } });
+    if (wire.__isset.sender && wire.__isset.sender_token) {
+        hints.sender = daemon_id { wire.sender };
+        hints.senderToken = wire.sender_token;
+    }
     decodeRollouts(wire, hints);
     return hints;
 }
--- a/lib/Relay/slot_dispatch.cpp
+++ b/lib/Relay/slot_dispatch.cpp
@@ -72,7 +72,7 @@
     return server;
 }
 
-void slot_pool::release(const server_id& server, duration held)
+void slot_pool::release(const server_id& server, std::optional<duration> held)
 {
     const std::lock_guard lock { m_mutex };
     if (const auto used = m_inUse.find(server); used != m_inUse.end() && --used->second == 0)
@@ -134,6 +134,17 @@
     return stateOf(service).pool;
 }
 
+std::vector<fleet_daemon> slot_dispatch::dispatchers() const
+{
+    const std::lock_guard lock { m_mutex };
+    std::vector<fleet_daemon> daemons;
+    for (const auto& [service, state] : m_services) {
+        if (!state->plan->dispatchesItself())
+            daemons.insert(daemons.end(), state->plan->dispatchers.begin(), state->plan->dispatchers.end());
+    }
+    return daemons;
+}
+
 std::size_t slot_dispatch::waiting() const
 {
     const std::lock_guard lock { m_mutex };
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -86,4 +86,7 @@
   14: list<i32> reported_prompts
   15: list<i32> reported_servers
   16: list<i32> reported_ages_ms
+  // Proof of the sender's forwarded requests, sent to the daemons that dispatch them.
+  17: optional string sender
+  18: optional string sender_token
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -3,6 +3,7 @@
 
 #include "radishflow/Fleet/fleet_membership.h"
 #include "radishflow/Fleet/hint_exchange.h"
+#include "radishflow/Fleet/peer_tokens.h"
 #include "radishflow/Fleet/readiness_gate.h"
 #include "radishflow/Fleet/store_followers.h"
 #include "radishflow/Fleet/stream_origin_exchange.h"
@@ -46,6 +47,8 @@
 // crashed. The rest covers the time in which lists arrive.
 static constexpr int exitNoticeDivisor = 2;
 static constexpr std::chrono::milliseconds refreshInterval { 250 };
+// Daemons that dispatch requests change rarely, and a datagram may be lost.
+static constexpr std::chrono::milliseconds tokenInterval { 1000 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 static constexpr std::chrono::milliseconds startCheckInterval { 10 };
 static constexpr std::chrono::milliseconds identifyInterval { 50 };
@@ -107,6 +110,7 @@
     fleet_membership fleet;
     server_access access; // Uses the hints once requests are served.
     hint_exchange hints;
+    peer_tokens tokens;
     forwarding_settings forwarding;
     relay_context parts;
     crash_table crashRows;
@@ -117,6 +121,7 @@
     std::uint64_t announcedEra = 0;
     bool isAnnounced = false;
     bool hasReadDaemonList = false;
+    time_point tokensSentAt {}; // Used by refresh() only.
     bool hasPublishedProcessor = false; // Used by refresh() only.
     readiness_gate<boottime_clock> readiness { clock }; // Used by refresh() only.
     std::atomic<bool> isReady = false;
@@ -142,7 +147,7 @@
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
         , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { recordRecovery(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
-        , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
+        , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .isKnownToken = [this](const daemon_id& daemon, const std::string& token) { return tokens.contains(daemon, token); }, .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
         , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .rollouts = rollouts, .slots = slots, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows, rollouts)
@@ -181,6 +186,8 @@
             balancer.recordPeerLimits(*servers, received.limits);
             balancer.mergePromptReports(*servers, received.promptReports);
         }
+        if (!received.sender.empty())
+            tokens.record(received.sender, received.senderToken);
         for (const rollout_notice& notice : received.rolloutNotices)
             rollouts.mergeNotice(notice);
         for (const rollout_evidence& evidence : received.rolloutEvidence)
@@ -371,6 +378,11 @@
         crashRows.remove(crashes.takeWithdrawnRecords());
         crashRows.change(crashes.takePartTableChanges(), clock.now());
         hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .promptReports = balancer.takePromptReports(hint_exchange::maxPromptReportsPerRound), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts(), .rolloutNotices = rollouts.notices() }, *view);
+        if (clock.now() - tokensSentAt >= tokenInterval) {
+            tokensSentAt = clock.now();
+            for (const fleet_daemon& dispatcher : slots.dispatchers())
+                hints.sendTo({ .sender = options.platform.daemon, .senderToken = fleet.forwardingToken() }, dispatcher.callerAddress.substr(0, dispatcher.callerAddress.find(':')));
+        }
         for (const limit_event& event : balancer.takeLimitEvents())
             logLimitEvent(event);
         const bool isConfigCurrent = routing.routes() && routing.servers() && freshness.age(clock.now()) < freshness.staleAge();
