--- a/test/Soak/soak_run.cpp
+++ b/test/Soak/soak_run.cpp
@@ -23,9 +23,15 @@
     return { .events = 20, .pause = milliseconds { 15 }, .echoesRequestId = true };
 }
 
+// Every other seed runs daemons whose callers compete and whose operator may order roll-outs.
+static std::vector<std::string> contractsOf(std::uint64_t seed)
+{
+    return seed % 2 == 1 ? std::vector { competitionContract(), rolloutContract() } : std::vector<std::string> {};
+}
+
 soak_run::soak_run(const soak_run_options& options)
     : m_options(options)
-    , m_fleet({ .daemons = options.plan.daemons, .servers = options.plan.servers, .isProxied = true, .logFolder = options.logFolder, .behaviour = normalBehaviour() })
+    , m_fleet({ .daemons = options.plan.daemons, .servers = options.plan.servers, .isProxied = true, .logFolder = options.logFolder, .behaviour = normalBehaviour(), .contracts = contractsOf(options.plan.seed) })
     , m_mayBeDown(static_cast<std::size_t>(options.plan.daemons), false)
     , m_evidence { .plan = drawPlan(options.plan), .began = steady::now(), .maxRevocationDelay = relay_fleet::maxRevocationDelay, .recoveredAt = options.plan.faultPeriod + options.recoveryTime }
     , m_callers(m_fleet, { .seed = options.plan.seed, .began = m_evidence.began })
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -91,6 +91,34 @@
     }
 }
 
+BOOST_DATA_TEST_CASE(promptReportsAreDecodedUnchangedUpToTheMaximumOfADatagram, boost::unit_test::data::make({ 1, 69, 70, 150 }), count)
+{
+    std::vector<prompt_report> reports;
+    for (std::uint32_t number = 0; number < static_cast<std::uint32_t>(count); ++number)
+        reports.push_back({ .prompt = 0xffffff00U - number, .server = 0xfffffff0U + number, .age = 10ms * number });
+    const std::string datagram = encodeHints({ .promptReports = reports });
+    BOOST_TEST(datagram.size() <= 1200U);
+    const auto decoded = decodeHints(datagram);
+    BOOST_REQUIRE(decoded && decoded->promptReports.size() == std::min(reports.size(), maxPromptReports));
+    for (std::size_t index = 0; index < decoded->promptReports.size(); ++index) {
+        BOOST_TEST(decoded->promptReports[index].prompt == reports[index].prompt);
+        BOOST_TEST(decoded->promptReports[index].server == reports[index].server);
+        BOOST_TEST((decoded->promptReports[index].age == reports[index].age));
+    }
+}
+
+BOOST_DATA_TEST_CASE(tokenOfTheSenderIsDecodedUnchanged, boost::unit_test::data::make({ 0, 24, 200 }), length)
+{
+    const std::string token(static_cast<std::size_t>(length), 't');
+    const auto decoded = decodeHints(encodeHints({ .sender = daemon_id { "d7" }, .senderToken = token }));
+    const bool isTooLong = length > 128;
+    BOOST_REQUIRE(decoded.has_value() == !isTooLong);
+    if (!decoded)
+        return;
+    BOOST_TEST(decoded->senderToken == token);
+    BOOST_TEST(decoded->sender.empty() == token.empty());
+}
+
 BOOST_AUTO_TEST_CASE(rolloutNoticesAreDecodedUnchanged)
 {
     const rollout_notice notice { .service = 0xfffffff0U, .order = 9, .state = rollout_state::RolledBack, .isSuspended = true, .isTrial = false, .share = 0.25, .age = 700ms };
--- a/unittests/Routing/choose_server_test.cpp
+++ b/unittests/Routing/choose_server_test.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <ostream>
 #include <vector>
 
 using namespace radishflow;
@@ -163,3 +165,52 @@
         BOOST_TEST((chosen != primary && chosen != secondary));
     }
 }
+
+namespace {
+
+struct placement_case {
+    const char* name;
+    choose_server_options options;
+    std::size_t maxAtOneServer; ///< Of 100 requests that are placed by the same loads.
+
+    friend std::ostream& operator<<(std::ostream& out, const placement_case& test) { return out << test.name; }
+};
+
+// No server accepts by rank, as all have more than the mean allows; one reports fewest requests.
+const placement_case placements[] {
+    { "the least loaded of all", {}, 100 },
+    { "the least loaded of three", { .sampleSize = 3 }, 30 },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(requestsThatNoServerAcceptsAreSpread, boost::unit_test::data::make(placements), test)
+{
+    loaded_fleet fleet { 30 };
+    for (server_candidate& candidate : fleet.candidates)
+        candidate.load = 20;
+    fleet.candidates[7].load = 18;
+    std::vector<std::size_t> requests(fleet.candidates.size());
+    for (std::uint64_t request = 0; request < 100; ++request) {
+        // Further servers that accept nothing lower the mean.
+        const auto chosen = chooseServer(fleet.candidates, 1000, request * 2 + 1, request, test.options);
+        BOOST_REQUIRE(chosen.has_value());
+        ++requests[*chosen];
+    }
+    BOOST_TEST(*std::max_element(requests.begin(), requests.end()) <= test.maxAtOneServer);
+}
+
+BOOST_AUTO_TEST_CASE(newPromptGoesToTheLessLoadedOfTwoRanks)
+{
+    loaded_fleet fleet { 10 };
+    constexpr std::uint64_t affinity = 77;
+    const auto first = chooseServer(fleet.candidates, 10, affinity, 1);
+    BOOST_REQUIRE(first.has_value());
+    fleet.candidates[*first].load = 0.9;
+    BOOST_TEST((chooseServer(fleet.candidates, 10, affinity, 1) == first));
+    const auto second = chooseServer(fleet.candidates, 10, affinity, 1, { .choosesOfTwo = true });
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(*second != *first);
+    fleet.candidates[*second].load = 0.95;
+    BOOST_TEST((chooseServer(fleet.candidates, 10, affinity, 1, { .choosesOfTwo = true }) == first));
+}
--- a/unittests/Routing/peer_selector_test.cpp
+++ b/unittests/Routing/peer_selector_test.cpp
@@ -115,6 +115,22 @@
         BOOST_TEST(count <= 60); // 40 each if spread evenly.
 }
 
+BOOST_AUTO_TEST_CASE(daemonThatDispatchesIsPausedAfterItFailed)
+{
+    manual_clock clock;
+    peer_selector<manual_clock> selector { clock };
+    const fleet_view fleet = fleetOf(2);
+    const fleet_daemon& dispatcher = fleet.daemons[1];
+    BOOST_TEST(selector.tryStart(dispatcher));
+    BOOST_TEST(selector.tryStart(dispatcher));
+    selector.finish(dispatcher, peer_outcome::Served);
+    BOOST_TEST(selector.tryStart(dispatcher));
+    selector.finish(dispatcher, peer_outcome::Failed);
+    BOOST_TEST(!selector.tryStart(dispatcher));
+    clock.advance(1100ms);
+    BOOST_TEST(selector.tryStart(dispatcher));
+}
+
 BOOST_AUTO_TEST_CASE(memoryForStatementsIsBounded)
 {
     manual_clock clock;
