--- a/include/radishflow/Relay/forwarding_fields.h
+++ b/include/radishflow/Relay/forwarding_fields.h
@@ -31,6 +31,7 @@
 /// Why a daemon did not serve a forwarded request.
 enum class refusal_scope {
     Access, ///< It reaches no server either.
+    Slots, ///< It dispatches the service, and all of its slots are in use.
     Capacity, ///< It takes no forwarded requests now; another daemon may.
     Request, ///< It would be refused at any daemon.
 };
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -134,7 +134,7 @@
     if (isNotRun && exchange.head().status == serviceUnavailable && facts.scope != refusal_scope::Request) {
         --m_contactedServers;
         m_peerRetryAfter = metadata.retryAfter.value_or(forwardedRetryAfter);
-        m_wasRefusedSlot = m_wasRefusedSlot || (m_dispatches > 0 && facts.scope == refusal_scope::Capacity);
+        m_wasRefusedSlot = m_wasRefusedSlot || facts.scope == refusal_scope::Slots;
         exchange.releaseConnection();
         return recordPeerFailure(peer, facts.scope == refusal_scope::Access ? peer_outcome::Failed : peer_outcome::Refused, false, "not_run");
     }
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -257,7 +257,8 @@
         }
         if (m_peerRetryAfter && reason.execution == execution_state::NotRun)
             reason.retryAfter = *m_peerRetryAfter;
-        return refuse(reason, reason.execution == execution_state::NotRun ? refusal_scope::Capacity : refusal_scope::Request);
+        const refusal_scope scope = m_slotRetryAfter ? refusal_scope::Slots : refusal_scope::Capacity;
+        return refuse(reason, reason.execution == execution_state::NotRun ? scope : refusal_scope::Request);
     }
     const std::string& body = m_serverError->body.bytes;
     const bool isSent = sendToCaller(writeResponseHead(m_serverError->head, body.size(), m_keepsOpen, forwardedFields()), body);
--- a/include/radishflow/Relay/relay_call_slots.h
+++ b/include/radishflow/Relay/relay_call_slots.h
@@ -13,6 +13,8 @@
 
 // Daemons to which a request is dispatched one after the other, each with slots of its own.
 inline constexpr int maxDispatches = 2;
+// When callers return whose request has waited for a slot in vain.
+inline constexpr std::chrono::milliseconds overdueRetryAfter { 100 };
 
 template <relay_protocol Protocol>
 std::shared_ptr<const dispatch_plan> relay_call<Protocol>::dispatchPlan()
@@ -56,10 +58,11 @@
 std::optional<chosen_server> relay_call<Protocol>::chooseServerWithSlot()
 {
     slot_pool& pool = m_context.slots.poolOf(m_admitted.service);
+    // Spread, so that refused callers do not return together.
+    const auto spread = [this](duration wait) { return wait + wait * static_cast<int>(stableHash(m_request.id.value()) % 100) / 100; };
     const auto admission = pool.enter({ .objective = m_message.receivedAt + m_admitted.target->objective, .deadline = m_deadline, .priority = m_admitted.priority() });
     if (!admission.ticket) {
-        // Spread, so that refused callers do not return together.
-        m_slotRetryAfter = admission.retryAfter + admission.retryAfter * static_cast<int>(stableHash(m_request.id.value()) % 100) / 100;
+        m_slotRetryAfter = spread(admission.retryAfter);
         return std::nullopt;
     }
     const auto choose = [&](const std::set<server_id>& free) {
@@ -70,6 +73,8 @@
     auto server = pool.awaitServer(*admission.ticket, choose, [this] { return now() >= m_deadline || m_caller.hasPeerDisconnected(); });
     if (server)
         m_slot.emplace(pool, server->server.id);
+    else
+        m_slotRetryAfter = spread(overdueRetryAfter);
     return server;
 }
 
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -52,7 +52,7 @@
     double requestTimeWeight = 0.05; ///< Weight of the newest request in the mean time of a service's requests.
     duration usualRequestTime = std::chrono::milliseconds { 700 }; ///< Assumed before any has ended.
     duration listingDelay = std::chrono::seconds { 2 }; ///< By which daemons may differ in when they first see a server listed.
-    load_range contendedHolder { .fullMultiple = 1, .fullSlack = 1.5, .maxMultiple = 1.6, .maxSlack = 2.5 }; ///< As choose_server_options::holder, while the balancer is set to contended: other servers copy the prompt from a holder that is known.
+    load_range contendedHolder { .fullMultiple = 1.1, .fullSlack = 2, .maxMultiple = 1.6, .maxSlack = 3 }; ///< As choose_server_options::holder, while the balancer is set to contended: other servers copy the prompt from a holder that is known.
     std::size_t contendedSample = 3; ///< As choose_server_options::sampleSize, while the balancer is set to contended.
     choose_server_options choice;
 };
--- a/lib/Relay/forwarding_fields.cpp
+++ b/lib/Relay/forwarding_fields.cpp
@@ -26,7 +26,7 @@
 
 static constexpr std::string_view notRunValue = "not-run";
 static constexpr std::string_view unknownValue = "unknown";
-static constexpr std::pair<refusal_scope, std::string_view> scopeValues[] { { refusal_scope::Access, "access" }, { refusal_scope::Capacity, "capacity" }, { refusal_scope::Request, "request" } };
+static constexpr std::pair<refusal_scope, std::string_view> scopeValues[] { { refusal_scope::Access, "access" }, { refusal_scope::Slots, "slots" }, { refusal_scope::Capacity, "capacity" }, { refusal_scope::Request, "request" } };
 static constexpr std::size_t maxTriedServers = 16;
 
 template <typename Number>
--- a/unittests/Relay/forwarding_fields_test.cpp
+++ b/unittests/Relay/forwarding_fields_test.cpp
@@ -78,7 +78,7 @@
     BOOST_TEST(served.server.value() == "i-1");
     BOOST_TEST((served.version == version_key { 5 }));
     BOOST_TEST(!served.execution.has_value());
-    for (const refusal_scope scope : { refusal_scope::Access, refusal_scope::Capacity, refusal_scope::Request }) {
+    for (const refusal_scope scope : { refusal_scope::Access, refusal_scope::Slots, refusal_scope::Capacity, refusal_scope::Request }) {
         const forwarded_response refused = read({ .request = request_id { "r" }, .execution = execution_state::NotRun, .scope = scope });
         BOOST_TEST((refused.execution == execution_state::NotRun));
         BOOST_TEST((refused.scope == scope));
