--- a/lib/Routing/config_check.cpp
+++ b/lib/Routing/config_check.cpp
@@ -127,8 +127,13 @@
 static std::string textOf(const std::vector<weighted_service>& targets)
 {
     std::string text;
-    for (const weighted_service& target : targets)
-        text += (text.empty() ? "" : ",") + target.service.value() + (targets.size() > 1 ? ":" + std::to_string(target.weight) : "");
+    for (const weighted_service& target : targets) {
+        if (!text.empty())
+            text += ',';
+        text += target.service.value();
+        if (targets.size() > 1)
+            text.append(":").append(std::to_string(target.weight));
+    }
     return text;
 }
 
@@ -187,8 +192,11 @@
 {
     std::string text;
     for (std::size_t index = 0; index < before.size(); ++index) {
-        if (before[index].second != after[index].second)
-            text += (text.empty() ? "" : ", ") + std::string { before[index].first } + ' ' + before[index].second + " -> " + after[index].second;
+        if (before[index].second == after[index].second)
+            continue;
+        if (!text.empty())
+            text += ", ";
+        text.append(before[index].first).append(" ").append(before[index].second).append(" -> ").append(after[index].second);
     }
     if (!text.empty())
         lines.push_back("changed " + entry + ": " + text);
