--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -49,6 +49,9 @@
 static constexpr std::chrono::milliseconds refreshInterval { 250 };
 // Daemons that dispatch requests change rarely, and a datagram may be lost.
 static constexpr std::chrono::milliseconds tokenInterval { 1000 };
+// Daemons that send their evidence of roll-outs in each interval of refresh(); more take turns over several, so that the link of a
+// coordinator bears it.
+static constexpr std::size_t daemonsPerEvidenceRound = 100;
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 static constexpr std::chrono::milliseconds startCheckInterval { 10 };
 static constexpr std::chrono::milliseconds identifyInterval { 50 };
@@ -133,6 +136,7 @@
     std::unique_ptr<periodic_task> catchUpTask;
     std::unique_ptr<periodic_task> crashTask;
     std::unique_ptr<periodic_task> identifyTask;
+    time_point evidenceSentAt {}; // Used by coordinateRollouts() only.
     std::unique_ptr<periodic_task> rolloutTask; ///< Null if the operator orders no roll-outs.
 
     explicit state(const relay_daemon_options& daemonOptions)
@@ -411,10 +415,15 @@
         const auto view = routing.fleet();
         if (!servers)
             return;
+        // Three daemons receive the evidence of all.
+        const auto evidenceInterval = refreshInterval * std::max<int>(1, static_cast<int>(view->size / daemonsPerEvidenceRound));
+        const bool sendsEvidence = clock.now() - evidenceSentAt >= evidenceInterval;
+        if (sendsEvidence)
+            evidenceSentAt = clock.now();
         const auto baseInFlight = [&](const service_id& service, const software_version& target) { return balancer.inFlightAtOtherVersions(*servers, service, target); };
         for (auto& [service, evidence] : rollouts.takeEvidence(baseInFlight)) {
             for (const fleet_daemon* coordinator : rolloutCoordinators(*view, service)) {
-                if (coordinator->id != view->self)
+                if (sendsEvidence && coordinator->id != view->self)
                     hints.sendTo({ .rolloutEvidence = { evidence } }, coordinator->callerAddress.substr(0, coordinator->callerAddress.find(':')));
             }
         }
