--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -189,6 +189,7 @@
 #include "radishflow/Relay/relay_call_crashes.h"
 #include "radishflow/Relay/relay_call_dispatch.h"
 #include "radishflow/Relay/relay_call_forwarding.h"
+#include "radishflow/Relay/relay_call_origins.h"
 #include "radishflow/Relay/relay_call_responses.h"
 #include "radishflow/Relay/relay_call_rollouts.h"
 #include "radishflow/Relay/relay_call_slots.h"
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -100,32 +100,10 @@
     }
 
     /// Returns the number of requests of this daemon in flight at the servers of a service that have another version.
-    int inFlightAtOtherVersions(const server_list& list, const service_id& service, const software_version& version) const
-    {
-        const std::lock_guard lock { m_mutex };
-        int count = 0;
-        for (const listed_server* server : list.serversOf(service)) {
-            const auto record = m_records.find(server->id);
-            if (server->version != version && record != m_records.end())
-                count += record->second.inFlight.current();
-        }
-        return count;
-    }
+    int inFlightAtOtherVersions(const server_list& list, const service_id& service, const software_version& version) const;
 
     /// Discards the failures recorded for the servers of a service, since they were failures of this daemon's path to them.
-    void forgetFailures(const service_id& service)
-    {
-        const std::lock_guard lock { m_mutex };
-        m_health.erase(service);
-        for (auto& [id, record] : m_records) {
-            if (record.service != service)
-                continue;
-            record.consecutiveUnreachable = 0;
-            record.unreachableUntil = {};
-            record.ejectedUntil = {};
-            record.failed = {};
-        }
-    }
+    void forgetFailures(const service_id& service);
 
     /// Records that the server has said that it leaves; this process of it gets no more requests.
     void recordLeaving(const listed_server& server)
@@ -189,16 +167,7 @@
     }
 
     /// Records request limits that another daemon published.
-    void recordPeerLimits(const server_list& list, const std::vector<shared_limit>& limits)
-    {
-        const std::lock_guard lock { m_mutex };
-        for (const shared_limit& limit : limits) {
-            const auto id = m_idsByHash.find(limit.server);
-            const auto server = id == m_idsByHash.end() ? list.servers.end() : list.servers.find(id->second);
-            if (server != list.servers.end())
-                m_limits.merge(server->second, limit, m_clock.now());
-        }
-    }
+    void recordPeerLimits(const server_list& list, const std::vector<shared_limit>& limits);
 
     /// Returns the request limits to publish to other daemons.
     std::vector<shared_limit> takeLimitUpdates()
@@ -237,42 +206,12 @@
     }
 
     /// Returns the loads reported since the last call, the newest ones first, for publication to other daemons.
-    std::vector<shared_load> takeLoadUpdates()
-    {
-        const std::lock_guard lock { m_mutex };
-        const time_point now = m_clock.now();
-        std::vector<shared_load> loads;
-        for (const server_id& server : std::exchange(m_unpublished, {})) {
-            const auto record = m_records.find(server);
-            if (record != m_records.end() && record->second.report)
-                loads.push_back({ .server = serverHashOf(server), .requests = record->second.report->running + record->second.report->waiting, .age = now - record->second.reportedAt });
-        }
-        std::sort(loads.begin(), loads.end(), [](const shared_load& left, const shared_load& right) { return left.age < right.age; });
-        return loads;
-    }
+    std::vector<shared_load> takeLoadUpdates();
 
     /// Records loads that another daemon published, except those that are older than the known ones. With
     /// `forwardsLoads`, the recorded ones are published again once: in a fleet that is larger than the number of daemons
     /// that receive a daemon's hints, a report spreads to all daemons only if they forward it.
-    void recordPeerLoads(const std::vector<shared_load>& loads, bool forwardsLoads)
-    {
-        const std::lock_guard lock { m_mutex };
-        const time_point now = m_clock.now();
-        for (const shared_load& load : loads) {
-            const auto server = m_idsByHash.find(load.server);
-            if (server == m_idsByHash.end())
-                continue;
-            server_record& record = m_records[server->second];
-            if (record.report && now - load.age <= record.reportedAt)
-                continue;
-            record.report = load_sample { .running = load.requests };
-            record.reportedAt = now - load.age;
-            record.inFlightAtReport = record.inFlight.at(record.reportedAt);
-            recordForForecast(record);
-            if (forwardsLoads && load.age < m_options.maxForwardedAge)
-                m_unpublished.insert(server->second);
-        }
-    }
+    void recordPeerLoads(const std::vector<shared_load>& loads, bool forwardsLoads);
 
     /// Balances for a deployment whose callers compete for room, or whose servers share their hosts with others: prompts are looked up in
     /// the directory that the fleet shares. Also called when a server reports the speed of its host.
@@ -294,17 +233,7 @@
     }
 
     /// Records reports of prompts that another daemon published. A process of a server holds nothing that was used before it was listed.
-    void mergePromptReports(const server_list& list, const std::vector<prompt_report>& reports)
-    {
-        const std::lock_guard lock { m_mutex };
-        const time_point now = m_clock.now();
-        for (const prompt_report& report : reports) {
-            const auto id = m_idsByHash.find(report.server);
-            const auto server = id == m_idsByHash.end() ? list.servers.end() : list.servers.find(id->second);
-            if (server != list.servers.end() && server->second.listedAt <= now - report.age + m_options.listingDelay)
-                m_promptDirectory.merge(report, now);
-        }
-    }
+    void mergePromptReports(const server_list& list, const std::vector<prompt_report>& reports);
 
     /// Returns the updates of prompt holders since the last call, for publication to other daemons.
     std::vector<prompt_holder> takePromptUpdates()
@@ -315,15 +244,7 @@
 
     /// Merges prompt holders that another daemon published. If two daemons have different primary holders for a prompt, all
     /// daemons select the server whose process started first.
-    void mergePromptUpdates(const std::vector<prompt_holder>& updates)
-    {
-        const std::lock_guard lock { m_mutex };
-        const time_point now = m_clock.now();
-        for (const prompt_holder& update : updates) {
-            if (m_idsByHash.contains(update.server))
-                m_promptHolders.merge(update, now, [this](std::uint32_t theirs, std::uint32_t ours) { return isOlder(theirs, ours); });
-        }
-    }
+    void mergePromptUpdates(const std::vector<prompt_holder>& updates);
 
     /// Discards the records of servers that are no longer listed and have no requests of this daemon in flight, and resets
     /// the records of servers whose process has restarted, except for the number of requests in flight. From then on
@@ -481,3 +402,4 @@
 } // namespace radishflow
 
 #include "radishflow/Routing/load_balancer_choice.h"
+#include "radishflow/Routing/load_balancer_updates.h"
--- a/include/radishflow/Routing/prompt_directory.h
+++ b/include/radishflow/Routing/prompt_directory.h
@@ -21,7 +21,7 @@
     std::size_t maxPrompts = 8192;
 };
 
-/// Maps each prompt to the servers that hold it. Uses by this daemon and news of others are published once, so that they reach
+/// Maps each prompt to the servers that hold it. Uses by this daemon, and those that it receives from others, are published once, so that they reach
 /// all daemons although each daemon sends its datagrams to a few only. A use carries its age and is published again only if it is
 /// later than the published one by some seconds, so a report ends once no request uses the prompt.
 ///
--- a/include/radishflow/Routing/rollout_schedule.h
+++ b/include/radishflow/Routing/rollout_schedule.h
@@ -15,7 +15,7 @@
     double fullFraction = 0.15; ///< Fraction after the end of the trial at which the target gets all requests.
     double dueFraction = 0.92; ///< Fraction at which the order is done, whatever still runs at other versions.
     double trialLoad = 0.8; ///< Requests per server in the trial, as a multiple of the mean over all servers of the target at full traffic.
-    std::size_t minTrialServers = 2; ///< One server alone cannot be told from its version.
+    std::size_t minTrialServers = 2; ///< With a single server, a fault of the server cannot be distinguished from one of its version.
 };
 
 enum class rollout_phase {
