--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -33,6 +33,7 @@
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
     std::chrono::milliseconds stopGrace { 4000 }; ///< Between SIGTERM and SIGKILL.
+    std::vector<std::string> arguments; ///< Further arguments of the daemons.
     std::vector<std::string> contracts; ///< Parts of the platform's rules that are in force beside the usual ones.
     std::chrono::milliseconds revocationDelay { 2500 }; ///< Bound within which a revoked key must stop working.
 };
--- a/tools/radishflow-relayd/main.cpp
+++ b/tools/radishflow-relayd/main.cpp
@@ -16,6 +16,7 @@
 DEFINE_string(settings, "", "path of the platform's settings file; if empty, the path in RADISHFLOW_NODE_FILE is used");
 DEFINE_string(log_level, "info", "trace, debug, info, warning, error or off");
 DEFINE_int32(metrics_port, 9464, "port of the metrics page");
+DEFINE_bool(dispatch, false, "send requests of services with fewer slots than daemons by way of a few daemons, where callers compete; the same on all daemons");
 DEFINE_int32(workers, 400, "number of requests that are served concurrently");
 
 static bool isPort(const char*, gflags::int32 port)
@@ -92,7 +93,7 @@
 {
     using namespace radishflow;
     limitMallocArenas();
-    gflags::SetUsageMessage("radishflow-relayd [--settings=FILE] [--log_level=LEVEL] [--metrics_port=PORT] [--workers=N]");
+    gflags::SetUsageMessage("radishflow-relayd [--settings=FILE] [--log_level=LEVEL] [--metrics_port=PORT] [--workers=N] [--dispatch]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const sigset_t signals = blockSignals();
     const auto settings = loadSettings();
@@ -100,7 +101,7 @@
         return invalidSettingsExitCode;
     startLog(FLAGS_log_level);
     try {
-        relay_daemon daemon { { .platform = *settings, .metricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port), .workers = FLAGS_workers } };
+        relay_daemon daemon { { .platform = *settings, .metricsPort = static_cast<std::uint16_t>(FLAGS_metrics_port), .workers = FLAGS_workers, .dispatchesFewSlots = FLAGS_dispatch } };
         spdlog::info("event=start daemon={} zone={} callers={} store={}", settings->daemon.value(), settings->zone.value(), settings->callerAddress, settings->storeAddress);
         waitForStopSignal(signals);
         spdlog::info("event=stopping daemon={} grace_ms={}", settings->daemon.value(), settings->stopGrace.count());
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -100,7 +100,7 @@
     key_freshness freshness;
     crash_quarantine crashes;
     rollout_manager<boottime_clock> rollouts;
-    slot_dispatch slots { [this](const service_id& service) { return balancer.isContended() && !balancer.reportsLoad(service); } };
+    slot_dispatch slots { [this](const service_id& service) { return options.dispatchesFewSlots && balancer.isContended() && !balancer.reportsLoad(service); } };
     stream_origin_exchange originExchange;
     version_history versions;
     stream_origins origins;
@@ -363,7 +363,7 @@
     void refresh()
     {
         connections.prune(clock.now());
-        if (balancer.isContended() && !std::exchange(hasPublishedProcessor, true))
+        if (options.dispatchesFewSlots && balancer.isContended() && !std::exchange(hasPublishedProcessor, true))
             fleet.publishProcessorShare(options.platform.processorShare);
         const auto previousView = routing.fleet();
         const auto view = fleet.view();
--- a/tools/radishflow-relayd/relay_daemon_options.h
+++ b/tools/radishflow-relayd/relay_daemon_options.h
@@ -11,6 +11,7 @@
     platform_settings platform;
     std::uint16_t metricsPort = 0; ///< TCP port of the metrics page.
     int workers = 0; ///< Maximum number of requests served concurrently.
+    bool dispatchesFewSlots = false; ///< Whether services with fewer slots than daemons are dispatched where deployments are contended.
 };
 
 } // namespace radishflow
