--- a/include/radishflow/Routing/rollout_manager.h
+++ b/include/radishflow/Routing/rollout_manager.h
@@ -35,7 +35,8 @@
     duration takeoverDelay = std::chrono::seconds { 1 }; ///< Age of the newest notice at which the second coordinator decides; twice as much for the third.
     duration evidenceMemory = std::chrono::seconds { 30 }; ///< How long the evidence of a daemon that sends no more of it counts.
     duration settlingTime = std::chrono::seconds { 3 }; ///< Time after a server was listed, or has ceased to be cold, in which its pace is not compared.
-    duration endNoticeTime = std::chrono::seconds { 30 }; ///< Time for which the end of an order is published.
+    duration doneTime = std::chrono::seconds { 5 }; ///< Time for which servers of other versions are avoided after the order is done, as their ends may not be listed yet.
+    duration endNoticeTime = std::chrono::seconds { 30 }; ///< Time for which the end of an order is published. Servers of the target that are listed later belong to no order.
     duration minFullTime = std::chrono::seconds { 1 }; ///< Time for which the target gets all requests before the order is done.
     std::size_t maxSamples = 60; ///< Responses of the target that a daemon keeps; as many as a datagram holds.
     std::size_t maxRoutes = 24; ///< Of the tallies in a datagram.
--- a/include/radishflow/Routing/rollout_manager_requests.h
+++ b/include/radishflow/Routing/rollout_manager_requests.h
@@ -107,16 +107,21 @@
     execution& rollout = found->second;
     const version_key target = targetOf(rollout.order);
     version_restriction base { .side = rollout_side::Base, .target = target };
-    if (rollout.state == rollout_state::Done)
-        return { .side = rollout_side::Target, .target = target };
-    if (rollout.state == rollout_state::RolledBack || rollout.isSuspended)
-        return base;
     std::vector<const listed_server*> targetServers = servers;
     std::erase_if(targetServers, [&](const listed_server* server) { return versionKeyOf(server->service, server->version) != target; });
     // Without servers of another version, callers could not be served.
     if (targetServers.size() == servers.size())
         return {};
     const time_point now = m_clock.now();
+    // The order stays in the table, and later versions may come without one.
+    if (rollout.state == rollout_state::Done)
+        return now - rollout.endedAt < m_options.doneTime ? version_restriction { .side = rollout_side::Target, .hasAlternative = true, .target = target } : version_restriction {};
+    if (rollout.state == rollout_state::RolledBack) {
+        base.endedAt = rollout.endedAt + m_options.endNoticeTime;
+        return base;
+    }
+    if (rollout.isSuspended)
+        return base;
     if (!isNoticeFresh(rollout, now))
         return base;
     if (pinned)
--- a/unittests/Routing/rollout_manager_test.cpp
+++ b/unittests/Routing/rollout_manager_test.cpp
@@ -326,6 +326,52 @@
     BOOST_TEST((manager.restrictionFor(list, service, 9, std::nullopt, clock.now() + 1s).side == test.side));
 }
 
+namespace {
+
+struct later_case {
+    const char* name;
+    rollout_state end;
+    duration time; ///< Since the end of the order.
+    const char* version; ///< Of a server that is listed then, beside one of the target and one of the former version.
+    bool isAdmitted;
+
+    friend std::ostream& operator<<(std::ostream& out, const later_case& test) { return out << test.name; }
+};
+
+// The order stays in the operator's table.
+const later_case laterCases[] {
+    { "a later version soon after the order is done", rollout_state::Done, 1s, "v3", false },
+    { "a later version", rollout_state::Done, 6s, "v3", true },
+    { "another server of the target", rollout_state::Done, 6s, "v2", true },
+    { "a server of the target that was rolled back has restarted", rollout_state::RolledBack, 10s, "v2", false },
+    { "the target of a roll-back comes again without an order", rollout_state::RolledBack, 60s, "v2", true },
+    { "a later version after a roll-back", rollout_state::RolledBack, 10s, "v3", true },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(endedOrderDoesNotKeepLaterServersOut, boost::unit_test::data::make(laterCases), test)
+{
+    manual_clock clock;
+    rollout_manager<manual_clock> manager { clock, { .isEnabled = true } };
+    server_list list = testServers(3);
+    list.servers.at(server_id { "s0" }).version = software_version { "v1" };
+    list.servers.at(server_id { "s1" }).version = software_version { "v2" };
+    const service_id service { "model" };
+    manager.recordOrder({ .service = service, .target = software_version { "v2" }, .ramp = 10s, .revision = 3 });
+    manager.mergeNotice({ .service = serviceHashOf(service), .order = 3, .state = test.end });
+    clock.advance(test.time);
+    listed_server& added = list.servers.at(server_id { "s2" });
+    added.version = software_version { test.version };
+    added.listedAt = clock.now();
+    clock.advance(100ms);
+    BOOST_TEST(manager.restrictionFor(list, service, 9, std::nullopt, clock.now()).admits(added) == test.isAdmitted);
+    // Without servers of any other version, those of the target serve whatever the end was.
+    std::erase_if(list.servers, [](const auto& entry) { return entry.second.version != software_version { "v2" }; });
+    for (const auto& [id, server] : list.servers)
+        BOOST_TEST(manager.restrictionFor(list, service, 9, std::nullopt, clock.now()).admits(server));
+}
+
 // The operator writes an order before the servers of its target start.
 BOOST_AUTO_TEST_CASE(newVersionWaitsUntilTheOrdersAreKnown)
 {
