--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -325,19 +325,8 @@
 
     listed_holders holdersOf(const server_list& list, const server_query& query, time_point now) const;
 
-    std::vector<std::size_t> candidateIndicesOf(const std::vector<server_candidate>& candidates, const listed_holders& holders) const
-    {
-        std::vector<std::size_t> indices;
-        indices.reserve(holders.all.size());
-        for (const listed_server* holder : holders.all) {
-            const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const server_candidate& candidate) { return candidate.server == holder; });
-            if (found != candidates.end())
-                indices.push_back(static_cast<std::size_t>(found - candidates.begin()));
-        }
-        if (m_isContended)
-            std::sort(indices.begin(), indices.end(), [&](std::size_t left, std::size_t right) { return candidates[left].load < candidates[right].load; });
-        return indices;
-    }
+    /// Returns the holders that may be chosen, in the order of preference for a request.
+    std::vector<std::size_t> candidateIndicesOf(const std::vector<server_candidate>& candidates, const listed_holders& holders, std::uint64_t tieBreak) const;
 
     void recordHolders(const server_list& list, const server_query& query, const listed_server* primary, const listed_server& chosen, time_point now);
 
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -30,7 +30,7 @@
         choice.sampleSize = m_options.contendedSample;
     }
     if (!chosen)
-        chosen = chooseServer(candidates, servers.size(), query.affinity, query.tieBreak, choice, candidateIndicesOf(candidates, holders));
+        chosen = chooseServer(candidates, servers.size(), query.affinity, query.tieBreak, choice, candidateIndicesOf(candidates, holders, query.tieBreak));
     if (!chosen)
         return std::nullopt;
     const listed_server& server = *candidates[*chosen].server;
@@ -163,6 +163,27 @@
     return holders;
 }
 
+// All daemons see the loads of the holders late, and the same ones. If each took the least loaded one, a hot prompt would overrun its holders in
+// turns, so a request takes the less loaded of two that are drawn.
+template <monotonic_clock Clock>
+std::vector<std::size_t> load_balancer<Clock>::candidateIndicesOf(const std::vector<server_candidate>& candidates, const listed_holders& holders, std::uint64_t tieBreak) const
+{
+    std::vector<std::size_t> indices;
+    indices.reserve(holders.all.size());
+    for (const listed_server* holder : holders.all) {
+        const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const server_candidate& candidate) { return candidate.server == holder; });
+        if (found != candidates.end())
+            indices.push_back(static_cast<std::size_t>(found - candidates.begin()));
+    }
+    if (!m_isContended)
+        return indices;
+    const auto draw = [&](std::size_t index) { return stableHash(candidates[index].server->id.value(), tieBreak); };
+    std::sort(indices.begin(), indices.end(), [&](std::size_t left, std::size_t right) { return draw(left) < draw(right); });
+    if (indices.size() > 1 && candidates[indices[1]].load < candidates[indices[0]].load)
+        std::swap(indices[0], indices[1]);
+    return indices;
+}
+
 // A primary holder that is overloaded or temporarily failing keeps its prompts. One that accepts no new requests is
 // replaced by the chosen server.
 template <monotonic_clock Clock>
--- a/unittests/Routing/contended_load_test.cpp
+++ b/unittests/Routing/contended_load_test.cpp
@@ -43,6 +43,7 @@
     const outcome contended = playFleet(load, true);
     BOOST_TEST_MESSAGE(load << ": read again " << usual.readAgain << " without the directory, " << contended.readAgain << " with it; busiest server " << usual.busiestToMean << " and " << contended.busiestToMean << " times the mean; copied " << usual.copied << " and " << contended.copied << "; error of the estimated load " << usual.estimateError << " and " << contended.estimateError << "; above the bound " << usual.aboveBound << " and " << contended.aboveBound);
     BOOST_TEST(contended.readAgain <= 0.02);
-    BOOST_TEST(contended.aboveBound <= simulated_fleet::maxShareAboveBound);
+    // Servers of a real fleet differ in speed, so a sixth of the platform's bound is allowed here.
+    BOOST_TEST(contended.aboveBound <= simulated_fleet::maxShareAboveBound / 6);
     BOOST_TEST(contended.busiestToMean <= usual.busiestToMean * 1.1);
 }
