--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -366,7 +366,10 @@
         return record.report && age < m_options.reportLifetime ? std::optional { age } : std::nullopt;
     }
 
-    double estimatedLoad(const server_record& record, std::size_t fleetSize, double mean, time_point now) const;
+    /// Returns the mean of the recent load reports of the servers, without the requests that brought them; 0 if there are none.
+    double meanReport(const std::vector<const listed_server*>& servers, time_point now) const;
+
+    double estimatedLoad(const server_record& record, std::size_t fleetSize, double mean, double reported, time_point now) const;
 
     void ejectIfFailing(server_record& record, const service_health& health, time_point now) const;
 
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -82,6 +82,7 @@
     std::vector<server_candidate> unreachable;
     std::erase_if(eligible, [&](const listed_server* server) { return !list.takesNewWork(*server) || !m_restrictions.accepts(*server, now); });
     const double mean = meanLoad(eligible, query.fleet->size);
+    const double reported = m_isContended ? meanReport(eligible, now) : 0;
     for (const listed_server* server : eligible) {
         const server_record& record = m_records[server->id];
         const bool isOtherVersion = query.version && versionKeyOf(server->service, server->version) != *query.version;
@@ -98,7 +99,7 @@
         }
         std::vector<server_candidate>& group = record.unreachableUntil > now ? unreachable : record.ejectedUntil > now ? ejected
                                                                                                                        : healthy;
-        group.push_back({ .server = server, .load = estimatedLoad(record, query.fleet->size, mean, now), .reportAge = reportAge(record, now), .isLocalZone = server->zone == query.zone });
+        group.push_back({ .server = server, .load = estimatedLoad(record, query.fleet->size, mean, reported, now), .reportAge = reportAge(record, now), .isLocalZone = server->zone == query.zone });
     }
     if (healthy.size() < ejected.size())
         healthy.insert(healthy.end(), ejected.begin(), ejected.end());
@@ -232,12 +233,27 @@
     };
 }
 
+template <monotonic_clock Clock>
+double load_balancer<Clock>::meanReport(const std::vector<const listed_server*>& servers, time_point now) const
+{
+    double total = 0;
+    int reports = 0;
+    for (const listed_server* server : servers) {
+        const auto record = m_records.find(server->id);
+        if (record == m_records.end() || !reportAge(record->second, now))
+            continue;
+        total += std::max(record->second.report->running + record->second.report->waiting - 1, 0);
+        ++reports;
+    }
+    return reports == 0 ? 0 : total / reports;
+}
+
 // A recent report includes the requests of other daemons. It comes only with a response, so a server that gets no new
 // requests reports nothing while its load falls; the report's weight therefore falls with its age. Without one, the few
 // requests of this daemon are a weak sample of a server's load in a large fleet, so they are weighted against the mean:
 // the load is estimated as a Poisson rate from this daemon's sample with a gamma prior around the mean.
 template <monotonic_clock Clock>
-double load_balancer<Clock>::estimatedLoad(const server_record& record, std::size_t fleetSize, double mean, time_point now) const
+double load_balancer<Clock>::estimatedLoad(const server_record& record, std::size_t fleetSize, double mean, double reported, time_point now) const
 {
     const double weight = m_options.meanWeight;
     const double withoutReport = mean > 0 ? (weight + record.inFlight.current()) / (weight / mean + 1 / static_cast<double>(fleetSize)) : 0;
@@ -246,7 +262,7 @@
         return withoutReport;
     if (m_isContended) {
         const auto requestTime = m_requestTimes.find(record.service);
-        return record.inFlight.current() + record.forecast.othersAt(now, requestTime == m_requestTimes.end() ? m_options.usualRequestTime : requestTime->second);
+        return record.inFlight.current() + record.forecast.othersAt(now, requestTime == m_requestTimes.end() ? m_options.usualRequestTime : requestTime->second, reported);
     }
     const int others = std::max(record.report->running + record.report->waiting - record.inFlightAtReport, 0);
     const double agedPart = std::chrono::duration<double>(*age) / std::chrono::duration<double>(m_options.reportLifetime);
--- a/include/radishflow/Routing/load_forecast.h
+++ b/include/radishflow/Routing/load_forecast.h
@@ -29,11 +29,13 @@
         m_reportedAt = reportedAt;
     }
 
-    /// Returns the expected number of requests from other daemons; `requestTime` is how long a request lasts on average.
-    double othersAt(time_point now, duration requestTime) const
+    /// Returns the expected number of requests from other daemons; `requestTime` is how long a request lasts on average, `usual` the number
+    /// at a server of which nothing is known. A server reports with its responses, so one that has reported nothing for long may
+    /// be busy with requests that have no response yet, and counts as no less loaded than others.
+    double othersAt(time_point now, duration requestTime, double usual = 0) const
     {
         const double trust = std::exp(-seconds(now - m_reportedAt) / std::max(seconds(requestTime), minRequestSeconds));
-        return std::lerp(m_mean, m_others, trust);
+        return std::lerp(std::max(m_mean, usual), m_others, trust);
     }
 
 private:
--- a/unittests/Routing/load_forecast_test.cpp
+++ b/unittests/Routing/load_forecast_test.cpp
@@ -45,6 +45,17 @@
     BOOST_TEST(std::abs(forecast.othersAt(now + test.age, test.requestTime) - test.expected) < 0.5);
 }
 
+// A server at which requests wait for their first token responds to none, so its last report is old and low.
+BOOST_AUTO_TEST_CASE(serverThatReportsNothingCountsAsUsuallyLoaded)
+{
+    load_forecast forecast;
+    forecast.record(0, time_point {});
+    BOOST_TEST(forecast.othersAt(time_point {} + 1s, 200ms, 5) > 4.9);
+    BOOST_TEST(forecast.othersAt(time_point {}, 200ms, 5) == 0);
+    forecast.record(9, time_point {} + 2s);
+    BOOST_TEST(forecast.othersAt(time_point {} + 2s, 200ms, 5) == 9);
+}
+
 // Requests that arrive and end independently, as at a server of a large fleet: the forecast errs less than the report itself.
 BOOST_DATA_TEST_CASE(forecastErrsLessThanTheReport, boost::unit_test::data::make({ 300, 700, 1500 }), ageMs)
 {
