--- a/include/radishflow/Routing/load_forecast.h
+++ b/include/radishflow/Routing/load_forecast.h
@@ -11,7 +11,7 @@
 
 /// Answers the load of many daemons that choose by the same old reports: a server that reported few requests is chosen by all of them until
 /// it reports again. The requests that a report counted end, and others begin, within the time that a request lasts, so a report of a server
-/// with independent requests says less and less about them: the expected number returns from the reported one to the server's own mean
+/// with independent requests says less and less about them: the expected number approaches the server's own mean, from the reported one,
 /// as exp(-age / time of a request). Not thread-safe.
 class load_forecast {
 public:
@@ -29,8 +29,8 @@
         m_reportedAt = reportedAt;
     }
 
-    /// Returns the expected number of requests from other daemons; `requestTime` is how long a request lasts on average, `usual` the number
-    /// at a server of which nothing is known. A server reports with its responses, so one that has reported nothing for long may
+    /// Returns the expected number of requests from other daemons; `requestTime` is how long a request lasts on average, `usual` the mean
+    /// of all servers, below which the approached mean is not taken. A server reports with its responses, so one that has reported nothing for long may
     /// be busy with requests that have no response yet, and counts as no less loaded than others.
     double othersAt(time_point now, duration requestTime, double usual = 0) const
     {
@@ -39,7 +39,7 @@
     }
 
 private:
-    static constexpr std::chrono::seconds meanMemory { 4 }; ///< Some times as long as a request, so that the mean shows lasting differences between servers.
+    static constexpr std::chrono::seconds meanMemory { 4 }; ///< Several times the time of a request, so that the mean shows lasting differences between servers.
     static constexpr double minWeight = 0.05; ///< Of a report in the mean, if several arrive at once.
     static constexpr double minRequestSeconds = 0.02;
 
