--- a/include/radishflow/Routing/listed_server.h
+++ b/include/radishflow/Routing/listed_server.h
@@ -20,6 +20,7 @@
     time_point coldUntil {};
     time_point listedAt {}; ///< Time at which this daemon first saw the server's process listed.
     std::int64_t processStartMs = 0; ///< Start of the server's process in milliseconds of wall-clock time; 0 if the server does not publish it.
+    std::uint64_t revision = 0; ///< Of its entry in the platform's table.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -5,6 +5,7 @@
 #include "radishflow/Support/monotonic_clock.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -66,20 +67,25 @@
 
     /// Replaces the whole list; servers that are not in the new list are removed as by remove(). An old copy, from which the
     /// platform has recovered, lists servers that have begun to drain or were removed since. These stay so until their entries
-    /// change; a removed one that is still listed after the rewrite time is alive.
+    /// change, also if the list is read again; a removed one that is still listed after the rewrite time is alive.
     void replaceAll(std::vector<listed_server> servers, bool isOldCopy = false)
     {
         std::set<server_id> removed;
         for (const auto& [id, server] : m_servers)
             removed.insert(id);
+        for (const auto& [id, withheld] : m_withheld)
+            removed.insert(id);
         for (listed_server& server : servers) {
             removed.erase(server.id);
             const listed_server* known = find(server.id);
-            if (isOldCopy && known && known->isDraining && known->processStartMs == server.processStartMs)
+            const bool isSameProcess = known && known->processStartMs == server.processStartMs;
+            if (isSameProcess && known->isDraining && !server.isDraining && (isOldCopy || hasDrainedBefore(server))) {
+                m_drainedBefore.insert_or_assign(server.id, server.revision);
                 server.isDraining = true;
+            }
             if (isOldCopy && (wasRemoved(server) || isRemovalDeferred(server)))
                 m_withheld[server.id] = { .server = server, .until = m_clock.now() + m_options.rewriteTime };
-            else
+            else if (!isWithheld(server))
                 put(std::move(server));
         }
         for (const server_id& id : removed)
@@ -141,6 +147,20 @@
         return known && known->processStartMs == server.processStartMs && m_pendingRemovals.contains(server.id);
     }
 
+    /// Returns whether the entry is one of an old copy, whose server had begun to drain before.
+    bool hasDrainedBefore(const listed_server& server) const
+    {
+        const auto entry = m_drainedBefore.find(server.id);
+        return entry != m_drainedBefore.end() && entry->second == server.revision;
+    }
+
+    /// Returns whether the server is withheld because of this very entry.
+    bool isWithheld(const listed_server& server) const
+    {
+        const auto withheld = m_withheld.find(server.id);
+        return withheld != m_withheld.end() && withheld->second.server.revision == server.revision;
+    }
+
     void erase(const server_id& id) { erase(id, m_clock.now()); }
 
     void erase(const server_id& id, time_point removedAt)
@@ -153,6 +173,7 @@
         std::erase_if(m_removals, [&](const auto& entry) { return now - entry.second.at >= m_options.removalMemory; });
         m_removals.insert_or_assign(id, removed_process { .processStartMs = server->second.processStartMs, .at = now });
         m_servers.erase(server);
+        m_drainedBefore.erase(id);
     }
 
     bool canApplyRemovals() const { return m_clock.now() >= m_removalsDeferredUntil; }
@@ -164,6 +185,7 @@
     std::vector<removal_event> m_events;
     std::map<server_id, removed_process> m_removals; ///< Recent ones.
     std::map<server_id, withheld_server> m_withheld; ///< Listed by an old copy only.
+    std::map<server_id, std::uint64_t> m_drainedBefore; ///< Servers that drain, although an old copy lists them as ready in an entry of this revision.
     std::set<zone_id> m_zonesOutOfService;
     time_point m_removalsDeferredUntil {};
 };
--- a/test/Relay/store_eras_test.cpp
+++ b/test/Relay/store_eras_test.cpp
@@ -82,6 +82,31 @@
     BOOST_TEST(waitUntil(2s, [&] { return allAnswer(fleet, "newest-key", 200); }));
 }
 
+// The copy is read again, without a change of the era, if the store drops its history.
+BOOST_DATA_TEST_CASE(leavingServersStayOutIfTheOldCopyIsReadAgain, boost::unit_test::data::make({ 2, 20 }), daemons)
+{
+    relay_fleet fleet { { .daemons = daemons, .revocationDelay = revocationDelay } };
+    BOOST_REQUIRE(waitUntil(10s, [&] { return static_cast<int>(fleet.lookUp(0).size()) == daemons && static_cast<int>(fleet.lookUp(daemons - 1).size()) == daemons; }));
+    fleet.store().takeBackup();
+    fleet.list(0, "draining"); // In the zone of the daemons, which prefer it.
+    fleet.store().unlist("i-2");
+    std::this_thread::sleep_for(1500ms);
+    fleet.store().setUnreachable(true);
+    std::this_thread::sleep_for(300ms);
+    fleet.store().restoreBackup();
+    fleet.store().setUnreachable(false);
+    std::this_thread::sleep_for(1500ms);
+    const int runsBefore = fleet.server(0).runs() + fleet.server(2).runs();
+    writeRows(fleet, 1);
+    fleet.store().dropHistory();
+    const auto droppedAt = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() < droppedAt + 2s) {
+        BOOST_TEST(allAnswer(fleet, relay_fleet::key, 200));
+        std::this_thread::sleep_for(30ms);
+    }
+    BOOST_TEST(fleet.server(0).runs() + fleet.server(2).runs() == runsBefore);
+}
+
 BOOST_AUTO_TEST_CASE(zoneEvacuatedAfterTheCopyWasMadeStaysOutOfService)
 {
     relay_fleet fleet { { .daemons = 2, .revocationDelay = revocationDelay } };
--- a/unittests/Routing/server_registry_test.cpp
+++ b/unittests/Routing/server_registry_test.cpp
@@ -94,6 +94,40 @@
     BOOST_TEST(count() == 3U);
 }
 
+// A daemon reads the whole copy again if another one that has read it later has no changes since.
+BOOST_AUTO_TEST_CASE(oldCopyThatIsReadAgainBringsNoLeavingServersBack)
+{
+    constexpr std::uint64_t revision = 5;
+    const auto entry = [](int number, std::uint64_t ofRevision) {
+        listed_server server = testServer(number);
+        server.revision = ofRevision;
+        return server;
+    };
+    const auto isReady = [&](int number) {
+        const auto list = registry.list();
+        const auto server = list->servers.find(testServer(number).id);
+        return server != list->servers.end() && !server->second.isDraining;
+    };
+    listed_server draining = entry(1, 2 * revision);
+    draining.isDraining = true;
+    registry.put(draining);
+    registry.remove(server_id { "s2" });
+    const std::vector<listed_server> oldCopy { entry(0, revision), entry(1, revision), entry(2, revision) };
+    registry.replaceAll(oldCopy, true);
+    for (int reading = 0; reading < 2; ++reading) {
+        clock.advance(1s);
+        registry.replaceAll(oldCopy);
+        BOOST_TEST(isReady(0));
+        BOOST_TEST(!isReady(1));
+        BOOST_TEST(!isReady(2));
+    }
+    registry.replaceAll({ entry(0, revision), entry(1, 3 * revision) });
+    BOOST_TEST(isReady(1)); // It has written its entry again.
+    clock.advance(5s);
+    BOOST_TEST(!isReady(2)); // Its entry lapsed.
+    BOOST_TEST(!registry.hasPendingChanges());
+}
+
 BOOST_AUTO_TEST_CASE(oldCopyOfTheListDoesNotCancelADeferredRemoval)
 {
     registry.deferRemovalsUntil(clock.now() + 2s);
