--- a/include/radishflow/Relay/relay_call_crashes.h
+++ b/include/radishflow/Relay/relay_call_crashes.h
@@ -66,8 +66,11 @@
 void relay_call<Protocol>::recordProgress()
 {
     m_lastPartAt = now();
-    if (!m_firstPartAt)
-        m_firstPartAt = m_lastPartAt;
+    if (m_firstPartAt)
+        return;
+    m_firstPartAt = m_lastPartAt;
+    if (!m_peer)
+        m_context.balancer.recordPromptRead(m_respondingServer, affinity());
 }
 
 // The time until the connection broke does not count: a server may hang before it crashes.
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -229,6 +229,8 @@
 {
     if (m_slot && !mayHaveRun)
         m_slot->recordNotRun();
+    if (!m_peer && !m_firstPartAt)
+        m_context.balancer.recordPromptNotRead(server.id, affinity());
     finishAttempt(server, outcome);
     recordAttempt(server, result);
     ++(mayHaveRun ? m_history.mayHaveRun : m_history.notRun);
--- a/include/radishflow/Routing/cache_source.h
+++ b/include/radishflow/Routing/cache_source.h
@@ -13,4 +13,8 @@
 /// previous server follows from the rendezvous rank, without a table of prompts.
 const listed_server* cacheSourceFor(std::span<const listed_server* const> servers, const listed_server& chosen, std::uint64_t affinity, time_point now);
 
+/// Returns the server of the highest rank other than the chosen one, or null if there is none. A prompt of which no holder is known was
+/// probably sent to one of the first two ranks before, such as by daemons that have restarted since.
+const listed_server* firstOfOtherRanks(std::span<const listed_server* const> servers, const listed_server& chosen, std::uint64_t affinity);
+
 } // namespace radishflow
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -225,6 +225,24 @@
         return m_reportingServices.contains(service);
     }
 
+    /// Records that a server has sent the first part of its response to a request with a prompt affinity.
+    void recordPromptRead(const server_id& server, std::uint64_t affinity)
+    {
+        if (!m_isContended || affinity == 0)
+            return;
+        const std::lock_guard lock { m_mutex };
+        m_promptDirectory.record(promptHashOf(affinity), serverHashOf(server), m_clock.now());
+    }
+
+    /// Records that a server has failed to respond to a request with a prompt affinity.
+    void recordPromptNotRead(const server_id& server, std::uint64_t affinity)
+    {
+        if (!m_isContended || affinity == 0)
+            return;
+        const std::lock_guard lock { m_mutex };
+        m_promptDirectory.withdraw(promptHashOf(affinity), serverHashOf(server));
+    }
+
     /// Returns reports of prompts to publish to other daemons, at most a number.
     std::vector<prompt_report> takePromptReports(std::size_t maxCount)
     {
@@ -317,10 +335,17 @@
     /// Listed servers that hold a prompt, including those that accept no new requests: prompts can still be copied from
     /// their caches.
     struct listed_holders {
+        struct holder {
+            const listed_server* server = nullptr;
+            bool hasRead = true; ///< Otherwise it still reads the prompt.
+        };
         const listed_server* primary = nullptr; ///< Keeps the prompt while it accepts requests; null if the fleet shares its directory of prompts.
-        boost::container::static_vector<const listed_server*, prompt_directory::maxHolders> all;
+        boost::container::static_vector<holder, prompt_directory::maxHolders> all;
 
-        bool contain(const listed_server& server) const { return std::find(all.begin(), all.end(), &server) != all.end(); }
+        bool hasPrompt(const listed_server& server) const
+        {
+            return std::any_of(all.begin(), all.end(), [&](const holder& known) { return known.server == &server && known.hasRead; });
+        }
     };
 
     listed_holders holdersOf(const server_list& list, const server_query& query, time_point now) const;
@@ -351,6 +376,9 @@
 
     std::string cacheSourceAddress(std::vector<const listed_server*> servers, const server_query& query, const listed_holders& holders, const listed_server& chosen, time_point now) const;
 
+    /// Returns the holder from which to copy the prompt; null if none can be reached.
+    const listed_server* holderToCopyFrom(const listed_holders& holders, const listed_server& chosen, time_point now) const;
+
     // Estimates the mean load of the servers from this daemon's own requests and the size of the fleet.
     double meanLoad(const std::vector<const listed_server*>& servers, std::size_t fleetSize)
     {
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -34,7 +34,7 @@
     if (!chosen)
         return std::nullopt;
     const listed_server& server = *candidates[*chosen].server;
-    const bool isHeld = holders.contain(server);
+    const bool isHeld = holders.hasPrompt(server);
     const std::string cacheSource = isHeld ? std::string {} : cacheSourceAddress(servers, query, holders, server, now);
     if (query.affinity != 0)
         recordHolders(list, query, holders.primary, server, now);
@@ -148,18 +148,18 @@
         return server == list.servers.end() || server->second.service != query.service ? nullptr : &server->second;
     };
     listed_holders holders;
-    const auto add = [&](std::uint32_t hash) {
+    const auto add = [&](std::uint32_t hash, bool hasRead) {
         if (const listed_server* server = findListed(hash))
-            holders.all.push_back(server);
+            holders.all.push_back({ .server = server, .hasRead = hasRead });
     };
     if (m_isContended) {
-        for (const std::uint32_t hash : m_promptDirectory.find(promptHashOf(query.affinity), now))
-            add(hash);
+        for (const prompt_directory::known_holder& known : m_promptDirectory.find(promptHashOf(query.affinity), now))
+            add(known.server, known.hasRead);
         return holders;
     }
     const auto hashes = m_promptHolders.find(promptHashOf(query.affinity), now);
     for (const std::uint32_t hash : hashes)
-        add(hash);
+        add(hash, true);
     holders.primary = hashes.empty() ? nullptr : findListed(hashes.front());
     return holders;
 }
@@ -171,8 +171,8 @@
 {
     std::vector<std::size_t> indices;
     indices.reserve(holders.all.size());
-    for (const listed_server* holder : holders.all) {
-        const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const server_candidate& candidate) { return candidate.server == holder; });
+    for (const typename listed_holders::holder& holder : holders.all) {
+        const auto found = std::find_if(candidates.begin(), candidates.end(), [&](const server_candidate& candidate) { return candidate.server == holder.server; });
         if (found != candidates.end())
             indices.push_back(static_cast<std::size_t>(found - candidates.begin()));
     }
@@ -192,7 +192,7 @@
 {
     const std::uint32_t prompt = promptHashOf(query.affinity);
     if (m_isContended) {
-        m_promptDirectory.record(prompt, serverHashOf(chosen.id), now);
+        m_promptDirectory.expect(prompt, serverHashOf(chosen.id), now);
         return;
     }
     const listed_server& kept = primary && list.takesNewWork(*primary) ? *primary : chosen;
@@ -204,15 +204,31 @@
 template <monotonic_clock Clock>
 std::string load_balancer<Clock>::cacheSourceAddress(std::vector<const listed_server*> servers, const server_query& query, const listed_holders& holders, const listed_server& chosen, time_point now) const
 {
-    for (const listed_server* holder : holders.all) {
-        if (!isUnreachable(*holder, now))
-            return holder->address;
-    }
+    if (const listed_server* holder = holderToCopyFrom(holders, chosen, now))
+        return holder->address;
     std::erase_if(servers, [&](const listed_server* server) { return isUnreachable(*server, now); });
-    const listed_server* source = cacheSourceFor(servers, chosen, query.affinity, now);
+    const listed_server* source = m_isContended ? firstOfOtherRanks(servers, chosen, query.affinity) : cacheSourceFor(servers, chosen, query.affinity, now);
     return source ? source->address : std::string {};
 }
 
+// A server that still reads the prompt has a part of it at most. A copy between availability zones uses the slower links.
+template <monotonic_clock Clock>
+const listed_server* load_balancer<Clock>::holderToCopyFrom(const listed_holders& holders, const listed_server& chosen, time_point now) const
+{
+    const listed_server* best = nullptr;
+    std::pair<bool, bool> bestQuality;
+    for (const typename listed_holders::holder& holder : holders.all) {
+        if (holder.server == &chosen || isUnreachable(*holder.server, now))
+            continue;
+        const std::pair quality { holder.hasRead, holder.server->zone == chosen.zone };
+        if (best && quality <= bestQuality)
+            continue;
+        best = holder.server;
+        bestQuality = quality;
+    }
+    return best;
+}
+
 template <monotonic_clock Clock>
 std::optional<std::size_t> load_balancer<Clock>::indexToProbe(const std::vector<server_candidate>& candidates, time_point now) const
 {
--- a/lib/Routing/cache_source.cpp
+++ b/lib/Routing/cache_source.cpp
@@ -36,4 +36,16 @@
     return isFirstRanked && !mayLackPrompt ? nullptr : best;
 }
 
+const listed_server* firstOfOtherRanks(std::span<const listed_server* const> servers, const listed_server& chosen, std::uint64_t affinity)
+{
+    if (affinity == 0)
+        return nullptr;
+    const listed_server* best = nullptr;
+    for (const listed_server* server : servers) {
+        if (server->id != chosen.id && (!best || rankOf(*server, affinity) > rankOf(*best, affinity)))
+            best = server;
+    }
+    return best;
+}
+
 } // namespace radishflow
--- a/lib/Routing/prompt_directory.cpp
+++ b/lib/Routing/prompt_directory.cpp
@@ -13,13 +13,13 @@
         return found;
     for (const holder& server : known->second) {
         if (!isExpired(server, now))
-            found.push_back(server.server);
+            found.push_back({ .server = server.server, .hasRead = server.hasRead });
     }
     return found;
 }
 
 // The holder that was used least recently yields to a new one, as in the servers' caches.
-void prompt_directory::record(std::uint32_t prompt, std::uint32_t server, time_point usedAt, time_point now)
+void prompt_directory::record(std::uint32_t prompt, std::uint32_t server, time_point usedAt, time_point now, bool hasRead)
 {
     if (now - usedAt > m_options.lifetime)
         return;
@@ -43,10 +43,20 @@
         }
     }
     found->usedAt = std::max(found->usedAt, usedAt);
+    found->hasRead = found->hasRead || hasRead;
     if (needsPublication(*found))
         m_unpublished.insert(prompt);
 }
 
+void prompt_directory::withdraw(std::uint32_t prompt, std::uint32_t server)
+{
+    const auto known = m_prompts.find(prompt);
+    if (known == m_prompts.end())
+        return;
+    holders& servers = known->second;
+    servers.erase(std::remove_if(servers.begin(), servers.end(), [&](const holder& entry) { return entry.server == server && !entry.hasRead; }), servers.end());
+}
+
 void prompt_directory::forgetServer(std::uint32_t server)
 {
     for (auto& [prompt, known] : m_prompts)
--- a/unittests/Routing/prompt_directory_test.cpp
+++ b/unittests/Routing/prompt_directory_test.cpp
@@ -18,7 +18,9 @@
 
 std::vector<std::uint32_t> sorted(const prompt_directory::holder_list& holders)
 {
-    std::vector<std::uint32_t> list { holders.begin(), holders.end() };
+    std::vector<std::uint32_t> list;
+    for (const prompt_directory::known_holder& holder : holders)
+        list.push_back(holder.server);
     std::sort(list.begin(), list.end());
     return list;
 }
@@ -57,6 +59,44 @@
 
 namespace {
 
+struct reading_case {
+    const char* name;
+    bool responds;
+    bool fails; ///< A second request to the same server fails.
+    servers holders;
+    std::size_t reports;
+
+    friend std::ostream& operator<<(std::ostream& out, const reading_case& test) { return out << test.name; }
+};
+
+const reading_case readingCases[] {
+    { "the server still reads", false, false, { 10 }, 0 },
+    { "the server has responded", true, false, { 10 }, 1 },
+    { "the server failed", false, true, {}, 0 },
+    { "the server failed after a response", true, true, { 10 }, 1 },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(serverHoldsAPromptOnceItResponds, boost::unit_test::data::make(readingCases), test)
+{
+    manual_clock clock;
+    prompt_directory directory;
+    directory.expect(1, 10, clock.now());
+    BOOST_TEST(!directory.find(1, clock.now()).front().hasRead);
+    clock.advance(200ms);
+    if (test.responds)
+        directory.record(1, 10, clock.now());
+    if (test.fails)
+        directory.withdraw(1, 10);
+    const auto holders = directory.find(1, clock.now());
+    BOOST_TEST((sorted(holders) == test.holders));
+    BOOST_TEST(std::all_of(holders.begin(), holders.end(), [&](const auto& holder) { return holder.hasRead == test.responds; }));
+    BOOST_TEST(directory.takeReports(clock.now(), 100).size() == test.reports);
+}
+
+namespace {
+
 struct report_case {
     const char* name;
     duration secondUseAfter;
--- a/unittests/Routing/simulated_fleet.h
+++ b/unittests/Routing/simulated_fleet.h
@@ -126,6 +126,7 @@
         int incarnation = 0; ///< Of the daemon.
         server_id server;
         duration held {};
+        std::uint64_t affinity = 0;
     };
 
     struct send {
@@ -247,8 +248,10 @@
         int& running = m_running[indexOf(next.server)];
         const bool isKnown = next.incarnation == m_incarnations[next.daemon];
         if (next.what == event::kind::Report) {
-            if (isKnown)
+            if (isKnown) {
                 m_balancers[next.daemon]->recordLoadReport(next.server, { .running = running, .slots = 64 });
+                m_balancers[next.daemon]->recordPromptRead(next.server, next.affinity);
+            }
             return;
         }
         --running;
@@ -278,7 +281,8 @@
         std::uniform_real_distribution<double> share;
         const std::uint64_t prompt = share(m_random) < m_load.hotShare ? 1 : below(static_cast<std::size_t>(m_load.prompts)) + 1;
         const std::size_t daemon = below(m_balancers.size());
-        const auto chosen = m_balancers[daemon]->startRequest(m_list, { .service = service_id { "model" }, .affinity = prompt * 0x9e3779b97f4a7c15U, .tieBreak = m_random(), .zone = zone_id { zoneOf(static_cast<int>(daemon)) }, .coldRequestsPerSecond = coldRequestsPerSecond, .fleet = &m_views[daemon] });
+        const std::uint64_t affinity = prompt * 0x9e3779b97f4a7c15U;
+        const auto chosen = m_balancers[daemon]->startRequest(m_list, { .service = service_id { "model" }, .affinity = affinity, .tieBreak = m_random(), .zone = zone_id { zoneOf(static_cast<int>(daemon)) }, .coldRequestsPerSecond = coldRequestsPerSecond, .fleet = &m_views[daemon] });
         if (!chosen)
             return;
         recordPrompt(prompt, *chosen);
@@ -292,7 +296,7 @@
         std::lognormal_distribution<double> length { std::log(meanSeconds) - 0.125, 0.5 };
         const auto lasts = std::chrono::duration_cast<duration>(std::chrono::duration<double> { length(m_random) });
         const int incarnation = m_incarnations[daemon];
-        m_events.emplace(m_clock.now() + std::min<duration>(m_load.firstTokenDelay, lasts), event { event::kind::Report, daemon, incarnation, chosen->server.id });
+        m_events.emplace(m_clock.now() + std::min<duration>(m_load.firstTokenDelay, lasts), event { .what = event::kind::Report, .daemon = daemon, .incarnation = incarnation, .server = chosen->server.id, .affinity = affinity });
         m_events.emplace(m_clock.now() + lasts, event { event::kind::End, daemon, incarnation, chosen->server.id, lasts });
     }
 
