--- a/test/Relay/rollouts_test.cpp
+++ b/test/Relay/rollouts_test.cpp
@@ -35,14 +35,23 @@
 constexpr std::size_t responsesBeforeBound = 50;
 constexpr auto rollbackTime = 5s;
 
+enum class disturbance {
+    None,
+    KilledDaemons, ///< Three daemons are killed one after the other.
+    RestartOfAll, ///< All daemons are killed at once.
+    LostStore, ///< The store does not respond for a time.
+    DrainingServer, ///< A server of the target drains.
+};
+
 struct rollout_case {
     const char* name;
     server_behaviour target; ///< Of the servers of the target.
     std::chrono::milliseconds faultBegin { 0 }; ///< Since the order; until then the target behaves as the others.
-    bool killsDaemons = false; ///< Whether daemons are killed one after the other during the ramp.
-    bool losesStore = false; ///< Whether the store does not respond in the middle of the ramp.
+    disturbance during = disturbance::None; ///< In the middle of the ramp.
     std::string end;
 
+    bool endsDaemons() const { return during == disturbance::KilledDaemons || during == disturbance::RestartOfAll; }
+
     friend std::ostream& operator<<(std::ostream& out, const rollout_case& test) { return out << test.name; }
 };
 
@@ -54,9 +63,14 @@
     { .name = "a version that fails", .target = failing, .end = "rolled_back" },
     { .name = "a version that fails later", .target = failing, .faultBegin = 3s, .end = "rolled_back" },
     { .name = "a version that is slow", .target = { .pause = 160ms }, .end = "rolled_back" },
-    { .name = "a sound version while daemons are killed", .target = usual, .killsDaemons = true, .end = "done" },
-    { .name = "a version that fails while daemons are killed", .target = failing, .faultBegin = 3s, .killsDaemons = true, .end = "rolled_back" },
-    { .name = "a version that fails while the store is away", .target = failing, .losesStore = true, .end = "rolled_back" },
+    { .name = "a sound version while daemons are killed", .target = usual, .during = disturbance::KilledDaemons, .end = "done" },
+    { .name = "a version that fails while daemons are killed", .target = failing, .faultBegin = 3s, .during = disturbance::KilledDaemons, .end = "rolled_back" },
+    { .name = "a version that fails while the store is away", .target = failing, .during = disturbance::LostStore, .end = "rolled_back" },
+    { .name = "a version that fails on one route", .target = { .kind = server_response_kind::Failure, .failingTarget = "/order/a", .pause = 20ms }, .end = "rolled_back" },
+    { .name = "a version that fails under load", .target = { .kind = server_response_kind::Failure, .failingLoad = 1, .pause = 20ms }, .end = "rolled_back" },
+    { .name = "a sound version while all daemons restart", .target = usual, .faultBegin = 3s, .during = disturbance::RestartOfAll, .end = "done" },
+    { .name = "a version that fails while all daemons restart", .target = failing, .faultBegin = 3s, .during = disturbance::RestartOfAll, .end = "rolled_back" },
+    { .name = "a sound version one of whose servers drains", .target = usual, .faultBegin = 3s, .during = disturbance::DrainingServer, .end = "done" },
 };
 
 /// Sends requests through all daemons until it is destroyed.
@@ -130,6 +144,45 @@
     }
 }
 
+void restartAll(relay_fleet& fleet)
+{
+    for (int daemon = 0; daemon < daemons; ++daemon)
+        fleet.daemon(daemon).signal(SIGKILL);
+    std::this_thread::sleep_for(300ms);
+    for (int daemon = 0; daemon < daemons; ++daemon)
+        fleet.restart(daemon);
+}
+
+/// Drains a server of the target and checks that it gets nothing after the platform's bound.
+void drainServer(relay_fleet& fleet)
+{
+    constexpr int leaving = 3;
+    constexpr auto drainBound = 2s; // As in the daemons' settings.
+    fleet.list(leaving, "draining");
+    std::this_thread::sleep_for(drainBound);
+    const int runs = fleet.server(leaving).runs();
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(fleet.server(leaving).runs() == runs);
+}
+
+void disturb(relay_fleet& fleet, disturbance during)
+{
+    switch (during) {
+    case disturbance::None:
+        return;
+    case disturbance::KilledDaemons:
+        return killDaemons(fleet);
+    case disturbance::RestartOfAll:
+        return restartAll(fleet);
+    case disturbance::LostStore:
+        fleet.store().setFault(store_fault::Busy);
+        std::this_thread::sleep_for(2s); // Shorter than keys are trusted.
+        return fleet.store().setFault(store_fault::None);
+    case disturbance::DrainingServer:
+        return drainServer(fleet);
+    }
+}
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(orderEndsByTheResponsesOfItsTarget, boost::unit_test::data::make(rollouts), plan)
@@ -150,13 +203,7 @@
     std::this_thread::sleep_for(plan.faultBegin);
     const steady_time faultyFrom = std::chrono::steady_clock::now();
     setTarget(fleet, plan.target);
-    if (plan.losesStore) {
-        fleet.store().setFault(store_fault::Busy);
-        std::this_thread::sleep_for(2s); // Shorter than keys are trusted.
-        fleet.store().setFault(store_fault::None);
-    }
-    if (plan.killsDaemons)
-        killDaemons(fleet);
+    disturb(fleet, plan.during);
     BOOST_TEST(waitUntil(std::chrono::duration_cast<std::chrono::milliseconds>(limit + statusDelay - std::chrono::steady_clock::now()), [&] { return stateOf(fleet) == plan.end; }), "state " << stateOf(fleet));
     const steady_time endedAt = std::chrono::steady_clock::now();
     if (plan.end == "done") {
@@ -167,7 +214,7 @@
         }
         std::this_thread::sleep_for(2s);
         BOOST_TEST(!arrivals(fleet, true, endedAt + 1s, endedAt + 2s).empty());
-        BOOST_TEST(load.servedShare() >= (plan.killsDaemons ? 0.8 : 0.98));
+        BOOST_TEST(load.servedShare() >= (plan.endsDaemons() ? 0.8 : 0.98));
         return;
     }
     std::this_thread::sleep_for(2s);
@@ -179,5 +226,5 @@
     if (faulty.size() > responsesBeforeBound)
         BOOST_TEST((faulty.back() <= faulty[responsesBeforeBound - 1] + rollbackTime));
     BOOST_TEST(arrivals(fleet, true, endedAt + 1s, std::chrono::steady_clock::now()).empty());
-    BOOST_TEST(load.servedShare() >= (plan.killsDaemons ? 0.75 : 0.93));
+    BOOST_TEST(load.servedShare() >= (plan.endsDaemons() ? 0.75 : 0.93));
 }
