--- a/include/radishflow/Fleet/hint_codec.h
+++ b/include/radishflow/Fleet/hint_codec.h
@@ -16,6 +16,7 @@
 inline constexpr std::size_t maxPartHints = 12; ///< In a datagram without other hints.
 inline constexpr std::size_t maxContactHints = 16;
 inline constexpr std::size_t maxLimitHints = 60; ///< In a datagram without other hints.
+inline constexpr std::size_t maxDelayHints = 60; ///< In a datagram without other hints.
 inline constexpr std::size_t maxPromptHints = 24;
 inline constexpr std::size_t maxPromptReports = 70; ///< In a datagram without other hints.
 inline constexpr std::size_t maxRolloutNotices = 8;
--- a/include/radishflow/Fleet/server_hints.h
+++ b/include/radishflow/Fleet/server_hints.h
@@ -5,6 +5,7 @@
 #include "radishflow/Admission/part_evidence.h"
 #include "radishflow/Routing/prompt_holder.h"
 #include "radishflow/Routing/prompt_report.h"
+#include "radishflow/Routing/response_delay.h"
 #include "radishflow/Routing/rollout_evidence.h"
 #include "radishflow/Routing/service_contact.h"
 #include "radishflow/Routing/shared_limit.h"
@@ -21,6 +22,7 @@
     std::vector<crash_record> crashes;
     std::vector<prompt_holder> promptHolders; ///< Servers whose caches hold a prompt.
     std::vector<prompt_report> promptReports; ///< Uses of prompts that caches hold, of the whole fleet.
+    std::vector<shared_delay> delays; ///< Response times of servers that do not report their load.
     std::vector<shared_limit> limits; ///< Request limits that servers state.
     std::vector<part_evidence> parts; ///< On which prompt parts crash servers.
     std::vector<service_contact> contacts; ///< Services whose servers the sender reaches.
--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -67,7 +67,7 @@
     void recordIfCrashed(const listed_server&);
     void recordAbandoned(const listed_server&);
     /// Records that the server has sent a part of the response body.
-    void recordProgress();
+    void recordProgress(const server_exchange& exchange);
     /// Returns what the server has sent in the current attempt, for the record of a crash.
     response_progress progress() const;
     /// Records that a server has said that it leaves.
--- a/include/radishflow/Relay/relay_call_crashes.h
+++ b/include/radishflow/Relay/relay_call_crashes.h
@@ -63,13 +63,14 @@
 }
 
 template <relay_protocol Protocol>
-void relay_call<Protocol>::recordProgress()
+void relay_call<Protocol>::recordProgress(const server_exchange& exchange)
 {
+    constexpr int firstUnsuccessfulStatus = 300; // The server may have failed or refused the request before it read the prompt.
     m_lastPartAt = now();
     if (m_firstPartAt)
         return;
     m_firstPartAt = m_lastPartAt;
-    if (!m_peer)
+    if (!m_peer && exchange.head().status < firstUnsuccessfulStatus)
         m_context.balancer.recordPromptRead(m_respondingServer, affinity());
 }
 
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -148,8 +148,10 @@
             return sendFailure();
         const auto server = chooseServer();
         if (m_caller.hasPeerDisconnected()) {
-            if (server)
+            if (server) {
+                m_context.balancer.recordPromptNotRead(server->server.id, affinity());
                 m_context.balancer.finishRequest(server->server.id, server_outcome::Abandoned);
+            }
             recordOutcome(0, "caller_gone");
             return false;
         }
@@ -230,6 +232,7 @@
         .tieBreak = stableHash(m_request.id.value()),
         .zone = m_context.zone,
         .priority = m_admitted.priority(),
+        .objective = m_admitted.target->objective,
         .coldRequestsPerSecond = policy ? policy->coldRequestsPerSecond : 0,
         .version = m_version,
         .restriction = restrictionForRollout(),
@@ -294,6 +297,7 @@
     m_record.reportedCandidates = chosen.basis.reportedCandidates;
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     if (remaining.count() <= 0) {
+        m_context.balancer.recordPromptNotRead(server.id, affinity());
         m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
         m_slot.reset();
         recordAttempt(server, "no_time");
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -28,8 +28,10 @@
     }
     if (metadata.retryAfter)
         m_context.balancer.recordPause(server, *metadata.retryAfter);
-    if (metadata.isNotRun)
+    if (metadata.isNotRun) {
+        m_context.balancer.recordFull(server, m_admitted.target->objective);
         return recordFailure(server, server_outcome::Failed, false, "not_run");
+    }
     if (!metadata.isSigned)
         return recordFailure(server, server_outcome::Failed, true, "unsigned");
     if (m_hasResponseStarted && !continuesStream(exchange.head(), metadata))
@@ -66,7 +68,7 @@
         if (body.bytes.size() > maxBufferedBytes || !body.memory.tryGrow(body.bytes.capacity()))
             return body_read_result::Broken;
         if (!body.bytes.empty())
-            recordProgress();
+            recordProgress(exchange);
     }
     return bodyResult;
 }
@@ -99,7 +101,7 @@
     body_read_result bodyResult = body_read_result::Data;
     while (bodyResult == body_read_result::Data) {
         bodyResult = exchange.read(part);
-        recordProgress();
+        recordProgress(exchange);
         if (!sendToCaller(part)) {
             recordAbandoned(server);
             finishAttempt(server, server_outcome::Abandoned);
@@ -171,7 +173,7 @@
         const bool isInOrder = m_eventSplitter.feed(received, events);
         const bool isEnd = bodyResult == body_read_result::Complete && isInOrder && received.empty();
         if (!events.empty())
-            recordProgress();
+            recordProgress(exchange);
         if (!events.empty() || isEnd) {
             std::string text;
             if (!std::exchange(m_hasResponseStarted, true)) {
@@ -229,8 +231,6 @@
 {
     if (m_slot && !mayHaveRun)
         m_slot->recordNotRun();
-    if (!m_peer && !m_firstPartAt)
-        m_context.balancer.recordPromptNotRead(server.id, affinity());
     finishAttempt(server, outcome);
     recordAttempt(server, result);
     ++(mayHaveRun ? m_history.mayHaveRun : m_history.notRun);
--- a/include/radishflow/Routing/cache_source.h
+++ b/include/radishflow/Routing/cache_source.h
@@ -14,7 +14,8 @@
 const listed_server* cacheSourceFor(std::span<const listed_server* const> servers, const listed_server& chosen, std::uint64_t affinity, time_point now);
 
 /// Returns the server of the highest rank other than the chosen one, or null if there is none. A prompt of which no holder is known was
-/// probably sent to one of the first two ranks before, such as by daemons that have restarted since.
+/// probably sent to one of the first two ranks before, such as by daemons that have restarted since. A server that was listed later than the
+/// chosen one is no source, as it holds nothing that was sent before.
 const listed_server* firstOfOtherRanks(std::span<const listed_server* const> servers, const listed_server& chosen, std::uint64_t affinity);
 
 } // namespace radishflow
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -5,6 +5,7 @@
 #include "radishflow/Routing/choose_server.h"
 #include "radishflow/Routing/chosen_server.h"
 #include "radishflow/Routing/cold_senders.h"
+#include "radishflow/Routing/draw_server.h"
 #include "radishflow/Routing/priority_gate.h"
 #include "radishflow/Routing/process_identities.h"
 #include "radishflow/Routing/prompt_directory.h"
@@ -83,6 +84,12 @@
         record.inFlight.finish(now);
         if (held)
             recordRequestTime(record.service, *held);
+        if (held && usesDelays(record.service)) {
+            // A request that ended without a response shows how long one takes at least.
+            const bool exceedsEstimate = outcome != server_outcome::Unreachable && std::chrono::duration<double>(*held).count() > record.delay.lastSeconds();
+            if (outcome == server_outcome::Served || exceedsEstimate)
+                record.delay.recordOwn(*held, now);
+        }
         if (outcome == server_outcome::Abandoned)
             return;
         if (outcome == server_outcome::Unreachable) {
@@ -205,6 +212,28 @@
         m_unpublished.insert(server);
     }
 
+    /// Records that a server had no room for a request, which would have been late there. Without an objective (zero) no request is late.
+    void recordFull(const listed_server& server, duration objective)
+    {
+        const std::lock_guard lock { m_mutex };
+        if (objective > duration::zero() && usesDelays(server.service))
+            m_records[server.id].delay.recordOwn(objective, m_clock.now());
+    }
+
+    /// Returns the response times of the servers that do not report their load, measured since the last call, for publication to other daemons.
+    std::vector<shared_delay> takeDelayUpdates();
+
+    /// Returns the number of servers that report no load and whose response times were measured a moment ago.
+    std::size_t timedServers() const
+    {
+        const std::lock_guard lock { m_mutex };
+        const time_point now = m_clock.now();
+        return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(), [&](const auto& entry) { return entry.second.delay.isRecent(now); }));
+    }
+
+    /// Records response times that another daemon measured.
+    void recordPeerDelays(const std::vector<shared_delay>& delays);
+
     /// Returns the loads reported since the last call, the newest ones first, for publication to other daemons.
     std::vector<shared_load> takeLoadUpdates();
 
@@ -234,7 +263,7 @@
         m_promptDirectory.record(promptHashOf(affinity), serverHashOf(server), m_clock.now());
     }
 
-    /// Records that a server has failed to respond to a request with a prompt affinity.
+    /// Records that a request with a prompt affinity has ended; the server does not hold the prompt unless it has responded.
     void recordPromptNotRead(const server_id& server, std::uint64_t affinity)
     {
         if (!m_isContended || affinity == 0)
@@ -320,6 +349,12 @@
             time->second += std::chrono::duration_cast<duration>((held - time->second) * m_options.requestTimeWeight);
     }
 
+    /// Returns whether servers of the service are chosen by their response times, as they do not report their load.
+    bool usesDelays(const service_id& service) const { return m_isContended && !m_reportingServices.contains(service); }
+
+    /// Draws a server by the response times.
+    std::size_t drawCandidate(const std::vector<server_candidate>& candidates, const server_query& query, time_point now) const;
+
     bool isColdLimited(const listed_server& server, const server_record& record, const server_query& query, time_point now) const
     {
         return isCold(server, query, now) && (!isColdSender(*query.fleet, server.id) || !record.coldShare.hasToken(now, coldRate(query)));
--- a/include/radishflow/Routing/load_balancer_choice.h
+++ b/include/radishflow/Routing/load_balancer_choice.h
@@ -29,6 +29,10 @@
         choice.holder = m_options.contendedHolder;
         choice.sampleSize = m_options.contendedSample;
     }
+    // A daemon that has just started may know their loads from others only.
+    const bool hasReports = std::any_of(candidates.begin(), candidates.end(), [](const server_candidate& candidate) { return candidate.reportAge.has_value(); });
+    if (!chosen && !candidates.empty() && query.affinity == 0 && query.objective > duration::zero() && usesDelays(query.service) && !hasReports)
+        chosen = drawCandidate(candidates, query, now);
     if (!chosen)
         chosen = chooseServer(candidates, servers.size(), query.affinity, query.tieBreak, choice, candidateIndicesOf(candidates, holders, query.tieBreak));
     if (!chosen)
@@ -72,6 +76,34 @@
     return std::max({ toServer, m_gates[query.service].retryAfter(query.priority, *limitedRate, now), m_options.minRetryAfter });
 }
 
+// This daemon's own requests show at once which servers are slow, as those have not responded yet; the delays show it a moment later, but for all
+// daemons.
+template <monotonic_clock Clock>
+std::size_t load_balancer<Clock>::drawCandidate(const std::vector<server_candidate>& candidates, const server_query& query, time_point now) const
+{
+    const auto inFlightAt = [&](const server_candidate& candidate) { return m_records.at(candidate.server->id).inFlight.current(); };
+    const auto delayOf = [&](const server_candidate& candidate) -> const response_delay& { return m_records.at(candidate.server->id).delay; };
+    double sum = 0;
+    int recent = 0;
+    for (const server_candidate& candidate : candidates) {
+        if (!delayOf(candidate).isRecent(now))
+            continue;
+        sum += delayOf(candidate).lastSeconds();
+        ++recent;
+    }
+    const double usual = recent == 0 ? 0 : sum / recent;
+    const auto least = std::min_element(candidates.begin(), candidates.end(), [&](const server_candidate& left, const server_candidate& right) { return inFlightAt(left) < inFlightAt(right); });
+    std::vector<double> delays;
+    std::vector<std::size_t> indices;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (inFlightAt(candidates[index]) > inFlightAt(*least))
+            continue;
+        delays.push_back(delayOf(candidates[index]).secondsAt(now, usual));
+        indices.push_back(index);
+    }
+    return indices[drawServer(delays, std::chrono::duration<double>(query.objective).count(), query.tieBreak)];
+}
+
 // Healthy servers are preferred. If fewer servers are healthy than ejected, ejection would only overload the healthy
 // ones, so the ejected servers are included. Unreachable servers are used only if there are no others.
 template <monotonic_clock Clock>
@@ -211,7 +243,8 @@
     return source ? source->address : std::string {};
 }
 
-// A server that still reads the prompt has a part of it at most. A copy between availability zones uses the slower links.
+// A server that still reads the prompt has a part of it at most. A copy between availability zones uses the slower links. Unless the fleet shares
+// its directory of prompts, the primary holder comes first, whatever its zone.
 template <monotonic_clock Clock>
 const listed_server* load_balancer<Clock>::holderToCopyFrom(const listed_holders& holders, const listed_server& chosen, time_point now) const
 {
@@ -220,6 +253,8 @@
     for (const typename listed_holders::holder& holder : holders.all) {
         if (holder.server == &chosen || isUnreachable(*holder.server, now))
             continue;
+        if (!m_isContended)
+            return holder.server;
         const std::pair quality { holder.hasRead, holder.server->zone == chosen.zone };
         if (best && quality <= bestQuality)
             continue;
--- a/include/radishflow/Routing/load_balancer_updates.h
+++ b/include/radishflow/Routing/load_balancer_updates.h
@@ -55,6 +55,32 @@
     }
 }
 
+template <monotonic_clock Clock>
+std::vector<shared_delay> load_balancer<Clock>::takeDelayUpdates()
+{
+    std::vector<shared_delay> delays;
+    if (!m_isContended)
+        return delays;
+    const std::lock_guard lock { m_mutex };
+    const time_point now = m_clock.now();
+    for (auto& [id, record] : m_records) {
+        if (const auto update = record.delay.takeUpdate(serverHashOf(id), now))
+            delays.push_back(*update);
+    }
+    return delays;
+}
+
+template <monotonic_clock Clock>
+void load_balancer<Clock>::recordPeerDelays(const std::vector<shared_delay>& delays)
+{
+    const std::lock_guard lock { m_mutex };
+    const time_point now = m_clock.now();
+    for (const shared_delay& delay : delays) {
+        if (const auto id = m_idsByHash.find(delay.server); id != m_idsByHash.end())
+            m_records[id->second].delay.record(delay.delay, now - delay.age);
+    }
+}
+
 template <monotonic_clock Clock>
 void load_balancer<Clock>::mergePromptReports(const server_list& list, const std::vector<prompt_report>& reports)
 {
@@ -63,7 +89,8 @@
     for (const prompt_report& report : reports) {
         const auto id = m_idsByHash.find(report.server);
         const auto server = id == m_idsByHash.end() ? list.servers.end() : list.servers.find(id->second);
-        if (server != list.servers.end() && server->second.listedAt <= now - report.age + m_options.listingDelay)
+        // The list may be older than the one that retain() has received.
+        if (server != list.servers.end() && !isFormerProcess(server->second, m_records[id->second]) && server->second.listedAt <= now - report.age + m_options.listingDelay)
             m_promptDirectory.merge(report, now);
     }
 }
--- a/include/radishflow/Routing/prompt_directory.h
+++ b/include/radishflow/Routing/prompt_directory.h
@@ -44,11 +44,12 @@
 
     /// Returns the servers that hold or read a prompt, in no particular order.
     holder_list find(std::uint32_t prompt, time_point now) const;
-    /// Records that a request with a prompt was sent to a server, which reads the prompt unless it holds it.
+    /// Records that a request with a prompt was sent to a server, which reads the prompt unless it holds it. Has no effect if enough other
+    /// servers hold it.
     void expect(std::uint32_t prompt, std::uint32_t server, time_point now) { record(prompt, server, now, now, false); }
     /// Records that a server has responded to a request with a prompt, so that it has read the prompt.
     void record(std::uint32_t prompt, std::uint32_t server, time_point now) { record(prompt, server, now, now, true); }
-    /// Discards what expect() recorded, since the server failed to respond.
+    /// Discards what a call of expect() recorded, since the server failed to respond. Other requests may still be read there.
     void withdraw(std::uint32_t prompt, std::uint32_t server);
     /// Records what another daemon has published.
     void merge(const prompt_report& report, time_point now) { record(report.prompt, report.server, now - report.age, now, true); }
@@ -63,6 +64,7 @@
     struct holder {
         std::uint32_t server = 0;
         bool hasRead = false;
+        int reads = 0; ///< Requests of this daemon for which it reads the prompt, while it has not read it.
         time_point usedAt {};
         std::optional<time_point> publishedUse; ///< Last use that was published.
     };
--- a/include/radishflow/Routing/server_query.h
+++ b/include/radishflow/Routing/server_query.h
@@ -5,6 +5,7 @@
 #include "radishflow/Routing/stream_origin.h"
 #include "radishflow/Routing/version_restriction.h"
 #include "radishflow/Support/ids.h"
+#include "radishflow/Support/monotonic_clock.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,7 @@
     std::uint64_t tieBreak = 0; ///< A number that differs between requests; selects among equally loaded servers.
     zone_id zone; ///< Availability zone of this daemon.
     int priority = 0; ///< 0 is the most urgent.
+    duration objective {}; ///< Time in which the response is due; zero if the route sets none.
     double coldRequestsPerSecond = 0; ///< Request rate of one cold server, from the policy of the service; 0 sets no limit.
     std::optional<version_key> version; ///< Only servers of this software version may be chosen.
     version_restriction restriction; ///< Versions that a roll-out allows.
--- a/include/radishflow/Routing/server_record.h
+++ b/include/radishflow/Routing/server_record.h
@@ -6,6 +6,7 @@
 #include "radishflow/Routing/in_flight_history.h"
 #include "radishflow/Routing/load_forecast.h"
 #include "radishflow/Routing/load_sample.h"
+#include "radishflow/Routing/response_delay.h"
 #include "radishflow/Support/ids.h"
 
 #include <cstdint>
@@ -20,6 +21,7 @@
     time_point reportedAt {};
     int inFlightAtReport = 0; ///< Requests of this daemon at the server when the server made the report.
     load_forecast forecast; ///< Of the requests of other daemons.
+    response_delay delay; ///< Of a server that does not report its load.
     cold_share coldShare;
     service_id service;
     decaying_count served;
--- a/include/radishflow/Routing/server_registry.h
+++ b/include/radishflow/Routing/server_registry.h
@@ -110,8 +110,11 @@
             if (withheld.until <= m_clock.now())
                 alive.push_back(withheld.server);
         }
-        for (listed_server& server : alive)
+        for (listed_server& server : alive) {
+            if (server.isDraining)
+                m_drainedBefore.insert_or_assign(server.id, server.revision);
             put(std::move(server));
+        }
         auto snapshot = std::make_shared<server_list>();
         snapshot->servers = m_servers;
         snapshot->zonesOutOfService = m_zonesOutOfService;
--- a/lib/Fleet/hint_codec.cpp
+++ b/lib/Fleet/hint_codec.cpp
@@ -21,6 +21,8 @@
 static constexpr double maxRequestsPerSecond = 1e6; // Higher limits never bind.
 static constexpr int maxLimitAgeMs = 3600000; // Longer than limits are published.
 static constexpr int maxPromptAgeMs = 60000; // Longer than uses of prompts count.
+static constexpr int maxDelayMs = 600000; // Longer than any caller waits.
+static constexpr int maxDelayAgeMs = 60000; // Longer than response times count.
 static constexpr int maxContactAgeMs = 60000; // Older contacts show nothing.
 static constexpr std::size_t maxZoneBytes = 64;
 static constexpr std::size_t maxSenderBytes = 128;
@@ -144,6 +146,13 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(report.age);
         wire.reported_ages_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxPromptAgeMs)));
     }
+    for (std::size_t index = 0; index < std::min(hints.delays.size(), maxDelayHints); ++index) {
+        const shared_delay& delay = hints.delays[index];
+        wire.delay_servers.push_back(static_cast<std::int32_t>(delay.server));
+        wire.delays_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(delay.delay.count(), 0, maxDelayMs)));
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(delay.age);
+        wire.delay_ages_ms.push_back(static_cast<std::int32_t>(std::clamp<std::int64_t>(age.count(), 0, maxDelayAgeMs)));
+    }
     if (!hints.senderToken.empty()) {
         wire.__set_sender(hints.sender.value());
         wire.__set_sender_token(hints.senderToken);
@@ -189,8 +198,10 @@
     const bool hasValidPromptHolders = wire.prompts.size() == wire.homes.size() && wire.homes.size() <= maxPromptHints;
     const bool hasValidContacts = wire.contact_services.size() == wire.contact_ages_ms.size() && wire.contact_services.size() <= maxContactHints && wire.asked_services.size() <= maxContactHints && std::all_of(wire.contact_ages_ms.begin(), wire.contact_ages_ms.end(), [](int age) { return age >= 0 && age <= maxContactAgeMs; });
     const bool hasValidReports = wire.reported_prompts.size() <= maxPromptReports && wire.reported_servers.size() == wire.reported_prompts.size() && wire.reported_ages_ms.size() == wire.reported_prompts.size() && std::all_of(wire.reported_ages_ms.begin(), wire.reported_ages_ms.end(), [](int age) { return age >= 0 && age <= maxPromptAgeMs; });
+    const auto isWithin = [](const std::vector<std::int32_t>& values, int max) { return std::all_of(values.begin(), values.end(), [max](int value) { return value >= 0 && value <= max; }); };
+    const bool hasValidDelays = wire.delay_servers.size() <= maxDelayHints && wire.delays_ms.size() == wire.delay_servers.size() && wire.delay_ages_ms.size() == wire.delay_servers.size() && isWithin(wire.delays_ms, maxDelayMs) && isWithin(wire.delay_ages_ms, maxDelayAgeMs);
     const bool hasValidSender = wire.sender.size() <= maxSenderBytes && wire.sender_token.size() <= maxSenderBytes;
-    return hasValidSender && hasValidReports && hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
+    return hasValidSender && hasValidDelays && hasValidReports && hasValidRollouts(wire) && hasValidLoads && hasValidContacts && hasValidAges && hasAllAges && hasValidCrashes && hasValidParts && hasValidLimits && wire.limits.size() <= maxLimitHints && wire.parts.size() <= maxPartHints && hasValidPromptHolders && wire.servers.size() == wire.loads.size() && wire.servers.size() <= maxLoadHints && wire.crashes.size() <= maxCrashHints;
 }
 
 static rollout_evidence decodeEvidence(const hints_wire::RolloutEvidence& wire)
@@ -280,6 +291,8 @@
     }
     for (std::size_t index = 0; index < wire.reported_prompts.size(); ++index)
         hints.promptReports.push_back({ .prompt = static_cast<std::uint32_t>(wire.reported_prompts[index]), .server = static_cast<std::uint32_t>(wire.reported_servers[index]), .age = std::chrono::milliseconds { wire.reported_ages_ms[index] } });
+    for (std::size_t index = 0; index < wire.delay_servers.size(); ++index)
+        hints.delays.push_back({ .server = static_cast<std::uint32_t>(wire.delay_servers[index]), .delay = std::chrono::milliseconds { wire.delays_ms[index] }, .age = std::chrono::milliseconds { wire.delay_ages_ms[index] } });
     if (wire.__isset.sender && wire.__isset.sender_token) {
         hints.sender = daemon_id { wire.sender };
         hints.senderToken = wire.sender_token;
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -55,6 +55,10 @@
         const auto begin = hints.promptReports.begin() + static_cast<std::ptrdiff_t>(index);
         sendDatagram({ .promptReports = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxPromptReports, hints.promptReports.size() - index)) } }, fleet);
     }
+    for (std::size_t index = 0; index < hints.delays.size(); index += maxDelayHints) {
+        const auto begin = hints.delays.begin() + static_cast<std::ptrdiff_t>(index);
+        sendDatagram({ .delays = { begin, begin + static_cast<std::ptrdiff_t>(std::min(maxDelayHints, hints.delays.size() - index)) } }, fleet);
+    }
     if (!hints.rolloutNotices.empty())
         sendDatagram({ .rolloutNotices = hints.rolloutNotices }, fleet);
     if (hints.loads.empty() && hints.crashes.empty() && hints.promptHolders.empty() && hints.askedServices.empty())
--- a/lib/Routing/cache_source.cpp
+++ b/lib/Routing/cache_source.cpp
@@ -42,7 +42,7 @@
         return nullptr;
     const listed_server* best = nullptr;
     for (const listed_server* server : servers) {
-        if (server->id != chosen.id && (!best || rankOf(*server, affinity) > rankOf(*best, affinity)))
+        if (server->id != chosen.id && !isYounger(*server, chosen) && (!best || rankOf(*server, affinity) > rankOf(*best, affinity)))
             best = server;
     }
     return best;
--- a/lib/Routing/prompt_directory.cpp
+++ b/lib/Routing/prompt_directory.cpp
@@ -18,7 +18,8 @@
     return found;
 }
 
-// The holder that was used least recently yields to a new one, as in the servers' caches.
+// The holder that was used least recently yields to a new one, as in the servers' caches. A read that may yet fail displaces no server that has
+// read the prompt.
 void prompt_directory::record(std::uint32_t prompt, std::uint32_t server, time_point usedAt, time_point now, bool hasRead)
 {
     if (now - usedAt > m_options.lifetime)
@@ -36,14 +37,17 @@
             known.push_back({ .server = server });
             found = known.end() - 1;
         } else {
-            if (oldest->usedAt >= usedAt)
+            if (oldest->usedAt >= usedAt || (!hasRead && oldest->hasRead && !isExpired(*oldest, now)))
                 return;
             *oldest = { .server = server };
             found = oldest;
         }
+    } else if (isExpired(*found, now)) {
+        *found = { .server = server };
     }
     found->usedAt = std::max(found->usedAt, usedAt);
     found->hasRead = found->hasRead || hasRead;
+    found->reads += hasRead ? 0 : 1;
     if (needsPublication(*found))
         m_unpublished.insert(prompt);
 }
@@ -54,7 +58,9 @@
     if (known == m_prompts.end())
         return;
     holders& servers = known->second;
-    servers.erase(std::remove_if(servers.begin(), servers.end(), [&](const holder& entry) { return entry.server == server && !entry.hasRead; }), servers.end());
+    const auto found = std::find_if(servers.begin(), servers.end(), [&](const holder& entry) { return entry.server == server && !entry.hasRead; });
+    if (found != servers.end() && --found->reads <= 0)
+        servers.erase(found);
 }
 
 void prompt_directory::forgetServer(std::uint32_t server)
--- a/thrift/hints.thrift
+++ b/thrift/hints.thrift
@@ -89,4 +89,8 @@
   // Proof of the sender's forwarded requests, sent to the daemons that dispatch them.
   17: optional string sender
   18: optional string sender_token
+  // Parallel lists: the hash of a server's id, the time that its responses to the sender took, and the age of the last of them.
+  19: list<i32> delay_servers
+  20: list<i32> delays_ms
+  21: list<i32> delay_ages_ms
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -185,6 +185,7 @@
         for (const service_contact& contact : received.contacts)
             access.peers().recordStatement(host, contact.service, contact.age);
         balancer.recordPeerLoads(received.loads, !hints.reachesAll(*routing.fleet()));
+        balancer.recordPeerDelays(received.delays);
         balancer.mergePromptUpdates(received.promptHolders);
         if (const auto servers = routing.servers()) {
             balancer.recordPeerLimits(*servers, received.limits);
@@ -352,6 +353,7 @@
         metrics.setGauge("busy_slots", static_cast<double>(slots.busy()));
         metrics.setGauge("requests_waiting_for_slots", static_cast<double>(slots.waiting()));
         metrics.setGauge("contended", balancer.isContended() ? 1 : 0);
+        metrics.setGauge("timed_servers", static_cast<double>(balancer.timedServers()));
         metrics.setGauge("limited_servers", static_cast<double>(balancer.limitedServers()));
         for (const rollout_summary& rollout : rollouts.summaries())
             metrics.setRollout(rollout.service.value(), rollout.target.value(), rollout.share, { { "requests", rollout.requests }, { "target_requests", rollout.targetRequests }, { "target_responses", rollout.samples }, { "target_failures", rollout.badSamples } });
@@ -381,7 +383,7 @@
         crashRows.add(newCrashes, clock.now());
         crashRows.remove(crashes.takeWithdrawnRecords());
         crashRows.change(crashes.takePartTableChanges(), clock.now());
-        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .promptReports = balancer.takePromptReports(hint_exchange::maxPromptReportsPerRound), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts(), .rolloutNotices = rollouts.notices() }, *view);
+        hints.send({ .loads = balancer.takeLoadUpdates(), .crashes = newCrashes, .promptHolders = balancer.takePromptUpdates(), .promptReports = balancer.takePromptReports(hint_exchange::maxPromptReportsPerRound), .delays = balancer.takeDelayUpdates(), .limits = balancer.takeLimitUpdates(), .parts = crashes.takeNewPartEvidence(), .contacts = access.contacts(), .rolloutNotices = rollouts.notices() }, *view);
         if (clock.now() - tokensSentAt >= tokenInterval) {
             tokensSentAt = clock.now();
             for (const fleet_daemon& dispatcher : slots.dispatchers())
--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -107,6 +107,22 @@
     }
 }
 
+BOOST_DATA_TEST_CASE(delaysAreDecodedUnchangedUpToTheMaximumOfADatagram, boost::unit_test::data::make({ 1, 60, 90 }), count)
+{
+    std::vector<shared_delay> delays;
+    for (std::uint32_t number = 0; number < static_cast<std::uint32_t>(count); ++number)
+        delays.push_back({ .server = 0xfffffff0U + number, .delay = 1s * number, .age = 10ms * number });
+    const std::string datagram = encodeHints({ .delays = delays });
+    BOOST_TEST(datagram.size() <= 1200U);
+    const auto decoded = decodeHints(datagram);
+    BOOST_REQUIRE(decoded && decoded->delays.size() == std::min(delays.size(), maxDelayHints));
+    for (std::size_t index = 0; index < decoded->delays.size(); ++index) {
+        BOOST_TEST(decoded->delays[index].server == delays[index].server);
+        BOOST_TEST((decoded->delays[index].delay == delays[index].delay));
+        BOOST_TEST((decoded->delays[index].age == delays[index].age));
+    }
+}
+
 BOOST_DATA_TEST_CASE(tokenOfTheSenderIsDecodedUnchanged, boost::unit_test::data::make({ 0, 24, 200 }), length)
 {
     const std::string token(static_cast<std::size_t>(length), 't');
--- a/unittests/Routing/cache_source_test.cpp
+++ b/unittests/Routing/cache_source_test.cpp
@@ -61,3 +61,21 @@
     BOOST_TEST((source ? source->id.value() : "") == (test.sourceRank < 0 ? "" : servers[static_cast<std::size_t>(test.sourceRank)].id.value()));
     BOOST_TEST(cacheSourceFor(listed, servers[test.chosenRank], 0, now) == nullptr);
 }
+
+// A server that was listed later than the chosen one, such as after its restart, read nothing that daemons which have restarted since sent.
+BOOST_AUTO_TEST_CASE(promptOfNoKnownHolderIsNotCopiedFromAYoungerServer)
+{
+    constexpr std::uint64_t affinity = 77;
+    std::vector<listed_server> servers;
+    servers.reserve(3);
+    for (int number = 0; number < 3; ++number)
+        servers.push_back(testServer(number));
+    std::sort(servers.begin(), servers.end(), [&](const listed_server& left, const listed_server& right) { return rankOf(left, affinity) > rankOf(right, affinity); });
+    for (listed_server& server : servers)
+        server.listedAt = start;
+    const std::vector<const listed_server*> listed { &servers[0], &servers[1], &servers[2] };
+    BOOST_TEST(firstOfOtherRanks(listed, servers[0], affinity) == &servers[1]);
+    servers[1].listedAt = start + 30s;
+    BOOST_TEST(firstOfOtherRanks(listed, servers[0], affinity) == &servers[2]);
+    BOOST_TEST(firstOfOtherRanks(listed, servers[1], affinity) == &servers[0]);
+}
--- a/unittests/Routing/load_balancer_test.cpp
+++ b/unittests/Routing/load_balancer_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
 
 using namespace radishflow;
@@ -129,6 +130,27 @@
     BOOST_TEST(load <= 13);
 }
 
+// The list of a daemon that receives reports can be a moment older than the one that its balancer has.
+BOOST_AUTO_TEST_CASE(promptsOfAFormerProcessAreNotMerged)
+{
+    clock.advance(60s);
+    balancer.setContended();
+    list.servers.at(server_id { "s0" }).processStartMs = 1000;
+    balancer.retain(list);
+    server_list renewed = list;
+    renewed.servers.at(server_id { "s0" }).processStartMs = 2000;
+    renewed.servers.at(server_id { "s0" }).listedAt = clock.now();
+    balancer.retain(renewed);
+    const std::vector<prompt_report> reports { { .prompt = 1, .server = serverHashOf(server_id { "s0" }), .age = 10s } };
+    balancer.mergePromptReports(renewed, reports);
+    BOOST_TEST(balancer.takePromptReports(100).empty());
+    balancer.mergePromptReports(list, reports);
+    BOOST_TEST(balancer.takePromptReports(100).empty());
+    clock.advance(20s);
+    balancer.mergePromptReports(renewed, reports);
+    BOOST_TEST(balancer.takePromptReports(100).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(publishedLoadReportsAreUsedByOtherDaemons)
 {
     balancer.retain(list);
@@ -176,6 +198,41 @@
     BOOST_TEST(balancer.takeLoadUpdates().empty());
 }
 
+BOOST_AUTO_TEST_CASE(refusalOfARouteWithoutObjectiveIsNoResponseTime)
+{
+    balancer.retain(list);
+    balancer.setContended();
+    balancer.recordFull(list.servers.at(server_id { "s0" }), 0s);
+    BOOST_TEST(balancer.takeDelayUpdates().empty());
+    balancer.recordFull(list.servers.at(server_id { "s0" }), 150ms);
+    BOOST_TEST(balancer.takeDelayUpdates().size() == 1U);
+}
+
+// Such as in a daemon that has just started, and has the reports of the others only.
+BOOST_AUTO_TEST_CASE(serversThatReportTheirLoadToOthersAreNotDrawn)
+{
+    balancer.retain(list);
+    balancer.setContended();
+    std::vector<shared_load> loads { { .server = serverHashOf(server_id { "s0" }), .requests = 30, .age = 100ms } };
+    for (const std::string name : { "s1", "s2", "s3" })
+        loads.push_back({ .server = serverHashOf(server_id { name }), .requests = 1, .age = 100ms });
+    balancer.recordPeerLoads(loads, false);
+    for (int request = 0; request < 40; ++request) {
+        const auto chosen = balancer.startRequest(list, { .service = service_id { "model" }, .tieBreak = tie++, .zone = zone_id { "za" }, .objective = 150ms, .fleet = &fleet });
+        BOOST_TEST(chosen->server.id.value() != "s0");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(oldReportOfAResponseTimeDoesNotReplaceARecentOne)
+{
+    response_delay delay;
+    delay.recordOwn(40ms, clock.now());
+    delay.record(600s, clock.now() - 60s);
+    BOOST_TEST(std::abs(delay.secondsAt(clock.now(), 0) - 0.04) < 0.001);
+    delay.record(80ms, clock.now() - 200ms);
+    BOOST_TEST(std::abs(delay.secondsAt(clock.now(), 0) - 0.044) < 0.001);
+}
+
 BOOST_AUTO_TEST_CASE(failingServerIsEjectedForTheEjectTime)
 {
     for (int failure = 0; failure < 2; ++failure)
@@ -293,4 +350,19 @@
     BOOST_TEST(next->cacheSource == first->server.address);
 }
 
+// Unless the fleet shares its directory of prompts, the primary holder is the source, whatever the zones.
+BOOST_AUTO_TEST_CASE(primaryHolderIsTheSourceIfNotContended)
+{
+    constexpr std::uint64_t affinity = 77;
+    list.servers.at(server_id { "s0" }).zone = zone_id { "zb" };
+    balancer.retain(list);
+    const auto startAt = [&](const std::string& server) {
+        const std::set<server_id> allowed { server_id { server } };
+        return balancer.startRequest(list, { .service = service_id { "model" }, .affinity = affinity, .tieBreak = tie++, .zone = zone_id { "za" }, .allowed = &allowed, .fleet = &fleet });
+    };
+    startAt("s0");
+    startAt("s1");
+    BOOST_TEST(startAt("s2")->cacheSource == "s0:1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Routing/prompt_directory_test.cpp
+++ b/unittests/Routing/prompt_directory_test.cpp
@@ -95,6 +95,49 @@
     BOOST_TEST(directory.takeReports(clock.now(), 100).size() == test.reports);
 }
 
+BOOST_AUTO_TEST_CASE(readInProgressDisplacesNoHolder)
+{
+    manual_clock clock;
+    prompt_directory directory;
+    for (std::uint32_t server = 10; server < 14; ++server) {
+        directory.record(1, server, clock.now());
+        clock.advance(1s);
+    }
+    directory.expect(1, 20, clock.now());
+    BOOST_TEST((sorted(directory.find(1, clock.now())) == servers { 10, 11, 12, 13 }));
+    directory.withdraw(1, 20);
+    BOOST_TEST((sorted(directory.find(1, clock.now())) == servers { 10, 11, 12, 13 }));
+    directory.record(1, 20, clock.now());
+    BOOST_TEST((sorted(directory.find(1, clock.now())) == servers { 11, 12, 13, 20 }));
+    clock.advance(17500ms);
+    directory.expect(1, 21, clock.now());
+    BOOST_TEST((sorted(directory.find(1, clock.now())) == servers { 12, 13, 20, 21 })); // The first holder's use has expired.
+}
+
+BOOST_AUTO_TEST_CASE(expiredHolderReadsThePromptAgain)
+{
+    manual_clock clock;
+    prompt_directory directory;
+    directory.record(1, 10, clock.now());
+    BOOST_TEST(directory.takeReports(clock.now(), 100).size() == 1U);
+    clock.advance(30s);
+    directory.expect(1, 10, clock.now());
+    BOOST_TEST(!directory.find(1, clock.now()).front().hasRead);
+    BOOST_TEST(directory.takeReports(clock.now(), 100).empty());
+}
+
+BOOST_AUTO_TEST_CASE(failureOfOneRequestLeavesTheReadOfAnother)
+{
+    manual_clock clock;
+    prompt_directory directory;
+    directory.expect(1, 10, clock.now());
+    directory.expect(1, 10, clock.now());
+    directory.withdraw(1, 10);
+    BOOST_TEST((sorted(directory.find(1, clock.now())) == servers { 10 }));
+    directory.withdraw(1, 10);
+    BOOST_TEST(directory.find(1, clock.now()).empty());
+}
+
 namespace {
 
 struct report_case {
