--- a/include/radishflow/Admission/part_quarantine.h
+++ b/include/radishflow/Admission/part_quarantine.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -21,6 +22,9 @@
     /// when the zone loses power.
     duration maxSimultaneity = std::chrono::milliseconds { 300 };
     int minSeparateCrashes = 3; ///< From which a part is quarantined.
+    /// Time between two losses of half of a zone's servers after which a part counts that was in flight at several of them both times, and of which
+    /// no response came in between. Longer than nearly all responses take.
+    duration minRecurrence = std::chrono::seconds { 3 };
     duration writeDelay = std::chrono::milliseconds { 500 }; ///< Time for a response to clear a part before its crash is written to the store.
     std::size_t maxSuspects = 4096;
 };
@@ -212,6 +216,7 @@
     struct suspicion {
         std::uint64_t part = 0;
         std::vector<crash> crashes; ///< Not cleared and not explained by another part.
+        bool recursWithZones = false; ///< The losses of several servers of a zone at once are explained by the part rather than by the zone's power.
     };
 
     bool hasOpenCrash(std::uint64_t part) const
@@ -341,6 +346,28 @@
         return lost;
     }
 
+    // Requests with a crashing part that come in batches crash the servers of a zone together, as a loss of its power does. But a zone does not lose its
+    // power again and again while just this part is in flight at several of its servers.
+    bool recursWithZones(std::vector<crash> crashes, const std::set<server_id>& lostWithZone) const
+    {
+        std::erase_if(crashes, [&](const crash& recorded) { return !lostWithZone.contains(recorded.process); });
+        std::sort(crashes.begin(), crashes.end(), [](const crash& left, const crash& right) { return left.at < right.at; });
+        std::optional<time_point> firstLoss;
+        for (std::size_t index = 1; index < crashes.size(); ++index) {
+            if (crashes[index].at - crashes[index - 1].at > m_options.maxSimultaneity)
+                continue;
+            if (firstLoss && crashes[index].at - *firstLoss >= m_options.minRecurrence)
+                return true;
+            firstLoss = firstLoss.value_or(crashes[index].at);
+        }
+        return false;
+    }
+
+    bool isExplained(const suspicion& suspected) const
+    {
+        return suspected.recursWithZones ? !suspected.crashes.empty() : separateCrashes(suspected.crashes) >= m_options.minSeparateCrashes;
+    }
+
     static bool hasProcess(const suspicion& suspected, const server_id& process)
     {
         return std::any_of(suspected.crashes.begin(), suspected.crashes.end(), [&](const crash& recorded) { return recorded.process == process; });
@@ -360,13 +387,15 @@
         std::vector<suspicion> suspicions;
         for (const auto& [part, candidate] : m_suspects) {
             suspicion suspected { .part = part, .crashes = openCrashes(candidate) };
-            std::erase_if(suspected.crashes, [&](const crash& recorded) { return lostWithZone.contains(recorded.process); });
-            if (separateCrashes(suspected.crashes) >= m_options.minSeparateCrashes)
+            suspected.recursWithZones = recursWithZones(suspected.crashes, lostWithZone);
+            if (!suspected.recursWithZones)
+                std::erase_if(suspected.crashes, [&](const crash& recorded) { return lostWithZone.contains(recorded.process); });
+            if (isExplained(suspected))
                 suspicions.push_back(std::move(suspected));
         }
         std::vector<quarantined_parts> decided;
         while (true) {
-            std::erase_if(suspicions, [&](const suspicion& suspected) { return separateCrashes(suspected.crashes) < m_options.minSeparateCrashes; });
+            std::erase_if(suspicions, [&](const suspicion& suspected) { return !isExplained(suspected); });
             const auto worst = std::max_element(suspicions.begin(), suspicions.end(), [](const suspicion& left, const suspicion& right) { return left.crashes.size() < right.crashes.size(); });
             if (worst == suspicions.end())
                 return decided;
--- a/unittests/Admission/part_quarantine_test.cpp
+++ b/unittests/Admission/part_quarantine_test.cpp
@@ -129,6 +129,59 @@
 
 } // namespace
 
+namespace {
+
+/// Servers of the zone that crash together.
+struct zone_loss {
+    std::chrono::milliseconds at;
+    int servers;
+    int withPart; ///< Of them, the first ones; the others had a request without the part.
+};
+
+struct zone_loss_case {
+    const char* name;
+    std::vector<zone_loss> losses;
+    bool isServedBetween = false; ///< A response to a request with the part comes before the last loss.
+    bool isRefused = false;
+
+    friend std::ostream& operator<<(std::ostream& out, const zone_loss_case& testCase) { return out << testCase.name; }
+};
+
+const zone_loss_case zoneLosses[] {
+    { "one loss", { { 0s, 6, 6 } }, false, false },
+    { "two batches", { { 0s, 4, 4 }, { 5s, 3, 3 } }, false, true },
+    { "two batches beside other crashes", { { 0s, 6, 3 }, { 5s, 6, 2 } }, false, true },
+    { "a batch that comes again soon", { { 0s, 4, 4 }, { 1s, 4, 4 } }, false, false },
+    { "two losses with a response in between", { { 0s, 6, 6 }, { 5s, 6, 6 } }, true, false },
+    { "two losses with the part at one server each", { { 0s, 6, 1 }, { 5s, 6, 1 } }, false, false },
+    { "two losses with the part at several servers once", { { 0s, 6, 4 }, { 5s, 6, 1 } }, false, false },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(partThatCrashesAZoneAgainAndAgainIsRefused, boost::unit_test::data::make(zoneLosses), testCase)
+{
+    manual_clock clock;
+    clock.advance(1h);
+    const time_point start = clock.now();
+    daemon_parts parts { clock };
+    parts.updateZoneSizes({ { zone_id { "z" }, serversPerZone } });
+    int crashed = 0;
+    for (const zone_loss& loss : testCase.losses) {
+        if (testCase.isServedBetween && crashed > 0) {
+            clock.advance(1s);
+            parts.recordServed({ crashing });
+        }
+        clock.advance(start + loss.at - clock.now());
+        for (int server = 0; server < loss.servers; ++server)
+            parts.recordCrash(process(crashed++), zone_id { "z" }, server < loss.withPart ? part_list { shared, crashing } : part_list { shared });
+        clock.advance(500ms);
+        parts.recordServed({ shared });
+    }
+    BOOST_TEST(parts.isQuarantined({ crashing }) == testCase.isRefused);
+    BOOST_TEST(!parts.isQuarantined({ shared }));
+}
+
 BOOST_DATA_TEST_CASE(requestIsRefusedIfItHasThePartThatExplainsTheCrashes, boost::unit_test::data::make(decisions), testCase)
 {
     manual_clock clock;
