--- a/include/radishflow/Routing/rollout_evidence.h
+++ b/include/radishflow/Routing/rollout_evidence.h
@@ -31,6 +31,7 @@
     bool isTrial = true; ///< Only the trial's servers of the target get requests.
     double share = 0; ///< Of the requests to the target.
     duration age {}; ///< Since a coordinator decided so.
+    bool isUrgent = false; ///< To be sent to all daemons at once. Not part of the message.
 };
 
 } // namespace radishflow
--- a/include/radishflow/Routing/rollout_manager.h
+++ b/include/radishflow/Routing/rollout_manager.h
@@ -38,6 +38,7 @@
     duration doneTime = std::chrono::seconds { 5 }; ///< Time for which servers of other versions are avoided after the order is done, as their ends may not be listed yet.
     duration endNoticeTime = std::chrono::seconds { 30 }; ///< Time for which the end of an order is published. Servers of the target that are listed later belong to no order.
     duration minFullTime = std::chrono::seconds { 1 }; ///< Time for which the target gets all requests before the order is done.
+    duration urgentTime = std::chrono::seconds { 1 }; ///< Time for which a daemon that has found a fault sends the suspension to all.
     std::size_t maxSamples = 60; ///< Responses of the target that a daemon keeps; as many as a datagram holds.
     std::size_t maxRoutes = 24; ///< Of the tallies in a datagram.
     std::size_t minTrialSamples = 20; ///< Responses by which the trial may end early.
@@ -137,7 +138,9 @@
     struct execution {
         rollout_order order;
         time_point seenAt {};
+        std::set<version_key> formerTargets; ///< Of orders that this one has replaced before they were done.
         bool isStatusKnown = false; ///< The store's row has been read since the order or the era of the store changed.
+        time_point statusReadAt {};
         std::uint64_t statusRevision = 0; ///< Of the store's row, whichever order it names.
         std::optional<rollout_state> storedState; ///< Of this order in the store's row.
         std::optional<rollout_state> state; ///< As far as this daemon knows; an end is final.
@@ -145,6 +148,7 @@
         time_point startedAt {};
         bool isSuspended = false; ///< Holds until the order is done or replaced.
         std::string suspensionReason;
+        std::optional<time_point> faultFoundAt; ///< By this daemon itself.
         std::optional<rollout_notice> notice;
         time_point noticeAt {}; ///< When the notice was decided, by this daemon's clock.
         duration trialEndedAfter {}; ///< Since startedAt; zero during the trial. Only used by the coordinator.
--- a/include/radishflow/Routing/rollout_manager_coordination.h
+++ b/include/radishflow/Routing/rollout_manager_coordination.h
@@ -32,11 +32,18 @@
         rollout.targetServers = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&target](const listed_server* server) { return server->version == target; }));
         // A daemon with enough evidence of its own does not wait for a coordinator.
         if (!rollout.isSuspended && !(rollout.state && hasEnded(*rollout.state))) {
-            if (const auto fault = findFault(rollout))
+            if (const auto fault = findFault(rollout)) {
+                rollout.faultFoundAt = now;
                 suspend(rollout, std::to_string(fault->bad) + " of " + std::to_string(fault->responses) + (fault->isSlowness ? " responses slow" : " responses failed") + ", expected share " + std::to_string(fault->expectedShare));
+            }
         }
-        if (!isCoordinating(rollout, fleet, now))
+        if (!isCoordinating(rollout, fleet, now)) {
+            // The end of an order is published for some time only, and a daemon may have started later or been cut off all the while.
+            const bool isUninformed = !(rollout.state && hasEnded(*rollout.state)) && !isNoticeFresh(rollout, now);
+            if (isUninformed && now - std::max(rollout.statusReadAt, rollout.seenAt) >= m_options.noticeLifetime)
+                actions.push_back({ .service = service, .reason = "no notice has arrived" });
             continue;
+        }
         auto action = rollout.state && hasEnded(*rollout.state) ? confirmEnd(rollout, now) : decide(rollout, servers.size() - rollout.targetServers, now);
         if (action)
             actions.push_back(std::move(*action));
--- a/include/radishflow/Routing/rollout_manager_requests.h
+++ b/include/radishflow/Routing/rollout_manager_requests.h
@@ -21,7 +21,13 @@
         rollout.order = order;
         return;
     }
-    rollout = execution { .order = order, .seenAt = m_clock.now() };
+    std::set<version_key> formerTargets = std::move(rollout.formerTargets);
+    if (isKnown && rollout.state == rollout_state::Done)
+        formerTargets.clear();
+    else if (isKnown)
+        formerTargets.insert(targetOf(rollout.order));
+    formerTargets.erase(targetOf(order));
+    rollout = execution { .order = order, .seenAt = m_clock.now(), .formerTargets = std::move(formerTargets) };
     addEvent(rollout, "ordered");
 }
 
@@ -55,6 +61,7 @@
         return;
     execution& rollout = found->second;
     rollout.isStatusKnown = true;
+    rollout.statusReadAt = m_clock.now();
     rollout.statusRevision = status ? status->revision : 0;
     rollout.storedState.reset();
     if (!status || !belongsTo(*status, rollout.order))
@@ -112,10 +119,18 @@
     // Without servers of another version, callers could not be served.
     if (targetServers.size() == servers.size())
         return {};
+    // The next order of the service may not have been read yet.
+    std::vector<const listed_server*> otherServers = servers;
+    std::erase_if(otherServers, [&](const listed_server* server) { return versionKeyOf(server->service, server->version) == target; });
+    base.withheldVersions = withheldVersions(otherServers, confirmedAt);
+    base.withheldVersions.insert(rollout.formerTargets.begin(), rollout.formerTargets.end());
+    // Callers must be served.
+    if (std::all_of(otherServers.begin(), otherServers.end(), [&](const listed_server* server) { return base.withheldVersions.contains(versionKeyOf(server->service, server->version)); }))
+        base.withheldVersions.clear();
     const time_point now = m_clock.now();
     // The order stays in the table, and later versions may come without one.
     if (rollout.state == rollout_state::Done)
-        return now - rollout.endedAt < m_options.doneTime ? version_restriction { .side = rollout_side::Target, .hasAlternative = true, .target = target } : version_restriction {};
+        return now - rollout.endedAt < m_options.doneTime ? version_restriction { .side = rollout_side::Target, .hasAlternative = targetServers.empty(), .target = target } : version_restriction { .withheldVersions = withheldVersions(servers, confirmedAt) };
     if (rollout.state == rollout_state::RolledBack) {
         base.endedAt = rollout.endedAt + m_options.endNoticeTime;
         return base;
@@ -254,6 +269,7 @@
         if (rollout.state && hasEnded(*rollout.state))
             known.back().state = *rollout.state;
         known.back().age = now - rollout.noticeAt;
+        known.back().isUrgent = rollout.faultFoundAt && now - *rollout.faultFoundAt < m_options.urgentTime;
     }
     return known;
 }
--- a/include/radishflow/Routing/version_restriction.h
+++ b/include/radishflow/Routing/version_restriction.h
@@ -22,7 +22,7 @@
     version_key target; ///< Only used if the side is not Any.
     std::optional<time_point> endedAt; ///< Servers of the target that were listed after it do not belong to the order; only used if the side is Base.
     std::shared_ptr<const std::set<server_id>> trialServers; ///< The only servers of the target that serve its trial; null for all.
-    std::set<version_key> withheldVersions; ///< Versions that an order which this daemon has not read yet may name as its target.
+    std::set<version_key> withheldVersions; ///< Versions that an order which this daemon has not read yet may name as its target, or an earlier one named.
 
     bool admits(const listed_server& server) const
     {
@@ -32,7 +32,7 @@
         if (side == rollout_side::Any)
             return !withheldVersions.contains(version);
         if (side == rollout_side::Base)
-            return version != target || (endedAt && server.listedAt > *endedAt);
+            return version != target ? !withheldVersions.contains(version) : endedAt && server.listedAt > *endedAt;
         return version == target && (!trialServers || trialServers->contains(server.id));
     }
 };
--- a/lib/Fleet/hint_exchange.cpp
+++ b/lib/Fleet/hint_exchange.cpp
@@ -75,7 +75,7 @@
 // These are rare, and each daemon needs them soon.
 static bool concernsAllDaemons(const server_hints& hints)
 {
-    return !hints.crashes.empty() || !hints.parts.empty() || std::any_of(hints.rolloutNotices.begin(), hints.rolloutNotices.end(), [](const rollout_notice& notice) { return notice.isSuspended; });
+    return !hints.crashes.empty() || !hints.parts.empty() || std::any_of(hints.rolloutNotices.begin(), hints.rolloutNotices.end(), [](const rollout_notice& notice) { return notice.isUrgent; });
 }
 
 void hint_exchange::sendDatagram(const server_hints& hints, const fleet_view& fleet)
