--- a/include/radishflow/Routing/rollout_manager_requests.h
+++ b/include/radishflow/Routing/rollout_manager_requests.h
@@ -143,7 +143,7 @@
         return *pinned == target ? version_restriction {} : base;
     if (unitInterval(stableHash(std::to_string(rollout.order.revision), draw)) >= rollout.notice->share)
         return base;
-    version_restriction restriction { .side = rollout_side::Target, .hasAlternative = true, .target = target };
+    version_restriction restriction { .side = rollout_side::Target, .hasAlternative = true, .target = target, .withheldVersions = base.withheldVersions };
     if (rollout.notice->isTrial) {
         selectTrialServers(rollout, targetServers);
         restriction.trialServers = rollout.trialServers;
--- a/unittests/Routing/rollout_manager_test.cpp
+++ b/unittests/Routing/rollout_manager_test.cpp
@@ -427,7 +427,15 @@
     BOOST_TEST(admits("s0"));
     BOOST_TEST(!admits("s1"));
     BOOST_TEST(!admits("s2"));
+    // A request of the next target that is sent to another version instead.
+    manager.mergeNotice({ .service = serviceHashOf(service), .order = 4, .isTrial = false, .share = 1 });
+    version_restriction second = manager.restrictionFor(list, service, 9, std::nullopt, clock.now() + 1s);
+    BOOST_TEST((second.side == rollout_side::Target));
+    second.side = rollout_side::Base;
+    BOOST_TEST(second.admits(list.servers.at(server_id { "s0" })));
+    BOOST_TEST(!second.admits(list.servers.at(server_id { "s1" })));
     list.servers.erase(server_id { "s0" });
+    clock.advance(4s);
     BOOST_TEST(manager.restrictionFor(list, service, 9, std::nullopt, clock.now() + 1s).admits(list.servers.at(server_id { "s1" })));
 }
 
