--- a/include/radishflow/Routing/rollout_manager.h
+++ b/include/radishflow/Routing/rollout_manager.h
@@ -33,6 +33,7 @@
     double trialExposure = 0.6; ///< Fraction of that share which the trial uses.
     duration noticeLifetime = std::chrono::seconds { 3 }; ///< Without a newer notice, the target gets no new requests after this time.
     duration takeoverDelay = std::chrono::seconds { 1 }; ///< Age of the newest notice at which the second coordinator decides; twice as much for the third.
+    duration cutOffReadInterval = std::chrono::seconds { 1 }; ///< A coordinator that knows less than half of the daemons reads the status as often.
     duration evidenceMemory = std::chrono::seconds { 30 }; ///< How long the evidence of a daemon that sends no more of it counts.
     duration settlingTime = std::chrono::seconds { 3 }; ///< Time after a server was listed, or has ceased to be cold, in which its pace is not compared.
     duration doneTime = std::chrono::seconds { 5 }; ///< Time for which servers of other versions are avoided after the order is done, as their ends may not be listed yet.
--- a/include/radishflow/Routing/rollout_manager_coordination.h
+++ b/include/radishflow/Routing/rollout_manager_coordination.h
@@ -44,6 +44,10 @@
                 actions.push_back({ .service = service, .reason = "no notice has arrived" });
             continue;
         }
+        // The others may have ended the order meanwhile.
+        const bool isCutOff = fleet.daemons.size() * 2 < fleet.size;
+        if (isCutOff && rollout.isStatusKnown && !(rollout.state && hasEnded(*rollout.state)) && now - rollout.statusReadAt >= m_options.cutOffReadInterval)
+            actions.push_back({ .service = service, .reason = "this daemon knows few others" });
         auto action = rollout.state && hasEnded(*rollout.state) ? confirmEnd(rollout, now) : decide(rollout, servers.size() - rollout.targetServers, now);
         if (action)
             actions.push_back(std::move(*action));
--- a/unittests/Routing/rollout_manager_test.cpp
+++ b/unittests/Routing/rollout_manager_test.cpp
@@ -501,3 +501,31 @@
     BOOST_TEST(finder.notices().front().isSuspended);
     BOOST_TEST(!finder.notices().front().isUrgent);
 }
+
+// A daemon that knows itself only coordinates by its own evidence, while the others may have ended the order.
+BOOST_AUTO_TEST_CASE(coordinatorThatIsCutOffReadsTheStatus)
+{
+    manual_clock clock;
+    rollout_manager<manual_clock> manager { clock, { .isEnabled = true } };
+    server_list list = testServers(4);
+    for (auto& [id, server] : list.servers)
+        server.version = software_version { id.value() < "s2" ? "v1" : "v2" };
+    const service_id service { "model" };
+    const rollout_order order { .service = service, .target = software_version { "v2" }, .ramp = 30s, .revision = 3 };
+    rollout_status row { .service = service, .target = order.target, .order = 3, .startedAt = clock.now(), .revision = 8 };
+    manager.recordOrder(order);
+    manager.recordStatus(service, row);
+    fleet_view alone = testFleet(1);
+    alone.size = 70;
+    BOOST_TEST(manager.coordinate(list, testFleet(1)).empty());
+    clock.advance(1s);
+    BOOST_TEST(manager.coordinate(list, testFleet(1)).empty());
+    const std::vector<rollout_action> actions = manager.coordinate(list, alone);
+    BOOST_TEST_REQUIRE(actions.size() == 1U);
+    BOOST_TEST(!actions.front().status.has_value());
+    row.state = rollout_state::RolledBack;
+    manager.recordStatus(service, row);
+    BOOST_TEST((manager.restrictionFor(list, service, 9, std::nullopt, clock.now() + 1s).side == rollout_side::Base));
+    clock.advance(2s);
+    BOOST_TEST(manager.coordinate(list, alone).empty());
+}
