--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -149,7 +149,7 @@
         const auto server = chooseServer();
         if (m_caller.hasPeerDisconnected()) {
             if (server) {
-                m_context.balancer.recordPromptNotRead(server->server.id, affinity());
+                m_context.balancer.recordPromptRequestEnded(server->server.id, affinity());
                 m_context.balancer.finishRequest(server->server.id, server_outcome::Abandoned);
             }
             recordOutcome(0, "caller_gone");
@@ -297,7 +297,7 @@
     m_record.reportedCandidates = chosen.basis.reportedCandidates;
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     if (remaining.count() <= 0) {
-        m_context.balancer.recordPromptNotRead(server.id, affinity());
+        m_context.balancer.recordPromptRequestEnded(server.id, affinity());
         m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
         m_slot.reset();
         recordAttempt(server, "no_time");
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -180,7 +180,7 @@
 void relay_call<Protocol>::finishAttempt(const listed_server& server, server_outcome outcome)
 {
     if (!m_peer) {
-        m_context.balancer.recordPromptNotRead(server.id, affinity());
+        m_context.balancer.recordPromptRequestEnded(server.id, affinity());
         m_context.balancer.finishRequest(server.id, outcome, now() - m_attemptBegunAt);
         m_slot.reset();
         return;
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -76,35 +76,7 @@
 
     /// Ends a request that startRequest() sent to the server and records its outcome, and for how long the server had it if that is
     /// known.
-    void finishRequest(const server_id& server, server_outcome outcome, std::optional<duration> held = {})
-    {
-        const std::lock_guard lock { m_mutex };
-        server_record& record = m_records[server];
-        const time_point now = m_clock.now();
-        record.inFlight.finish(now);
-        if (held)
-            recordRequestTime(record.service, *held);
-        if (held && usesDelays(record.service)) {
-            // A request that ended without a response shows how long one takes at least.
-            const bool exceedsEstimate = outcome != server_outcome::Unreachable && std::chrono::duration<double>(*held).count() > record.delay.lastSeconds();
-            if (outcome == server_outcome::Served || exceedsEstimate)
-                record.delay.recordOwn(*held, now);
-        }
-        if (outcome == server_outcome::Abandoned)
-            return;
-        if (outcome == server_outcome::Unreachable) {
-            const int doublings = std::min(record.consecutiveUnreachable++, m_options.maxUnreachableDoublings);
-            record.unreachableUntil = now + m_options.unreachableTime * (1 << doublings);
-            return;
-        }
-        record.consecutiveUnreachable = 0;
-        service_health& health = m_health[record.service];
-        const bool hasFailed = outcome == server_outcome::Failed;
-        (hasFailed ? record.failed : record.served).add(now, 1, m_options.healthHalfLife);
-        (hasFailed ? health.failed : health.served).add(now, 1, m_options.healthHalfLife);
-        if (hasFailed)
-            ejectIfFailing(record, health, now);
-    }
+    void finishRequest(const server_id& server, server_outcome outcome, std::optional<duration> held = {});
 
     /// Returns the number of requests of this daemon in flight at the servers of a service that have another version.
     int inFlightAtOtherVersions(const server_list& list, const service_id& service, const software_version& version) const;
@@ -264,7 +236,7 @@
     }
 
     /// Records that a request with a prompt affinity has ended; the server does not hold the prompt unless it has responded.
-    void recordPromptNotRead(const server_id& server, std::uint64_t affinity)
+    void recordPromptRequestEnded(const server_id& server, std::uint64_t affinity)
     {
         if (!m_isContended || affinity == 0)
             return;
@@ -296,23 +268,7 @@
     /// Discards the records of servers that are no longer listed and have no requests of this daemon in flight, and resets
     /// the records of servers whose process has restarted, except for the number of requests in flight. From then on
     /// startRequest() avoids such servers in earlier lists, which describe the former process.
-    void retain(const server_list& list)
-    {
-        const std::lock_guard lock { m_mutex };
-        std::erase_if(m_records, [&](const auto& entry) { return entry.second.inFlight.current() == 0 && !list.servers.contains(entry.first); });
-        m_limits.retain([&](const server_id& server) { return list.servers.contains(server); });
-        m_identities.retain(list, m_clock.now());
-        m_idsByHash.clear();
-        for (const auto& [id, server] : list.servers) {
-            m_idsByHash.emplace(serverHashOf(id), id);
-            server_record& record = m_records[id];
-            // The start time of a restarted process is an earlier one if the clock of its host was set back.
-            if (server.processStartMs == record.processStartMs)
-                continue;
-            record = { .processStartMs = server.processStartMs, .inFlight = record.inFlight };
-            m_promptDirectory.forgetServer(serverHashOf(id));
-        }
-    }
+    void retain(const server_list& list);
 
     /// Returns a copy of the records of all servers, for dumps and metrics.
     std::unordered_map<server_id, server_record> records() const
