--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -143,10 +143,10 @@
         ::close(m_descriptor);
         m_descriptor = -1;
         std::unique_lock lock { m_mutex };
-        for (const int open : m_connections) {
-            setReset(open);
-            ::shutdown(open, SHUT_RDWR);
-        }
+        // Disconnecting sends a reset; the thread that serves the connection closes the descriptor.
+        const sockaddr none { .sa_family = AF_UNSPEC, .sa_data = {} };
+        for (const int open : m_connections)
+            ::connect(open, &none, sizeof none);
         m_changed.wait(lock, [this] { return m_connections.empty(); });
     }
 
