--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -69,6 +69,14 @@
     }
     int falls() const { return m_falls; }
 
+    /// From now on a request to this path crashes the server as it begins to run; the server is back after some time.
+    void setCrashing(const std::string& path, std::function<void()> onBack)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_crashingPath = path;
+        m_onBack = std::move(onBack);
+    }
+
     std::vector<arrival> arrivals() const
     {
         const std::lock_guard lock { m_mutex };
@@ -167,8 +175,13 @@
         }
         if (!falls)
             return;
-        ++m_falls;
         m_record.say("server " + m_options.id + " fell over: it turned away " + std::to_string(m_rejections.size()) + " requests within a second, and had said Server-Brittle: " + std::to_string(m_brittle));
+        crash();
+    }
+
+    void crash()
+    {
+        ++m_falls;
         if (m_crash.joinable())
             m_crash.join();
         m_crash = std::thread { [this] {
@@ -183,6 +196,14 @@
         } };
     }
 
+    bool isCrashing(const std::string& path)
+    {
+        const std::lock_guard lock { m_mutex };
+        const bool crashes = !m_crashingPath.empty() && path == m_crashingPath && !m_isDown;
+        m_isDown = m_isDown || crashes;
+        return crashes;
+    }
+
     // Returns whether the connection may be used again.
     bool handle(int daemon, connection& peer, const message& request)
     {
@@ -202,6 +223,12 @@
             reject(number);
             return peer.send(writeResponse(503, fields + "X-Not-Run: 1\r\n", {}));
         }
+        if (isCrashing(request.path())) {
+            leaveSlot();
+            finish(number, "run, the server crashed");
+            crash();
+            return false;
+        }
         const bool isStream = request.path().starts_with("/stream/");
         const bool isServed = isStream ? sendEvents(peer, request, fields) : pause(peer, m_options.work) && peer.send(writeResponse(200, fields + "X-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n", "answer of " + request.field("X-Request-Id")));
         leaveSlot();
@@ -246,6 +273,7 @@
     int m_running = 0;
     int m_waiting = 0;
     bool m_isDown = false;
+    std::string m_crashingPath;
     std::deque<std::int64_t> m_rejections;
     std::vector<arrival> m_arrivals;
     std::function<void()> m_onBack;
