--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -89,9 +89,11 @@
         for (const auto& path : m_listeners)
             path->close();
     }
-    void start()
+    void start(const std::string& version = {})
     {
         m_born += 1000;
+        if (!version.empty())
+            m_options.version = version;
         for (const auto& path : m_listeners)
             path->open();
     }
