--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -133,7 +133,8 @@
         m_acceptor = std::thread { [this, descriptor = m_descriptor] { accept(descriptor); } };
     }
 
-    void close()
+    /// Refuses new connections only.
+    void refuse()
     {
         if (m_descriptor < 0)
             return;
@@ -142,6 +143,11 @@
         m_acceptor.join();
         ::close(m_descriptor);
         m_descriptor = -1;
+    }
+
+    void close()
+    {
+        refuse();
         std::unique_lock lock { m_mutex };
         // Disconnecting sends a reset; the thread that serves the connection closes the descriptor.
         const sockaddr none { .sa_family = AF_UNSPEC, .sa_data = {} };
--- a/review/standins-2/worker.h
+++ b/review/standins-2/worker.h
@@ -186,6 +186,9 @@
         ++m_falls;
         if (m_crash.joinable())
             m_crash.join();
+        // The connections of a process that ends don't break before its port refuses new ones.
+        for (const auto& path : m_listeners)
+            path->refuse();
         m_crash = std::thread { [this] {
             stop();
             for (int step = 0; step < 60 && !m_isStopping; ++step)
