--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -86,6 +86,12 @@
     /// Keeps the stream, whose first event in this response is about to be forwarded, at the version of its server.
     void recordOrigin(const listed_server&);
     std::optional<chosen_server> chooseServer();
+    /// Chooses a server; for a stream that goes on, one which has stated that the process its entry names runs.
+    std::optional<chosen_server> chooseKnownServer();
+    /// Returns whether the entry of the server is known to describe the process that runs, as far as the request needs to know.
+    bool isProcessKnown(const listed_server&);
+    /// Releases a server to which no request was sent after all.
+    void releaseUnused(const listed_server&, const char* result);
     server_query queryFor(const fleet_view&) const;
     /// Returns the versions that a roll-out allows for the next attempt.
     version_restriction restrictionForRollout() const;
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -20,6 +20,8 @@
 // A request waits for a server for at most this fraction (1/8) of its latency objective; the rest remains for the resend.
 inline constexpr int serverWaitDivisor = 8;
 inline constexpr std::chrono::milliseconds serverWaitInterval { 15 };
+// Servers that one attempt asks for their process in turn; a silent one takes the whole timeout of a query.
+inline constexpr int maxUnconfirmedServers = 3;
 // Subtracted from the caller's deadline, so that the final response reaches the caller in time.
 inline constexpr std::chrono::milliseconds responseTransitAllowance { 10 };
 // Applies if neither the caller nor the route sets a deadline.
@@ -146,7 +148,7 @@
         }
         if (!canResend(*m_admitted.target, m_history))
             return sendFailure();
-        const auto server = chooseServer();
+        const auto server = chooseKnownServer();
         if (m_caller.hasPeerDisconnected()) {
             if (server) {
                 m_context.balancer.recordPromptRequestEnded(server->server.id, affinity());
@@ -266,6 +268,28 @@
     }
 }
 
+template <relay_protocol Protocol>
+std::optional<chosen_server> relay_call<Protocol>::chooseKnownServer()
+{
+    for (int tried = 0; tried < maxUnconfirmedServers; ++tried) {
+        auto chosen = chooseServer();
+        if (!chosen || isProcessKnown(chosen->server))
+            return chosen;
+        releaseUnused(chosen->server, "unidentified");
+    }
+    return std::nullopt;
+}
+
+template <relay_protocol Protocol>
+void relay_call<Protocol>::releaseUnused(const listed_server& server, const char* result)
+{
+    m_peer.reset();
+    m_context.balancer.recordPromptRequestEnded(server.id, affinity());
+    m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
+    m_slot.reset();
+    recordAttempt(server, result);
+}
+
 /// Counts a request at a server for the time of its life.
 class exchange_counter {
 public:
@@ -297,10 +321,7 @@
     m_record.reportedCandidates = chosen.basis.reportedCandidates;
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now());
     if (remaining.count() <= 0) {
-        m_context.balancer.recordPromptRequestEnded(server.id, affinity());
-        m_context.balancer.finishRequest(server.id, server_outcome::Abandoned);
-        m_slot.reset();
-        recordAttempt(server, "no_time");
+        releaseUnused(server, "no_time");
         ++m_history.notRun;
         return attempt_result::Failed;
     }
--- a/include/radishflow/Relay/relay_call_origins.h
+++ b/include/radishflow/Relay/relay_call_origins.h
@@ -38,6 +38,19 @@
     }
 }
 
+// The entry of a server that has restarted behind a cut from the platform names its former process and version. Servers without requests
+// restart unnoticed, so a stream that has begun asks the server before it goes on there.
+template <relay_protocol Protocol>
+bool relay_call<Protocol>::isProcessKnown(const listed_server& server)
+{
+    if (!m_admitted.target->isResumable)
+        return true;
+    const bool hasBroken = m_context.connections.takeBroken(server.id, now());
+    if (hasBroken)
+        m_context.balancer.recordConnectFailure(server, now());
+    return (!m_version && !hasBroken) || m_context.confirmsProcess(server);
+}
+
 template <relay_protocol Protocol>
 void relay_call<Protocol>::recordOrigin(const listed_server& server)
 {
--- a/include/radishflow/Relay/relay_context.h
+++ b/include/radishflow/Relay/relay_context.h
@@ -19,6 +19,8 @@
 #include "radishflow/Routing/shared_routing.h"
 #include "radishflow/Support/boottime_clock.h"
 
+#include <functional>
+
 namespace radishflow {
 
 /// All referenced objects are thread-safe and outlive the relay.
@@ -35,6 +37,7 @@
     slot_dispatch& slots;
     const forwarding_settings& forwarding;
     const stream_origins& origins;
+    const std::function<bool(const listed_server&)>& confirmsProcess; ///< Returns whether the server states that the process which its entry names runs; may query it.
     body_memory& requestBodies;
     response_memory& bufferedResponses;
     response_times<boottime_clock>& responseTimes;
--- a/include/radishflow/Relay/server_connection_pool.h
+++ b/include/radishflow/Relay/server_connection_pool.h
@@ -26,6 +26,9 @@
     void prune(time_point now);
     /// Closes all connections to one server.
     void closeAll(const server_id&);
+    /// Closes the connections to a server that are not idle any more. Returns whether any was found closed or with unexpected bytes
+    /// before it expired, since the last call.
+    bool takeBroken(const server_id&, time_point now);
 
 private:
     struct idle_connection {
@@ -34,10 +37,14 @@
         time_point expiresAt {};
     };
 
+    /// Closes a connection that is not reused.
+    void discard(const server_id&, idle_connection&, time_point now);
+
     static constexpr std::size_t maxIdleConnections = 500; ///< To all servers together; bounded by the file descriptors reserved for them.
 
     ranked_mutex m_mutex { lock_rank::Connections };
     std::unordered_map<server_id, std::vector<idle_connection>> m_idle;
+    std::unordered_map<server_id, time_point> m_brokenAt; ///< When a connection to a server was found to have broken while it was idle.
     std::size_t m_count = 0;
 };
 
--- a/include/radishflow/Routing/load_balancer.h
+++ b/include/radishflow/Routing/load_balancer.h
@@ -119,6 +119,20 @@
         m_identities.recordProcess(server, processStartMs, queriedAt);
     }
 
+    /// Records that the server has not responded to a query for its process that was sent at a time.
+    void recordSilence(const listed_server& server, time_point queriedAt)
+    {
+        const std::lock_guard lock { m_mutex };
+        m_identities.recordSilence(server, queriedAt);
+    }
+
+    /// Returns whether the server has just stated that the process which its entry names runs.
+    bool hasJustStatedProcess(const listed_server& server) const
+    {
+        const std::lock_guard lock { m_mutex };
+        return m_identities.hasJustStated(server, m_clock.now());
+    }
+
     /// Records that all entries of the list were renewed since a time.
     void recordRenewals(const server_list& list, time_point renewedSince)
     {
--- a/include/radishflow/Routing/process_identities.h
+++ b/include/radishflow/Routing/process_identities.h
@@ -20,10 +20,11 @@
     duration minInterval = std::chrono::milliseconds { 100 }; ///< Between two queries to a server; doubles with each one.
     duration maxInterval = std::chrono::milliseconds { 800 };
     duration memory = std::chrono::seconds { 60 }; ///< Time for which a server that is not listed is kept.
+    duration statementLifetime = std::chrono::milliseconds { 300 }; ///< A server that ends needs longer to start again.
 };
 
 /// A server may start again under its id without a new entry in the list, such as while it cannot reach the platform. After a
-/// connection to it failed, its entry is trusted again once the server has stated the start of the process that the entry names, the
+/// connection to it failed or was found closed, its entry is trusted again once the server has stated the start of the process that the entry names, the
 /// entry has been renewed, or it names a later process. Not thread-safe.
 class process_identities {
 public:
@@ -50,12 +51,38 @@
     void recordProcess(const listed_server& server, std::int64_t processStartMs, time_point queriedAt)
     {
         const auto found = m_unidentified.find(server.id);
-        if (found == m_unidentified.end() || found->second.failedAt > queriedAt)
+        if (found != m_unidentified.end() && found->second.failedAt > queriedAt)
             return;
-        if (processStartMs == 0 || processStartMs == server.processStartMs)
-            m_unidentified.erase(found);
-        else
-            found->second.statedStartMs = processStartMs;
+        if (processStartMs == 0 || processStartMs == server.processStartMs) {
+            m_statements[server.id] = { .processStartMs = server.processStartMs, .statedAt = queriedAt };
+            if (found != m_unidentified.end())
+                m_unidentified.erase(found);
+            return;
+        }
+        if (found == m_unidentified.end())
+            recordConnectFailure(server, queriedAt);
+        m_unidentified.at(server.id).statedStartMs = processStartMs;
+    }
+
+    /// Records that a query that was sent at a time was not answered, so that the process may be another one.
+    void recordSilence(const listed_server& server, time_point queriedAt)
+    {
+        const auto renewed = m_renewals.find(server.id);
+        // The server renews its entry, but its reports are late.
+        if (renewed != m_renewals.end() && renewed->second.processStartMs == server.processStartMs)
+            m_statements[server.id] = { .processStartMs = server.processStartMs, .statedAt = queriedAt };
+        else if (!m_unidentified.contains(server.id))
+            recordConnectFailure(server, queriedAt);
+    }
+
+    /// Returns whether the server has just stated that the process which its entry names runs. Streams that go on at it need this: a
+    /// server without requests may restart unnoticed.
+    bool hasJustStated(const listed_server& server, time_point now) const
+    {
+        if (server.processStartMs == 0)
+            return true;
+        const auto found = m_statements.find(server.id);
+        return isKnown(server) && found != m_statements.end() && found->second.processStartMs == server.processStartMs && now - found->second.statedAt < m_options.statementLifetime;
     }
 
     /// Returns whether the entry describes the process that runs, as far as is known.
@@ -109,7 +136,12 @@
     /// Trusts the entries of the list that were renewed since a time: only the process that an entry names renews it.
     void recordRenewals(const server_list& list, time_point renewedSince)
     {
-        std::erase_if(m_unidentified, [&](const auto& pair) { return list.servers.contains(pair.first) && !pair.second.statedStartMs && pair.second.failedAt < renewedSince; });
+        std::erase_if(m_unidentified, [&](const auto& pair) {
+            const bool isRenewed = list.servers.contains(pair.first) && !pair.second.statedStartMs && pair.second.failedAt < renewedSince;
+            if (isRenewed)
+                m_renewals[pair.first] = { .processStartMs = pair.second.processStartMs, .statedAt = renewedSince };
+            return isRenewed;
+        });
     }
 
     /// Forgets servers whose entry names the process that runs by now. One that is no longer listed may return with its former entry.
@@ -119,6 +151,8 @@
             const auto server = list.servers.find(pair.first);
             return server == list.servers.end() ? now - pair.second.failedAt > m_options.memory : namesSuccessor(server->second, pair.second);
         });
+        std::erase_if(m_statements, [&](const auto& pair) { return now - pair.second.statedAt > m_options.statementLifetime; });
+        std::erase_if(m_renewals, [&](const auto& pair) { return now - pair.second.statedAt > m_options.memory; });
     }
 
     std::size_t size() const { return m_unidentified.size(); }
@@ -133,6 +167,11 @@
         std::optional<std::int64_t> statedStartMs; ///< Another process that the server has stated since.
     };
 
+    struct process_statement {
+        std::int64_t processStartMs = 0;
+        time_point statedAt {};
+    };
+
     // An entry from an older copy of the list names an earlier process.
     static bool namesSuccessor(const listed_server& server, const unidentified_server& unidentified)
     {
@@ -141,6 +180,8 @@
 
     process_identities_options m_options;
     std::unordered_map<server_id, unidentified_server> m_unidentified;
+    std::unordered_map<server_id, process_statement> m_statements; ///< Of servers whose entry names the process that runs.
+    std::unordered_map<server_id, process_statement> m_renewals; ///< Of servers that were trusted because their entries were renewed.
 };
 
 } // namespace radishflow
--- a/lib/Relay/server_connection_pool.cpp
+++ b/lib/Relay/server_connection_pool.cpp
@@ -1,11 +1,15 @@
 // Implements the pool of idle connections to backend servers.
 #include "radishflow/Relay/server_connection_pool.h"
 
+#include <chrono>
 #include <mutex>
 #include <utility>
 
 namespace radishflow {
 
+// The platform lists a server that has restarted anew within this time, unless it is cut off for longer.
+static constexpr std::chrono::seconds breakMemory { 60 };
+
 std::optional<relay_socket> server_connection_pool::acquire(const server_id& server, time_point now, duration maxIdleTime)
 {
     const std::lock_guard lock { m_mutex };
@@ -19,11 +23,32 @@
         --m_count;
         if (last.expiresAt > now && now - last.idleSince < maxIdleTime && last.socket.isIdle())
             return std::move(last.socket);
-        last.socket.close();
+        discard(server, last, now);
     }
     return std::nullopt;
 }
 
+void server_connection_pool::discard(const server_id& server, idle_connection& connection, time_point now)
+{
+    if (connection.expiresAt > now && !connection.socket.isIdle())
+        m_brokenAt[server] = now;
+    connection.socket.close();
+}
+
+bool server_connection_pool::takeBroken(const server_id& server, time_point now)
+{
+    const std::lock_guard lock { m_mutex };
+    if (const auto found = m_idle.find(server); found != m_idle.end()) {
+        m_count -= std::erase_if(found->second, [&](idle_connection& connection) {
+            if (connection.socket.isIdle())
+                return false;
+            discard(server, connection, now);
+            return true;
+        });
+    }
+    return m_brokenAt.erase(server) > 0;
+}
+
 void server_connection_pool::release(const server_id& server, relay_socket socket, time_point now, duration lifetime, std::size_t maxToServer)
 {
     socket.releaseSpareMemory();
@@ -52,6 +77,7 @@
         });
     }
     std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(m_brokenAt, [&](const auto& entry) { return now - entry.second > breakMemory; });
 }
 
 void server_connection_pool::closeAll(const server_id& server)
--- a/test/Relay/stream_versions_test.cpp
+++ b/test/Relay/stream_versions_test.cpp
@@ -230,3 +230,64 @@
     BOOST_TEST(awaitStreams(third, "third") == streams);
     BOOST_TEST(fleet.server(0).runs() > runsBefore);
 }
+
+namespace {
+
+/// The traffic at a server before it restarts without a request.
+struct idle_case {
+    const char* name;
+    bool hasServed; ///< So that daemons keep connections to it.
+
+    friend std::ostream& operator<<(std::ostream& out, const idle_case& testCase) { return out << testCase.name; }
+};
+
+const idle_case idleServers[] {
+    { "never used", false },
+    { "used before", true },
+};
+
+} // namespace
+
+// Guards against streams that go on at a server whose restart no daemon has noticed, since it had no request.
+BOOST_DATA_TEST_CASE(streamsAvoidServersThatRestartedWithoutRequests, boost::unit_test::data::make(idleServers), testCase)
+{
+    constexpr int idle = 0;
+    constexpr int crashing = 1;
+    constexpr auto listTime = 1s;
+    relay_fleet fleet { { .daemons = 3, .servers = 4, .behaviour = { .events = 60, .pause = 50ms } } };
+    if (testCase.hasServed) {
+        for (int number = 0; number < streams; ++number)
+            BOOST_TEST(fleet.call(number % fleet.daemons(), "/read/" + std::to_string(number)).status == 200);
+    }
+    fleet.list(idle, "draining");
+    std::this_thread::sleep_for(listTime);
+    const auto startStreams = [&](const std::string& prefix) {
+        std::vector<std::future<received_response>> running;
+        running.reserve(streams);
+        for (int number = 0; number < streams; ++number)
+            running.push_back(std::async(std::launch::async, [&fleet, id = prefix + std::to_string(number), number] { return fleet.stream(number % fleet.daemons(), "/resumable-stream/" + id, { .id = id, .key = relay_fleet::key, .timeLeft = 9s }); }));
+        return running;
+    };
+    const auto awaitStreams = [&](std::vector<std::future<received_response>>& running, const std::string& prefix) {
+        int complete = 0;
+        for (int number = 0; number < streams; ++number) {
+            complete += running[static_cast<std::size_t>(number)].get().isComplete ? 1 : 0;
+            BOOST_TEST(versionsOf(fleet, { prefix + std::to_string(number) }).size() == 1U);
+        }
+        return complete;
+    };
+    auto first = startStreams("first");
+    fleet.list(idle);
+    std::this_thread::sleep_for(listTime);
+    fleet.server(idle).restart("v2");
+    const int runsBefore = fleet.server(idle).runs();
+    fleet.server(crashing).restart("v2");
+    BOOST_TEST(awaitStreams(first, "first") == streams);
+    BOOST_TEST(fleet.server(idle).runs() == runsBefore);
+    for (const int server : { idle, crashing })
+        fleet.list(server);
+    std::this_thread::sleep_for(listTime);
+    auto second = startStreams("second");
+    BOOST_TEST(awaitStreams(second, "second") == streams);
+    BOOST_TEST(fleet.server(idle).runs() > runsBefore);
+}
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -104,6 +104,7 @@
     stream_origin_exchange originExchange;
     version_history versions;
     stream_origins origins;
+    std::function<bool(const listed_server&)> confirmsProcess { [this](const listed_server& server) { return confirmProcess(server); } };
     server_connection_pool connections;
     body_memory requestBodies { shareOfMemory(options, requestBodyShare) };
     response_memory bufferedResponses { shareOfMemory(options, responseBodyShare) };
@@ -152,7 +153,7 @@
         , access(routing, { .askPeers = [this](const std::vector<std::uint32_t>& services) { hints.send({ .contacts = access.contacts(), .askedServices = services }, *routing.fleet()); }, .answerPeer = [this](const std::string& host) { hints.sendTo({ .contacts = access.contacts() }, host); }, .onChange = [this](bool hasLostAll) { fleet.publishServerAccess(!hasLostAll); }, .onCrash = [this](const listed_server& server) { crashes.recordCrash(server); }, .onRecovery = [this](const service_id& service) { recordRecovery(service); } })
         , hints({ .address = withPort(options.platform.ip, hintsPort(options.platform)), .onReceive = [this](const server_hints& received, const std::string& host) { receiveHints(received, host); } })
         , forwarding { .daemon = options.platform.daemon, .token = fleet.forwardingToken(), .isKnownToken = [this](const daemon_id& daemon, const std::string& token) { return tokens.contains(daemon, token); }, .port = ':' + std::to_string(forwardingPort(options.platform)), .hasCapacity = [this] { return listener->activeConnections() * busyDenominator < options.workers * busyNumerator; } }
-        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .rollouts = rollouts, .slots = slots, .forwarding = forwarding, .origins = origins, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
+        , parts { .zone = options.platform.zone, .routing = routing, .balancer = balancer, .retries = retries, .freshness = freshness, .crashes = crashes, .connections = connections, .access = access, .rollouts = rollouts, .slots = slots, .forwarding = forwarding, .origins = origins, .confirmsProcess = confirmsProcess, .requestBodies = requestBodies, .bufferedResponses = bufferedResponses, .responseTimes = responseTimes, .stop = stop, .metrics = metrics }
         , crashRows(crashTableOptions())
         , feed(options.platform, routing, balancer, freshness, crashRows, rollouts)
         , rolloutRows({ .storeAddress = options.platform.storeAddress, .toStoreTime = [this](time_point time) { return feed.toStoreTime(time); }, .toLocalTime = [this](std::chrono::milliseconds storeTime) { return feed.toLocalTime(storeTime); } }, rollouts)
@@ -233,10 +234,21 @@
             query.get();
     }
 
-    void identify(const listed_server& server)
+    bool confirmProcess(const listed_server& server)
     {
+        if (balancer.hasJustStatedProcess(server))
+            return true;
         const time_point queriedAt = clock.now();
-        valueOr(
+        if (!identify(server))
+            balancer.recordSilence(server, queriedAt);
+        return balancer.hasJustStatedProcess(server);
+    }
+
+    /// Returns whether the server has responded to the query.
+    bool identify(const listed_server& server)
+    {
+        const time_point queriedAt = clock.now();
+        return valueOr(
             [&]() -> result<bool> {
                 BOOST_LEAF_AUTO(processStartMs, readProcessStart(server.address, reportTimeout));
                 balancer.recordProcess(server, processStartMs, queriedAt);
--- a/unittests/Relay/server_connection_pool_test.cpp
+++ b/unittests/Relay/server_connection_pool_test.cpp
@@ -77,4 +77,22 @@
     BOOST_TEST(!acquire());
 }
 
+// Guards against a restart of the server that no request notices.
+BOOST_AUTO_TEST_CASE(connectionsThatBrokeWhileIdleAreReportedOnce)
+{
+    release();
+    BOOST_TEST(!connections.takeBroken(server, now));
+    serverSockets.back().close();
+    BOOST_TEST(connections.takeBroken(server, now));
+    BOOST_TEST(!connections.takeBroken(server, now));
+    BOOST_TEST(!acquire());
+    release();
+    serverSockets.back().close();
+    BOOST_TEST(!acquire());
+    BOOST_TEST(connections.takeBroken(server, now));
+    release();
+    serverSockets.back().close();
+    BOOST_TEST(!connections.takeBroken(server, now + 6s)); // A server closes connections after its idle timeout.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/unittests/Routing/process_identities_test.cpp
+++ b/unittests/Routing/process_identities_test.cpp
@@ -156,4 +156,34 @@
     BOOST_TEST(queries(start + 10s) == 0U);
 }
 
+// Guards against streams that go on at a server which has restarted while it had no requests: no connection has failed there.
+BOOST_DATA_TEST_CASE_F(process_identities_fixture, serverWithoutFailuresIsConfirmedByItsStatementForAShortTime, boost::unit_test::data::make(statements), testCase)
+{
+    const time_point queriedAt = start + 1s;
+    BOOST_TEST(!identities.hasJustStated(server, queriedAt));
+    identities.recordProcess(server, testCase.processStartMs, queriedAt);
+    const bool isConfirmed = testCase.processStartMs == 0 || testCase.processStartMs == listedStart;
+    BOOST_TEST(identities.isKnown(server) == isConfirmed);
+    BOOST_TEST(identities.hasJustStated(server, queriedAt + 200ms) == isConfirmed);
+    BOOST_TEST(!identities.hasJustStated(server, queriedAt + 400ms));
+    server.processStartMs = listedStart + 1;
+    BOOST_TEST(!identities.hasJustStated(server, queriedAt + 200ms));
+}
+
+// A server whose reports are late is trusted once its entry was renewed, and then without a report.
+BOOST_AUTO_TEST_CASE(silentServerIsUnknownUntilItsEntryWasRenewed)
+{
+    identities.recordSilence(server, start);
+    BOOST_TEST(!identities.isKnown(server));
+    identities.recordSilence(server, start + 1s);
+    identities.recordRenewals(list, start + 500ms);
+    BOOST_TEST(identities.isKnown(server));
+    identities.recordSilence(server, start + 2s);
+    BOOST_TEST(identities.isKnown(server));
+    BOOST_TEST(identities.hasJustStated(server, start + 2s));
+    identities.retain(list, start + 100s);
+    identities.recordSilence(server, start + 100s);
+    BOOST_TEST(!identities.isKnown(server));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
