--- a/include/radishflow/Relay/relay_call.h
+++ b/include/radishflow/Relay/relay_call.h
@@ -54,6 +54,8 @@
     };
 
     bool refuse(const refusal&, refusal_scope = refusal_scope::Request);
+    /// Returns the refusal of a forwarded request that another daemon may be able to serve.
+    static refusal refusalToPeer(const char* detail);
     /// Refuses a forwarded request that this daemon can't serve now; returns nothing if it can.
     std::optional<bool> refuseForwarded();
     /// Returns the fields that a response to a forwarded request needs.
--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -68,11 +68,12 @@
     m_record.resumes = m_request.resumes;
     m_record.configAge = context.freshness.age(now());
     m_record.fleetSize = m_fleet->size;
+    if (m_admitted.routes)
+        m_record.config = m_admitted.routes->version();
     if (!m_admitted.target)
         return;
     m_record.route = m_admitted.target->name;
     m_record.service = m_admitted.service;
-    m_record.config = m_admitted.routes->version();
     if (m_admitted.workspace)
         m_record.workspace = m_admitted.workspace->id;
     m_deadline = message.receivedAt + defaultTimeout;
@@ -94,8 +95,12 @@
 template <relay_protocol Protocol>
 bool relay_call<Protocol>::run()
 {
+    constexpr int serviceUnavailable = 503;
+    // The forwarding daemon has admitted the request. By an older configuration this one could revert what its callers have seen.
+    if (m_forwarded && m_record.config < m_forwarded->config)
+        return refuse(refusalToPeer("this daemon has an older configuration"), refusal_scope::Capacity);
     if (m_admitted.problem)
-        return refuse(*m_admitted.problem);
+        return refuse(*m_admitted.problem, m_admitted.problem->status == serviceUnavailable ? refusal_scope::Capacity : refusal_scope::Request);
     if (const auto problem = refusalWhileStopping())
         return refuse(*problem, refusal_scope::Capacity);
     if (const auto isSent = m_forwarded ? refuseForwarded() : std::nullopt)
--- a/include/radishflow/Relay/relay_call_forwarding.h
+++ b/include/radishflow/Relay/relay_call_forwarding.h
@@ -23,17 +23,19 @@
     return m_forwarded ? writeForwardedFields({ .request = m_request.id, .server = m_respondingServer, .version = m_version }) : std::string {};
 }
 
-// A configuration that is older than the forwarding daemon's could revert what its callers have seen.
+template <relay_protocol Protocol>
+refusal relay_call<Protocol>::refusalToPeer(const char* detail)
+{
+    return { .status = 503, .title = "No server available", .detail = detail, .retryAfter = forwardedRetryAfter };
+}
+
 template <relay_protocol Protocol>
 std::optional<bool> relay_call<Protocol>::refuseForwarded()
 {
-    const auto unavailable = [](const char* detail) { return refusal { .status = 503, .title = "No server available", .detail = detail, .retryAfter = forwardedRetryAfter }; };
     if (m_context.access.monitorOf(m_admitted.service).state() == server_access_state::Unavailable)
-        return refuse(unavailable("this daemon reaches no backend server either"), refusal_scope::Access);
-    if (m_record.config < m_forwarded->config)
-        return refuse(unavailable("this daemon has an older configuration"), refusal_scope::Capacity);
+        return refuse(refusalToPeer("this daemon reaches no backend server either"), refusal_scope::Access);
     if (!m_context.forwarding.hasCapacity())
-        return refuse(unavailable("this daemon serves its own callers first"), refusal_scope::Capacity);
+        return refuse(refusalToPeer("this daemon serves its own callers first"), refusal_scope::Capacity);
     if (!mayRunAgain(*m_admitted.target, m_history))
         return refuse({ .status = 502, .title = "Backend server failed", .detail = "the request may have run", .execution = execution_state::Unknown });
     return std::nullopt;
--- a/include/radishflow/Relay/request_admission.h
+++ b/include/radishflow/Relay/request_admission.h
@@ -13,11 +13,11 @@
 
 /// The pointers are valid as long as `routes` is held.
 struct admitted_request {
-    std::shared_ptr<const route_table> routes;
+    std::shared_ptr<const route_table> routes; ///< Null while no configuration is known.
     const route* target = nullptr;
     const keyed_workspace* workspace = nullptr; ///< Null if the request needs no key.
     service_id service;
-    std::optional<refusal> problem; ///< Reason of the refusal; if set, no other member is.
+    std::optional<refusal> problem; ///< Reason of the refusal; if set, only `routes` may be set too.
 
     /// Returns the priority of the workspace, or else of the route; 0 is the most urgent.
     int priority() const;
--- a/test/Relay/lost_server_paths_test.cpp
+++ b/test/Relay/lost_server_paths_test.cpp
@@ -386,6 +386,29 @@
     BOOST_TEST(fleet.runs() == 0);
 }
 
+// Guards against a daemon that receives a forwarded request, lacks its route, and answers for the daemon that has admitted it.
+BOOST_AUTO_TEST_CASE(requestsOfNewRoutesAreNotRefusedByDaemonsWithAnOlderConfiguration)
+{
+    constexpr int versions = 6;
+    constexpr auto observedTime = 1s;
+    relay_fleet fleet { { .daemons = 5, .servers = 3, .isProxied = true, .hasServerPaths = true } };
+    BOOST_REQUIRE(loseAccess(fleet, 0));
+    for (int daemon = 1; daemon < fleet.daemons(); ++daemon)
+        fleet.storeLink(daemon).set(R"({"cut":true})");
+    std::map<int, int> statuses;
+    for (int version = 2; version < 2 + versions; ++version) {
+        fleet.configure(version);
+        BOOST_REQUIRE(waitUntil(2s, [&] { return fleet.metric(0, "radishflow_state{name=\"config_version\"}") >= version; }));
+        const auto end = std::chrono::steady_clock::now() + observedTime;
+        while (std::chrono::steady_clock::now() < end)
+            ++statuses[fleet.call(0, "/v" + std::to_string(version) + "/a").status];
+    }
+    for (const auto& [status, count] : statuses)
+        BOOST_TEST_MESSAGE("status " << status << ": " << count);
+    BOOST_TEST(statuses[404] == 0);
+    BOOST_TEST(statuses[200] > 0);
+}
+
 BOOST_AUTO_TEST_CASE(resetOfAllPathsIsNotTakenForCrashesOfServers)
 {
     relay_fleet fleet { { .daemons = 3, .servers = 6, .hasServerPaths = true, .behaviour = { .pause = 400ms } } };
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -79,7 +79,7 @@
         m_programs.push_back(options.programs.empty() ? currentProgram() : options.programs[number % options.programs.size()]);
     for (int number = 0; number < options.daemons; ++number) {
         if (options.isProxied) {
-            m_storeLinks.push_back(std::make_unique<faulty_link>(m_store.address()));
+            m_storeLinks.push_back(std::make_unique<faulty_link>(storeAddress(number)));
             m_callerLinks.push_back(std::make_unique<faulty_link>(callerAddress(number)));
         }
         start(number);
@@ -105,15 +105,21 @@
     return "127.0.0." + std::to_string(10 + daemon);
 }
 
+std::uint16_t relay_fleet::listedPortOf(int number) const
+{
+    const auto index = static_cast<std::size_t>(number);
+    return m_serverLinks.empty() ? m_servers.at(index)->port() : m_serverLinks.at(index)->port();
+}
+
 void relay_fleet::addServerPaths(int daemon)
 {
     auto& paths = m_serverPaths.emplace_back();
     for (int number = 0; number < servers(); ++number)
-        paths.push_back(std::make_unique<server_path>("127.0." + std::to_string(1 + daemon) + '.' + std::to_string(1 + number), server(number).port()));
+        paths.push_back(std::make_unique<server_path>("127.0." + std::to_string(1 + daemon) + '.' + std::to_string(1 + number), listedPortOf(number)));
     m_storeViews.push_back(m_store.addView([this, daemon](const std::string& id, const std::string& value) {
         std::string rewritten = value;
         for (int number = 0; number < servers(); ++number) {
-            const std::string direct = "127.0.0.1:" + std::to_string(server(number).port());
+            const std::string direct = "127.0.0.1:" + std::to_string(listedPortOf(number));
             if (const auto at = value.find(direct); server(number).id() == id && at != std::string::npos)
                 rewritten.replace(at, direct.size(), m_serverPaths.at(static_cast<std::size_t>(daemon)).at(static_cast<std::size_t>(number))->address());
         }
@@ -141,9 +147,9 @@
 
 std::string relay_fleet::storeAddress(int daemon) const
 {
-    if (!m_storeViews.empty())
-        return m_storeViews.at(static_cast<std::size_t>(daemon));
-    return m_storeLinks.empty() ? m_store.address() : "127.0.0.1:" + std::to_string(m_storeLinks.at(static_cast<std::size_t>(daemon))->port());
+    if (static_cast<std::size_t>(daemon) < m_storeLinks.size())
+        return "127.0.0.1:" + std::to_string(m_storeLinks[static_cast<std::size_t>(daemon)]->port());
+    return m_storeViews.empty() ? m_store.address() : m_storeViews.at(static_cast<std::size_t>(daemon));
 }
 
 void relay_fleet::start(int number)
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -102,6 +102,7 @@
     std::string ipOf(int daemon) const;
     std::uint16_t portOf(int offset) const { return static_cast<std::uint16_t>(m_port + offset); }
     std::string storeAddress(int daemon) const;
+    std::uint16_t listedPortOf(int server) const;
     void addServerPaths(int daemon);
     void start(int number);
 
