--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -40,6 +40,8 @@
     /// Returns the newest update that has been received from any daemon, or an empty one if there is none.
     table_update tableUpdateOf(const std::string& table) const;
     bool isIsolated() const { return m_gossip->isIsolated(); }
+    /// Returns the time since the last datagram of any daemon; zero if this daemon knows no other one.
+    duration silence() const { return m_gossip->silence(); }
 
 private:
     std::size_t sizeFor(std::size_t aliveCount, time_point now);
--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -69,6 +69,8 @@
     /// Returns whether no datagram arrived for two probe timeouts although other members are live; the view is
     /// then stale.
     bool isIsolated() const;
+    /// Returns the time since the last datagram of any member; zero if no other member is live, or if this process was paused.
+    duration silence() const;
     const membership_counters& counters() const { return m_counters; }
     const membership_options& options() const { return m_options; }
 
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -229,6 +229,13 @@
     return m_list.liveCount() > 1 && m_clock.now() - m_lastReceivedAt > 2 * m_options.probeTimeout;
 }
 
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+duration membership_table<Clock, Random>::silence() const
+{
+    const time_point now = m_clock.now();
+    return m_list.liveCount() <= 1 || now - m_lastTickAt >= m_options.pauseThreshold ? duration::zero() : now - m_lastReceivedAt;
+}
+
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 member membership_table<Clock, Random>::viewOf(const member_entry& entry, time_point now) const
 {
--- a/lib/Routing/caller_addresses.cpp
+++ b/lib/Routing/caller_addresses.cpp
@@ -12,6 +12,8 @@
         const bool isSelf = daemon.id == fleet.self;
         if (isSelf && own.isStopping)
             continue;
+        if (isSelf && own.isAlone)
+            return { daemon.callerAddress };
         all.push_back(daemon.callerAddress);
         if (!(isSelf ? own.isReady : daemon.acceptsCallers))
             continue;
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -423,3 +423,20 @@
     BOOST_TEST(fleet.waitReady(2));
     BOOST_TEST(waitUntil(10s, [&] { return fleet.lookUp(0).size() == 3 && fleet.lookUp(1).size() == 3; }));
 }
+
+// Guards against a directory that names lost daemons for good, as the last one takes the silence of all others for its own partition.
+BOOST_AUTO_TEST_CASE(lastDaemonNamesNoLostOnes)
+{
+    constexpr auto noticeTime = 6s;
+    relay_fleet fleet { { .daemons = 3 } };
+    for (const int daemon : { 1, 2 })
+        fleet.daemon(daemon).signal(SIGKILL);
+    for (const int daemon : { 1, 2 })
+        fleet.daemon(daemon).wait(1s);
+    BOOST_TEST(waitUntil(noticeTime, [&] { return fleet.lookUp(0) == std::vector { fleet.callerAddress(0) }; }));
+    std::this_thread::sleep_for(2s);
+    BOOST_TEST((fleet.lookUp(0) == std::vector { fleet.callerAddress(0) }));
+    fleet.restart(1);
+    BOOST_TEST(waitUntil(10s, [&] { return fleet.lookUp(0).size() >= 2U; }));
+    BOOST_TEST(fleet.call(0, "/read/a").status == 200);
+}
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -52,6 +52,9 @@
 // Daemons that send their evidence of roll-outs in each interval of refresh(); more take turns over several, so that the link of a
 // coordinator bears it.
 static constexpr std::size_t daemonsPerEvidenceRound = 100;
+// Daemons that are lost one at a time are declared dead sooner. A daemon that hears of no other one for longer is the last one or is cut
+// off from all of them, and can vouch only for itself.
+static constexpr std::chrono::milliseconds maxFleetSilence { 4500 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 static constexpr std::chrono::milliseconds startCheckInterval { 10 };
 static constexpr std::chrono::milliseconds identifyInterval { 50 };
@@ -342,7 +345,7 @@
     {
         if (!isLookupTarget(target))
             return { .status = 404, .contentType = "text/plain", .body = "not found\n" };
-        const auto addresses = callerAddresses(*routing.fleet(), { .isReady = isReady.load(), .isStopping = stop.isStopping(), .reachesServers = !access.hasLostAll() });
+        const auto addresses = callerAddresses(*routing.fleet(), { .isReady = isReady.load(), .isStopping = stop.isStopping(), .reachesServers = !access.hasLostAll(), .isAlone = fleet.silence() > maxFleetSilence });
         return { .status = 200, .body = writeLookupResponse(addresses, lookupLifetime) };
     }
 
--- a/unittests/Membership/fault_tolerance_test.cpp
+++ b/unittests/Membership/fault_tolerance_test.cpp
@@ -229,6 +229,32 @@
     BOOST_TEST(fleet.hasConverged());
 }
 
+// Guards against the last daemon of a fleet that names the lost ones for good, as it declares nobody dead while it hears nobody.
+BOOST_AUTO_TEST_CASE(lastDaemonMeasuresTheSilenceOfTheOthers)
+{
+    virtual_fleet fleet(fleetOf(3, 1));
+    fleet.run(10s);
+    BOOST_TEST((fleet.table(0).silence() < 2s));
+    fleet.pause(0);
+    fleet.run(10s);
+    BOOST_TEST((fleet.table(0).silence() == 0s));
+    fleet.resume(0);
+    fleet.run(5s);
+    BOOST_TEST((fleet.table(0).silence() < 2s));
+    fleet.kill(1);
+    fleet.run(10s);
+    BOOST_TEST((fleet.table(0).silence() < 2s));
+    fleet.start(1);
+    fleet.run(10s);
+    fleet.kill(1);
+    fleet.kill(2);
+    fleet.run(6s);
+    BOOST_TEST((fleet.table(0).silence() > 4500ms));
+    fleet.start(2);
+    fleet.run(3s);
+    BOOST_TEST((fleet.table(0).silence() < 2s));
+}
+
 BOOST_AUTO_TEST_CASE(restartWithLowerIncarnationIsRecognised)
 {
     virtual_fleet fleet(fleetOf(7, 1));
--- a/unittests/Routing/peer_selector_test.cpp
+++ b/unittests/Routing/peer_selector_test.cpp
@@ -155,3 +155,14 @@
     const auto addresses = callerAddresses(fleetOf(2), { .isReady = true, .isStopping = true });
     BOOST_TEST(addresses == std::vector<std::string> { hostOf(1) + ":80" }, boost::test_tools::per_element());
 }
+
+// The others have been silent for so long that they may be lost, whatever they last published.
+BOOST_AUTO_TEST_CASE(daemonThatIsAloneNamesItselfOnly)
+{
+    const fleet_view fleet = fleetOf(3);
+    for (const bool isReady : { false, true }) {
+        const auto addresses = callerAddresses(fleet, { .isReady = isReady, .isAlone = true });
+        BOOST_TEST(addresses == std::vector<std::string> { hostOf(0) + ":80" }, boost::test_tools::per_element());
+    }
+    BOOST_TEST(callerAddresses(fleet, { .isStopping = true, .isAlone = true }).size() == 2U);
+}
