--- a/review/standins-2/case-10.cc
+++ b/review/standins-2/case-10.cc
@@ -45,6 +45,7 @@
     std::this_thread::sleep_for(milliseconds { 2000 });
 
     std::atomic<bool> areBroken = false;
+    std::atomic<int> whole = 0;
     std::atomic<int> takenUp = 0;
     std::atomic<int> wentOn = 0;
     std::atomic<int> begun = 0;
@@ -89,12 +90,18 @@
                     std::this_thread::sleep_for(std::max(wait, milliseconds { static_cast<int>(after * 1000) }));
                 wait *= 2;
             }
+            whole += state.isComplete ? 1 : 0;
             record.write("stream " + name + (state.isComplete ? " was received whole" : " was not received whole"));
         });
     }
     std::this_thread::sleep_for(milliseconds { 2000 });
     if (hasTrouble()) {
         record.say("all daemons are killed");
+        {
+            const std::lock_guard lock { startsMutex };
+            for (auto& from : inTouchFrom)
+                from = steady::time_point::max();
+        }
         daemons.killAll();
         areBroken = true;
         std::this_thread::sleep_for(downTime);
@@ -125,6 +132,8 @@
     isOver = true;
     beginner.join();
     record.say("taken up again at machines in touch: " + std::to_string(takenUp) + ", went on: " + std::to_string(wentOn) + "; new streams: " + std::to_string(tried) + ", began: " + std::to_string(begun));
+    if (whole == streams)
+        return true; // Streams that go on at the first chance leave none to take up later.
     if (takenUp < 12 || tried == 0)
         throw cannot_run("too few streams were taken up again");
     const double share = static_cast<double>(wentOn) / takenUp;
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -23,6 +23,7 @@
 #include "platform_feed.h"
 #include "rollout_statuses.h"
 #include "server_report.h"
+#include "version_table.h"
 #include "wire_protocol.h"
 
 #include <spdlog/spdlog.h>
@@ -56,6 +57,8 @@
 // off from all of them, and can vouch only for itself.
 static constexpr std::chrono::milliseconds maxFleetSilence { 4500 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
+// Later than this after the start of a daemon, its own history of versions reaches back as far as any stream is resumed.
+static constexpr std::chrono::seconds originMemory { 30 };
 static constexpr std::chrono::milliseconds startCheckInterval { 10 };
 static constexpr std::chrono::milliseconds identifyInterval { 50 };
 // A server responds to queries for its state without a queue, but its host may be slow.
@@ -96,6 +99,7 @@
 struct relay_daemon::state {
     relay_daemon_options options;
     boottime_clock clock;
+    time_point startedAt { clock.now() };
     wire_protocol protocol;
     shared_routing routing;
     load_balancer<boottime_clock> balancer { clock };
@@ -106,6 +110,7 @@
     slot_dispatch slots { [this](const service_id& service) { return options.dispatchesFewSlots && balancer.isContended() && !balancer.reportsLoad(service); } };
     stream_origin_exchange originExchange;
     version_history versions;
+    version_table versionRows;
     stream_origins origins;
     std::function<bool(const listed_server&)> confirmsProcess { [this](const listed_server& server) { return confirmProcess(server); } };
     server_connection_pool connections;
@@ -138,7 +143,7 @@
     std::jthread startCheck;
     std::unique_ptr<periodic_task> fetchTask;
     std::unique_ptr<periodic_task> catchUpTask;
-    std::unique_ptr<periodic_task> crashTask;
+    std::unique_ptr<periodic_task> rowsTask;
     std::unique_ptr<periodic_task> identifyTask;
     time_point evidenceSentAt {}; // Used by coordinateRollouts() only.
     std::unique_ptr<periodic_task> rolloutTask; ///< Null if the operator orders no roll-outs.
@@ -150,6 +155,7 @@
         , crashes({ .minNotice = options.platform.maxDrainDelay / exitNoticeDivisor })
         , rollouts(clock, { .isEnabled = options.platform.hasRollouts, .maxExposure = options.platform.maxRolloutExposure })
         , originExchange(withPort(options.platform.ip, streamOriginsPort(options.platform)))
+        , versionRows({ .storeAddress = options.platform.storeAddress, .isFirstStart = options.platform.isFirstStart, .toStoreTime = [this](time_point time) { return feed.toStoreTime(time); }, .toLocalTime = [this](std::chrono::milliseconds storeTime) { return feed.toLocalTime(storeTime); } }, versions)
         , origins { .publish = [this](const stream_origin& origin) { originExchange.publish(origin, *routing.fleet()); },
             .find = [this](const service_id& service, const request_id& request) { return findOrigin(service, request); } }
         , fleet({ .daemon = options.platform.daemon, .zone = options.platform.zone, .region = options.platform.region, .peerAddress = peerAddress(), .callerAddress = options.platform.callerAddress })
@@ -177,7 +183,9 @@
         identifyTask = std::make_unique<periodic_task>(identifyInterval, [this] { identifyServers(); });
         if (rollouts.isEnabled())
             rolloutTask = std::make_unique<periodic_task>(refreshInterval, [this] { coordinateRollouts(); });
-        crashTask = std::make_unique<periodic_task>(refreshInterval, [this] { crashRows.flush(clock.now(), isFirstFollower()); });
+        rowsTask = std::make_unique<periodic_task>(refreshInterval, [this] {
+            crashRows.flush(clock.now(), isFirstFollower());
+            recordVersions(); });
     }
 
     void receiveHints(const server_hints& received, const std::string& host)
@@ -264,6 +272,13 @@
             });
     }
 
+    // One daemon records the versions of the services for the fleet.
+    void recordVersions()
+    {
+        if (routing.servers() && isFirstFollower() && clock.now() - feed.serversConfirmedAt() < freshness.staleAge())
+            versionRows.record(feed.storeEra());
+    }
+
     // A service whose servers have had only one version for long needs no record of its streams, such as after a restart of
     // all daemons that had one. A daemon that no longer learns of changes cannot know that.
     std::optional<version_key> findOrigin(const service_id& service, const request_id& request)
@@ -271,6 +286,10 @@
         const auto found = request.empty() ? std::nullopt : originExchange.find(streamKeyOf(request), [this] { return routing.fleet(); });
         if (found || clock.now() - feed.serversConfirmedAt() >= freshness.staleAge())
             return found;
+        const auto sole = versions.soleVersion(service, clock.now());
+        if (sole || clock.now() - startedAt > originMemory)
+            return sole;
+        versionRows.merge();
         return versions.soleVersion(service, clock.now());
     }
 
--- a/unittests/Routing/version_history_test.cpp
+++ b/unittests/Routing/version_history_test.cpp
@@ -40,3 +40,37 @@
     BOOST_TEST((history.soleVersion(service, now) == two));
     BOOST_TEST(!history.soleVersion(service_id { "other" }, now).has_value());
 }
+
+// Guards against streams that are refused after the loss of all daemons, and against those that go on at another version.
+BOOST_AUTO_TEST_CASE(recordsOfOtherDaemonsExtendTheHistory)
+{
+    const service_id service { "s" };
+    const auto one = versionKeyOf(service, software_version { "v1" });
+    const auto two = versionKeyOf(service, software_version { "v2" });
+    const time_point now { 1h };
+    const auto soleAfterMerge = [&](const std::map<version_key, time_point>& lastListedAt, time_point since) {
+        version_history history { { .window = 30s } };
+        history.record(listOf({ "v1" }), now);
+        history.merge(service, lastListedAt, since);
+        return history.soleVersion(service, now);
+    };
+    BOOST_TEST((soleAfterMerge({ { one, now } }, now - 30s) == one));
+    BOOST_TEST((soleAfterMerge({ { one, now } }, time_point {}) == one));
+    BOOST_TEST(!soleAfterMerge({ { one, now } }, now - 29s).has_value());
+    BOOST_TEST(!soleAfterMerge({ { one, now }, { two, now - 29s } }, time_point {}).has_value());
+    BOOST_TEST((soleAfterMerge({ { one, now }, { two, now - 31s } }, time_point {}) == one));
+    BOOST_TEST(!soleAfterMerge({ { two, now } }, time_point {}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(versionsAreListedUntilTheListLacksThem)
+{
+    const service_id service { "s" };
+    const auto one = versionKeyOf(service, software_version { "v1" });
+    const auto two = versionKeyOf(service, software_version { "v2" });
+    version_history history { { .window = 30s } };
+    history.record(listOf({ "v1", "v2" }), time_point { 1h });
+    history.record(listOf({ "v2" }), time_point { 1h + 1s });
+    const auto versions = history.versions().at(service);
+    BOOST_TEST(!versions.at(one).isListed);
+    BOOST_TEST(versions.at(two).isListed);
+}
