--- a/include/radishflow/Admission/quarantine.h
+++ b/include/radishflow/Admission/quarantine.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -59,6 +60,19 @@
         return end - now;
     }
 
+    /// Returns the time since the first crash of a request that still counts; nothing if there is none.
+    std::optional<duration> ageOfFirstCrash(const request_fingerprint& fingerprint) const
+    {
+        const auto found = m_crashes.find(fingerprint);
+        const time_point now = m_clock.now();
+        std::optional<duration> age;
+        for (const crash& recorded : found == m_crashes.end() ? std::vector<crash> {} : found->second) {
+            if (recorded.expiresAt > now)
+                age = std::max(age.value_or(duration::zero()), m_options.retention - (recorded.expiresAt - now));
+        }
+        return age;
+    }
+
     /// Records that a server crashed with these requests in flight.
     void recordCrash(const server_id& server, const std::vector<request_fingerprint>& inFlight, response_progress progress = response_progress::None)
     {
--- a/include/radishflow/Relay/abandoned_attempts.h
+++ b/include/radishflow/Relay/abandoned_attempts.h
@@ -23,6 +23,7 @@
     request_identity request;
     response_progress progress = response_progress::None;
     time_point abandonedAt {};
+    bool hasZoneRestarted = false; ///< Most servers of the availability zone have restarted with the server, which may explain its end.
 };
 
 /// Keeps attempts that ended by a timeout or a disconnect of the caller. Their servers may run them later and crash, which
@@ -58,8 +59,8 @@
     }
 
     /// Returns and forgets the attempts at processes that the list shows to have crashed: another process has their id or
-    /// their address, and neither a planned exit nor a restart of their availability zone explains it. `isPlannedExit(server, endedBy)`
-    /// returns whether a process that has ended by the given time exited by plan.
+    /// their address, and no planned exit explains it. `isPlannedExit(server, endedBy)` returns whether a process that has ended by the
+    /// given time exited by plan.
     template <typename IsPlannedExit>
     std::vector<abandoned_attempt> takeCrashed(const server_list& list, const IsPlannedExit& isPlannedExit)
     {
@@ -75,7 +76,9 @@
             const listed_server* successor = successorOf(server, list, byAddress);
             return successor && now - successor->listedAt >= settlingTime;
         });
-        std::erase_if(crashed, [&](const abandoned_attempt& attempt) { return hasZoneRestarted(attempt.server.zone, list, now) || isPlannedExit(attempt.server, successorOf(attempt.server, list, byAddress)->listedAt); });
+        std::erase_if(crashed, [&](const abandoned_attempt& attempt) { return isPlannedExit(attempt.server, successorOf(attempt.server, list, byAddress)->listedAt); });
+        for (abandoned_attempt& attempt : crashed)
+            attempt.hasZoneRestarted = hasZoneRestarted(attempt.server.zone, list, now);
         return crashed;
     }
 
@@ -100,7 +103,8 @@
         return sameAddress != byAddress.end() && sameAddress->second->service == server.service ? sameAddress->second : nullptr;
     }
 
-    // A zone that lost power comes back with new processes at most of its servers, which no request caused.
+    // A zone that lost power comes back with new processes at most of its servers, which no request caused. A request that crashes all
+    // servers of a small zone looks the same.
     static bool hasZoneRestarted(const zone_id& zone, const server_list& list, time_point now)
     {
         std::size_t total = 0;
--- a/include/radishflow/Relay/crash_quarantine.h
+++ b/include/radishflow/Relay/crash_quarantine.h
@@ -77,6 +77,9 @@
 private:
     /// Records a crash for one request unless the process exited by plan; the caller holds the lock, as for all below.
     void addCrash(const abandoned_attempt&, process_end, time_point endedBy);
+    void addRequestCrash(const request_identity&, const server_id& process, response_progress);
+    /// Records that a server ended while a request ran there, with most servers of its availability zone.
+    void addZoneRestart(const abandoned_attempt&);
     /// Returns whether what is taken for a crash was a planned exit, and logs it.
     bool isPlannedExit(const server_id& process, process_end, time_point endedBy) const;
     /// Forgets records that the announcement of a planned exit explains.
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -62,12 +62,28 @@
         return;
     if (attempt.progress == response_progress::None)
         m_parts.recordCrash(process, attempt.server.zone, request.sharedParts);
+    addRequestCrash(request, process, attempt.progress);
+}
+
+void crash_quarantine::addRequestCrash(const request_identity& request, const server_id& process, response_progress progress)
+{
     if (request.variant && m_served.find(*request.variant, m_clock.now())) {
         logCrash("crash_ignored", request.content, process);
         return;
     }
-    logCrash("crash_recorded", request.content, process, attempt.progress);
-    m_quarantine.recordCrash(process, { request.content }, attempt.progress);
+    logCrash("crash_recorded", request.content, process, progress);
+    m_quarantine.recordCrash(process, { request.content }, progress);
+}
+
+// Either the zone lost power or the request crashed its servers. Power is hardly lost twice while the same request runs there, so the first
+// restart is recorded as weak evidence, once however many servers ran the request, and counts in full if the request was at an earlier crash.
+void crash_quarantine::addZoneRestart(const abandoned_attempt& attempt)
+{
+    const auto age = m_quarantine.ageOfFirstCrash(attempt.request.content);
+    if (!age)
+        addRequestCrash(attempt.request, processIdOf(attempt.server), response_progress::Steady);
+    else if (*age > abandoned_attempts<boottime_clock>::zoneRestartTime)
+        addRequestCrash(attempt.request, processIdOf(attempt.server), attempt.progress);
 }
 
 void crash_quarantine::recordCrash(const request_identity& request, const listed_server& server, response_progress progress)
@@ -135,8 +151,12 @@
         m_parts.updateZoneSizes(zoneSizes);
     }
     const auto isPlanned = [this](const listed_server& server, time_point endedBy) { return isPlannedExit(processIdOf(server), process_end::Replaced, endedBy); };
-    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list, isPlanned))
-        addCrash(attempt, process_end::Replaced, m_clock.now());
+    for (const abandoned_attempt& attempt : m_abandoned.takeCrashed(*list, isPlanned)) {
+        if (attempt.hasZoneRestarted)
+            addZoneRestart(attempt);
+        else
+            addCrash(attempt, process_end::Replaced, m_clock.now());
+    }
 }
 
 std::optional<duration> crash_quarantine::remainingQuarantine(const request_identity& request) const
--- a/test/Relay/crashing_requests_test.cpp
+++ b/test/Relay/crashing_requests_test.cpp
@@ -374,3 +374,34 @@
     for (int daemon = 0; daemon < fleet.daemons(); ++daemon)
         BOOST_TEST(fleet.call(daemon, "/read/popular").status == 200);
 }
+
+// Guards against crashes that are never counted: no other server is left to show that the daemons' paths work, and the return of both
+// looks like a zone that had lost power.
+BOOST_AUTO_TEST_CASE(requestThatCrashesAllServersOfAZoneIsRefused)
+{
+    constexpr const char* path = "/read/crash";
+    constexpr int comings = 7;
+    constexpr auto interval = 4500ms;
+    constexpr int maxLate = 3; ///< Sent later than the contact time after the third crash.
+    relay_fleet fleet { { .daemons = 3, .servers = 2, .serverZone = "zb" } };
+    setCrashing(fleet, path);
+    std::chrono::steady_clock::time_point thirdCrashAt = std::chrono::steady_clock::time_point::max();
+    int late = 0;
+    for (int coming = 0; coming < comings; ++coming) {
+        const auto sentAt = std::chrono::steady_clock::now();
+        const int runsBefore = runsOf(fleet, path);
+        fleet.call(coming % fleet.daemons(), path, "GET");
+        awaitRestart(fleet);
+        const int runs = runsOf(fleet, path);
+        if (runs > runsBefore && sentAt - contactTime > thirdCrashAt)
+            ++late;
+        if (runs >= maxCrashes)
+            thirdCrashAt = std::min(thirdCrashAt, sentAt);
+        std::this_thread::sleep_until(sentAt + interval);
+    }
+    BOOST_TEST_MESSAGE(runsOf(fleet, path) << " crashes, " << late << " late");
+    BOOST_TEST(late <= maxLate);
+    const int runs = runsOf(fleet, path);
+    BOOST_TEST(fleet.call(0, path, "GET").status == 503);
+    BOOST_TEST(runsOf(fleet, path) == runs);
+}
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -64,7 +64,9 @@
     std::filesystem::create_directories(m_folder);
     configure(1);
     for (int number = 0; number < options.servers; ++number) {
-        m_servers.push_back(std::make_unique<server_standin>("i-" + std::to_string(number), options.services.at(static_cast<std::size_t>(number) % options.services.size()), number == 0 ? standinZone : "zb", options.versions.at(static_cast<std::size_t>(number) % options.versions.size())));
+        m_servers.push_back(std::make_unique<server_standin>("i-" + std::to_string(number), options.services.at(static_cast<std::size_t>(number) % options.services.size()), !options.serverZone.empty() ? options.serverZone : number == 0 ? standinZone
+                                                                                                                                                                                                                                            : "zb",
+            options.versions.at(static_cast<std::size_t>(number) % options.versions.size())));
         m_servers.back()->setBehaviour(options.behaviour);
         if (options.isProxied) {
             m_serverLinks.push_back(std::make_unique<faulty_link>("127.0.0.1:" + std::to_string(m_servers.back()->port())));
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -27,6 +27,7 @@
     int servers = 3;
     std::vector<std::string> versions { "v1" }; ///< Software versions of the servers, in turn.
     std::vector<std::string> services { standinService }; ///< Services of the servers, in turn.
+    std::string serverZone; ///< Of all servers; if empty, the first one is in standinZone and the others in another zone.
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
     bool hasServerPaths = false; ///< Whether each daemon reaches each server by a server_path of its own.
     std::vector<std::string> programs; ///< Of the daemons, in turn; empty for the one of this build.
--- a/unittests/Relay/abandoned_attempts_test.cpp
+++ b/unittests/Relay/abandoned_attempts_test.cpp
@@ -25,6 +25,7 @@
     int otherRestarts; ///< Of the zone's four further servers, at the same time.
     bool isPlanned; ///< The exit of server i-1 is known to be a planned one.
     bool isCrash;
+    bool hasZoneRestarted = false;
 };
 
 std::ostream& operator<<(std::ostream& out, const replacement_case& testCase) { return out << testCase.name; }
@@ -38,7 +39,7 @@
     { "planned exit, new id at the same address", makeServer("i-2", 2), 1s, 0, true, false },
     { "planned exit, new process under the same id", makeServer("i-1", 2), 1s, 0, true, false },
     { "one more server of the zone", makeServer("i-1", 2), 1s, 1, false, true },
-    { "most servers of the zone", makeServer("i-1", 2), 1s, 3, false, false },
+    { "most servers of the zone", makeServer("i-1", 2), 1s, 3, false, true, true },
     { "too late", makeServer("i-1", 2), 30s, 0, false, false },
 };
 
@@ -75,7 +76,9 @@
     }
     BOOST_TEST(attempts.takeCrashed(after, isPlannedExit).empty()); // Other servers of the zone may follow.
     clock.advance(abandoned_attempts<manual_clock>::settlingTime);
-    BOOST_TEST(attempts.takeCrashed(after, isPlannedExit).size() == (testCase.isCrash ? 1U : 0U));
+    const auto crashed = attempts.takeCrashed(after, isPlannedExit);
+    BOOST_TEST(crashed.size() == (testCase.isCrash ? 1U : 0U));
+    BOOST_TEST((!crashed.empty() && crashed.front().hasZoneRestarted) == testCase.hasZoneRestarted);
     BOOST_TEST(attempts.takeCrashed(after, isPlannedExit).empty());
     if (testCase.isPlanned)
         BOOST_TEST((plannedEndAt == successor.listedAt));
--- a/unittests/Relay/crash_quarantine_test.cpp
+++ b/unittests/Relay/crash_quarantine_test.cpp
@@ -5,10 +5,14 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
+#include <memory>
 #include <ostream>
 #include <string>
+#include <vector>
 
 using namespace radishflow;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -57,3 +61,60 @@
         BOOST_TEST(each->hasSuspectParts(request) == testCase.hasSuspectParts);
     }
 }
+
+namespace {
+
+/// A request at the servers of a zone which all restart, at one daemon after the other.
+struct zone_case {
+    const char* name;
+    int restarts;
+    int servers;
+    duration interval; ///< Between the restarts.
+    bool isQuarantined;
+
+    friend std::ostream& operator<<(std::ostream& out, const zone_case& testCase) { return out << testCase.name; }
+};
+
+const zone_case zoneCases[] {
+    { "the zone restarts once", 1, 2, 5s, false },
+    { "a large zone restarts once", 1, 20, 5s, false },
+    { "the zone restarts twice", 2, 2, 5s, true },
+    { "both restarts are one", 2, 2, 1s, false },
+};
+
+std::shared_ptr<const server_list> zoneOf(int servers, std::int64_t processStartMs)
+{
+    constexpr auto listedAge = 2s; ///< Longer than other servers of the zone may follow.
+    auto list = std::make_shared<server_list>();
+    for (int number = 0; number < servers; ++number) {
+        const server_id id { "i-" + std::to_string(number) };
+        list->servers.emplace(id, listed_server { .id = id, .service = service_id { "s" }, .address = id.value(), .zone = zone_id { "z" }, .listedAt = boottime_clock {}.now() - listedAge, .processStartMs = processStartMs });
+    }
+    return list;
+}
+
+} // namespace
+
+// Guards against a request that is never refused, since it crashes all servers of a zone each time, which looks like a loss of power.
+BOOST_DATA_TEST_CASE(requestAtRepeatedRestartsOfAZoneIsQuarantined, boost::unit_test::data::make(zoneCases), testCase)
+{
+    const request_identity request { .content = { .high = 1, .low = 2 }, .sharedParts = { 7 } };
+    std::vector<crash_record> shared;
+    for (int restart = 0; restart < testCase.restarts; ++restart) {
+        crash_quarantine crashes; // Of the daemon that received the request this time.
+        for (crash_record& record : shared)
+            record.remaining -= testCase.interval;
+        crashes.merge(shared);
+        crashes.takeNewRecords();
+        const auto former = zoneOf(testCase.servers, 1 + restart);
+        for (const auto& [id, server] : former->servers)
+            crashes.recordAbandoned(request, server);
+        crashes.applyServerList(zoneOf(testCase.servers, 2 + restart), boottime_clock {}.now());
+        const auto added = crashes.takeNewRecords();
+        shared.insert(shared.end(), added.begin(), added.end());
+    }
+    crash_quarantine other;
+    other.merge(shared);
+    BOOST_TEST(other.remainingQuarantine(request).has_value() == testCase.isQuarantined);
+    BOOST_TEST(!other.hasSuspectParts(request));
+}
