--- a/include/radishflow/Routing/cold_senders.h
+++ b/include/radishflow/Routing/cold_senders.h
@@ -11,7 +11,8 @@
 /// Returns the number of daemons that share the request rate of one cold server.
 std::size_t coldSenderCount(const fleet_view&);
 
-/// Returns whether this daemon may send to the cold server. Daemons with the same fleet view select the same senders.
+/// Returns whether this daemon may send to the cold server. Daemons with the same fleet view select the same senders; a daemon that does
+/// not know the size of the fleet selects none.
 bool isColdSender(const fleet_view&, const server_id&);
 
 /// Returns whether this daemon is among the given number of daemons that may send to the server, likewise.
--- a/lib/Routing/cold_senders.cpp
+++ b/lib/Routing/cold_senders.cpp
@@ -18,7 +18,8 @@
 
 bool isColdSender(const fleet_view& fleet, const server_id& server)
 {
-    return isAmongSenders(fleet, server, coldSenderCount(fleet));
+    // A daemon that has just started knows only itself and would take the whole rate, like each of those that start with it.
+    return fleet.isSizeKnown && isAmongSenders(fleet, server, coldSenderCount(fleet));
 }
 
 bool isAmongSenders(const fleet_view& fleet, const server_id& server, std::size_t senders)
--- a/test/Relay/relay_test.cpp
+++ b/test/Relay/relay_test.cpp
@@ -358,6 +358,46 @@
     BOOST_TEST(fleet.runs() - before >= 20);
 }
 
+// Guards against daemons that take the whole rate of a cold server, since each knows no other one yet.
+BOOST_AUTO_TEST_CASE(coldServersGetLimitedRequestRateWhileAllDaemonsStart)
+{
+    constexpr int daemons = 8;
+    constexpr int callersPerDaemon = 2;
+    constexpr std::size_t maxRequestsPerSecond = 20; // As above.
+    relay_fleet fleet { { .daemons = daemons, .servers = 1 } };
+    for (int daemon = 0; daemon < daemons; ++daemon) {
+        fleet.daemon(daemon).signal(SIGKILL);
+        fleet.daemon(daemon).wait(1s);
+    }
+    fleet.list(0, "ready", 60000);
+    const auto before = fleet.server(0).seen().size();
+    for (int daemon = 0; daemon < daemons; ++daemon)
+        fleet.restart(daemon);
+    std::vector<std::thread> callers;
+    callers.reserve(daemons * callersPerDaemon);
+    for (int caller = 0; caller < daemons * callersPerDaemon; ++caller) {
+        callers.emplace_back([&, caller] {
+            const auto end = std::chrono::steady_clock::now() + 4s;
+            for (int number = 0; std::chrono::steady_clock::now() < end; ++number) {
+                httpCall({ .url = "http://" + fleet.callerAddress(caller % daemons) + "/read/a", .headers = headersOf({ .id = "c" + std::to_string(caller) + '-' + std::to_string(number), .key = relay_fleet::key }) });
+                std::this_thread::sleep_for(2ms);
+            }
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    const auto seen = fleet.server(0).seen();
+    std::size_t most = 0;
+    for (std::size_t begin = before, end = before; end < seen.size(); ++end) {
+        while (seen[end].at - seen[begin].at >= 1s)
+            ++begin;
+        most = std::max(most, end - begin + 1);
+    }
+    BOOST_TEST_MESSAGE(seen.size() - before << " requests, at most " << most << " in one second");
+    BOOST_TEST(most <= maxRequestsPerSecond);
+    BOOST_TEST(seen.size() - before >= 20U);
+}
+
 BOOST_AUTO_TEST_CASE(plannedStopCompletesRunningRequests)
 {
     relay_fleet fleet { { .daemons = 2 } };
--- a/unittests/Routing/test_servers.h
+++ b/unittests/Routing/test_servers.h
@@ -25,7 +25,7 @@
 /// Returns the view of a fleet of count daemons as seen by daemon number self.
 inline fleet_view testFleet(int count, int self = 0)
 {
-    fleet_view fleet { .self = daemon_id { "d" + std::to_string(self) }, .size = static_cast<std::size_t>(count) };
+    fleet_view fleet { .self = daemon_id { "d" + std::to_string(self) }, .size = static_cast<std::size_t>(count), .isSizeKnown = true };
     for (int number = 0; number < count; ++number)
         fleet.daemons.push_back({ .id = daemon_id { "d" + std::to_string(number) } });
     return fleet;
