--- a/include/radishflow/Relay/relay_call_dispatch.h
+++ b/include/radishflow/Relay/relay_call_dispatch.h
@@ -33,6 +33,8 @@
 
 // Result of an attempt that established no connection, as logged.
 inline constexpr const char* unreachableResult = "unreachable";
+// Result of an attempt that was not made, as the server did not state that the process which its entry names runs.
+inline constexpr const char* unidentifiedResult = "unidentified";
 // Result of an attempt to resume a stream that was answered otherwise, as logged.
 inline constexpr const char* notAStreamResult = "not_a_stream";
 
@@ -280,7 +282,7 @@
         auto chosen = chooseServer();
         if (!chosen || isProcessKnown(chosen->server))
             return chosen;
-        releaseUnused(chosen->server, "unidentified");
+        releaseUnused(chosen->server, unidentifiedResult);
     }
     return std::nullopt;
 }
--- a/include/radishflow/Relay/relay_call_responses.h
+++ b/include/radishflow/Relay/relay_call_responses.h
@@ -308,7 +308,7 @@
         return;
     }
     m_history.servers.push_back(server.id);
-    if (std::string_view { result } != unreachableResult)
+    if (std::string_view { result } != unreachableResult && std::string_view { result } != unidentifiedResult)
         m_history.contactedServers.push_back(server.id);
     m_record.servers += server.id.value() + ':' + server.version.value() + ':' + result;
 }
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -250,8 +250,11 @@
         if (balancer.hasJustStatedProcess(server))
             return true;
         const time_point queriedAt = clock.now();
-        if (!identify(server))
+        if (!identify(server)) {
             balancer.recordSilence(server, queriedAt);
+            // The path to all servers may be lost, so that another daemon has to send the request.
+            access.recordConnectFailure(server);
+        }
         return balancer.hasJustStatedProcess(server);
     }
 
