--- a/include/radishflow/Admission/quarantine.h
+++ b/include/radishflow/Admission/quarantine.h
@@ -105,6 +105,20 @@
     /// Returns and clears the records added since the last call, merged ones included, to be sent to other daemons.
     std::vector<crash_record> takeNewRecords() { return std::exchange(m_newRecords, {}); }
 
+    /// Sets the remaining time of records, which may have waited to be sent, as of now.
+    void updateRemaining(std::vector<crash_record>& records) const
+    {
+        for (crash_record& record : records) {
+            const auto found = m_crashes.find(record.fingerprint);
+            if (found == m_crashes.end())
+                continue;
+            for (const crash& recorded : found->second) {
+                if (recorded.server == record.server)
+                    record.remaining = recorded.expiresAt - m_clock.now();
+            }
+        }
+    }
+
     /// Returns all current records, for a daemon that has just started.
     std::vector<crash_record> allRecords() const
     {
--- a/lib/Relay/crash_quarantine.cpp
+++ b/lib/Relay/crash_quarantine.cpp
@@ -173,6 +173,7 @@
     std::vector<crash_record> records = m_quarantine.takeNewRecords();
     records.insert(records.end(), m_pendingRecords.begin(), m_pendingRecords.end());
     m_pendingRecords.clear();
+    m_quarantine.updateRemaining(records);
     return records;
 }
 
--- a/unittests/Relay/crash_quarantine_test.cpp
+++ b/unittests/Relay/crash_quarantine_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace radishflow;
@@ -118,3 +119,18 @@
     BOOST_TEST(other.remainingQuarantine(request).has_value() == testCase.isQuarantined);
     BOOST_TEST(!other.hasSuspectParts(request));
 }
+
+// Guards against other daemons that take a crash for a planned exit, since the time for which the record waited makes the crash seem later.
+BOOST_AUTO_TEST_CASE(recordsAreAgedWhileTheyWaitToBeSent)
+{
+    constexpr auto wait = 50ms;
+    const request_identity request { .content = { .high = 1, .low = 2 } };
+    crash_quarantine crashes;
+    crashes.recordCrash(request, listed_server { .id = server_id { "i" }, .service = service_id { "s" }, .address = "10.0.0.1:80", .zone = zone_id { "z" }, .processStartMs = 1 });
+    std::this_thread::sleep_for(wait);
+    crashes.merge({}); // Own records wait in another list from here on.
+    std::this_thread::sleep_for(wait);
+    const auto records = crashes.takeNewRecords();
+    BOOST_REQUIRE(records.size() == 1U);
+    BOOST_TEST((records.front().remaining <= crash_quarantine::retention - 2 * wait));
+}
