--- a/include/radishflow/Emulator/http_reply.h
+++ b/include/radishflow/Emulator/http_reply.h
@@ -31,6 +31,12 @@
 /// Resets the connection, after a short time in which the peer can read what was sent.
 void resetConnection(Poco::Net::HTTPServerRequest&);
 
+/// Resets the connection without such a delay.
+void resetConnectionAtOnce(Poco::Net::HTTPServerRequest&);
+
+/// Ends the sending side of the connection and discards what the peer still sends, until it closes the connection.
+void finishSending(Poco::Net::HTTPServerRequest&);
+
 /// Whether the peer has closed the connection.
 bool hasPeerClosed(Poco::Net::HTTPServerRequest&);
 
--- a/lib/Emulator/http_reply.cpp
+++ b/lib/Emulator/http_reply.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Thread.h>
 #include <Poco/URI.h>
 
+#include <array>
 #include <chrono>
 #include <sstream>
 #include <sys/socket.h>
@@ -67,6 +68,11 @@
 {
     // The peer reads what was sent before the reset only if it does so in time.
     Poco::Thread::sleep(pollMicroseconds / 1000);
+    resetConnectionAtOnce(request);
+}
+
+void resetConnectionAtOnce(Poco::Net::HTTPServerRequest& request)
+{
     request.response().setKeepAlive(false);
     try {
         socketOf(request).setLinger(true, 0);
@@ -76,6 +82,18 @@
     }
 }
 
+void finishSending(Poco::Net::HTTPServerRequest& request)
+{
+    request.response().setKeepAlive(false);
+    std::array<char, 65536> dropped;
+    try {
+        socketOf(request).shutdownSend();
+        while (socketOf(request).receiveBytes(dropped.data(), static_cast<int>(dropped.size())) > 0) { }
+    } catch (const Poco::Exception&) {
+        // The peer reset the connection, which ends it as well.
+    }
+}
+
 static bool hasEnded(Poco::Net::StreamSocket& socket)
 {
     char byte = 0;
--- /dev/null
+++ b/test/Relay/malformed_responses_test.cpp
@@ -0,0 +1,128 @@
+// Tests that responses which a faulty server breaks off or frames wrongly never reach callers as complete ones.
+#include "relay_fleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace radishflow;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t uploadBytes = 4U << 20U; // More than the relay sends at once.
+constexpr auto callerTimeLeft = 8s;
+
+const std::string fields = "X-Request-Id: {id}\r\n" + std::string { signatureField } + ": seal\r\n";
+const std::string success = "HTTP/1.1 200 OK\r\n" + fields;
+const std::string stream = success + "Content-Type: text/event-stream\r\n";
+const std::string event = "id: 1\ndata: token\n\n";
+
+struct early_case {
+    const char* name;
+    const char* target;
+    std::string response;
+    bool isReset;
+    received_response expected;
+
+    friend std::ostream& operator<<(std::ostream& out, const early_case& testCase) { return out << testCase.name; }
+};
+
+const received_response whole { .status = 200, .isComplete = true, .body = "whole" };
+const received_response failure { .status = 502, .isComplete = true };
+const received_response brokenStream { .status = 200, .isComplete = false, .body = event };
+const received_response wholeStream { .status = 200, .isComplete = true, .body = event };
+
+const early_case earlyResponses[] {
+    { "part without a length, reset", "/order/a", success + "\r\nwho", true, failure },
+    { "part of an error response without a length, reset", "/order/a", "HTTP/1.1 500 Internal Server Error\r\n" + fields + "\r\nwho", true, failure },
+    { "part with a length, reset", "/order/a", success + "Content-Length: 5\r\n\r\nwho", true, failure },
+    { "part in chunks, reset", "/order/a", success + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n", true, failure },
+    { "whole without a length, closed", "/order/a", success + "\r\nwhole", false, whole },
+    { "whole with a length, closed", "/order/a", success + "Content-Length: 5\r\n\r\nwhole", false, whole },
+    { "whole with a length, reset", "/order/a", success + "Content-Length: 5\r\n\r\nwhole", true, whole },
+    { "whole in chunks, reset", "/order/a", success + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true, whole },
+    { "events without chunks, reset", "/stream/a", stream + "\r\n" + event, true, brokenStream },
+    { "events without chunks, closed", "/stream/a", stream + "\r\n" + event, false, wholeStream },
+};
+
+/// Sends an upload on a connection of its own.
+received_response upload(const std::string& address, const std::string& target, const std::string& id)
+{
+    constexpr auto timeout = 10s; // Only ends a test that would hang.
+    const std::string plain = writeRequestHead("POST " + target + " HTTP/1.1", { .id = id, .key = relay_fleet::key, .timeLeft = callerTimeLeft }, false);
+    const std::string length = "Content-Length: " + std::to_string(uploadBytes) + "\r\n\r\n";
+    caller_connection connection;
+    BOOST_REQUIRE(connection.open(address));
+    return connection.run(plain.substr(0, plain.size() - 2) + length + std::string(uploadBytes, 'x'), timeout);
+}
+
+/// Repeats an upload that is refused as not run, as a caller does.
+received_response uploadUntilRun(const std::string& address, const std::string& target, const std::string& id)
+{
+    received_response received;
+    int attempts = 0;
+    waitUntil(callerTimeLeft, [&] {
+        received = upload(address, target, id + '-' + std::to_string(++attempts));
+        return received.status != 503;
+    });
+    return received;
+}
+
+void acceptUploads(relay_fleet& fleet)
+{
+    fleet.configure({ .version = 2, .workspaceKey = relay_fleet::key, .orderTimeout = callerTimeLeft, .maxBodyBytes = uploadBytes });
+    for (int daemon = 0; daemon < fleet.daemons(); ++daemon)
+        BOOST_REQUIRE(waitUntil(5s, [&] { return fleet.call(daemon, "/v2/a").status == 200; }));
+}
+
+void setBehaviours(relay_fleet& fleet, const server_behaviour& behaviour)
+{
+    for (int server = 0; server < fleet.servers(); ++server)
+        fleet.server(server).setBehaviour(behaviour);
+}
+
+/// Returns whether a response is the expected one. The body of a failure is the daemon's own.
+bool isExpected(const received_response& received, const received_response& expected)
+{
+    return received.status == expected.status && received.isComplete == expected.isComplete && (expected.status != 200 || received.body == expected.body);
+}
+
+void checkUploads(relay_fleet& fleet, const early_case& testCase, int uploads)
+{
+    setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = testCase.response, .isEarly = true, .isReset = testCase.isReset });
+    int expected = 0;
+    int complete = 0;
+    for (int number = 0; number < uploads; ++number) {
+        const received_response received = uploadUntilRun(fleet.callerAddress(0), testCase.target, "u" + std::to_string(number));
+        expected += isExpected(received, testCase.expected) ? 1 : 0;
+        complete += received.isComplete && received.status != 502 ? 1 : 0;
+    }
+    BOOST_TEST_MESSAGE(testCase.name << ": " << expected << " of " << uploads << " as expected, " << complete << " delivered as complete");
+    BOOST_TEST(expected == uploads);
+}
+
+} // namespace
+
+// Guards against a part of a response in the place of the whole, if the server resets the connection while the request is sent.
+BOOST_DATA_TEST_CASE(earlyResponseToAnUploadIsWholeOrAFailure, boost::unit_test::data::make(earlyResponses), testCase)
+{
+    constexpr int uploads = 40;
+    relay_fleet fleet { { .daemons = 1, .servers = 2 } };
+    acceptUploads(fleet);
+    checkUploads(fleet, testCase, uploads);
+}
+
+// The daemon that reaches the servers reads the response; the one that forwards reads that daemon's.
+BOOST_DATA_TEST_CASE(earlyResponseToAForwardedUploadIsWholeOrAFailure, boost::unit_test::data::make(earlyResponses), testCase)
+{
+    constexpr int uploads = 20;
+    relay_fleet fleet { { .daemons = 2, .servers = 2, .hasServerPaths = true, .isLastDaemonDirect = true } };
+    acceptUploads(fleet);
+    fleet.setServerPaths(0, path_state::Reset);
+    BOOST_REQUIRE(waitUntil(5s, [&] { return fleet.call(0, "/read/a").status == 200; }));
+    checkUploads(fleet, testCase, uploads);
+}
--- a/test/Relay/relay_fleet.cpp
+++ b/test/Relay/relay_fleet.cpp
@@ -74,7 +74,7 @@
         }
         list(number);
     }
-    for (int number = 0; options.hasServerPaths && number < options.daemons; ++number)
+    for (int number = 0; options.hasServerPaths && number < options.daemons - (options.isLastDaemonDirect ? 1 : 0); ++number)
         addServerPaths(number);
     m_daemons.resize(static_cast<std::size_t>(options.daemons));
     for (std::size_t number = 0; number < m_daemons.size(); ++number)
@@ -151,7 +151,7 @@
 {
     if (static_cast<std::size_t>(daemon) < m_storeLinks.size())
         return "127.0.0.1:" + std::to_string(m_storeLinks[static_cast<std::size_t>(daemon)]->port());
-    return m_storeViews.empty() ? m_store.address() : m_storeViews.at(static_cast<std::size_t>(daemon));
+    return static_cast<std::size_t>(daemon) < m_storeViews.size() ? m_storeViews[static_cast<std::size_t>(daemon)] : m_store.address();
 }
 
 void relay_fleet::start(int number)
--- a/test/Relay/relay_fleet.h
+++ b/test/Relay/relay_fleet.h
@@ -30,6 +30,7 @@
     std::string serverZone; ///< Of all servers; if empty, the first one is in standinZone and the others in another zone.
     bool isProxied = false; ///< Whether all connections except the gossip between daemons go through a faulty_link.
     bool hasServerPaths = false; ///< Whether each daemon reaches each server by a server_path of its own.
+    bool isLastDaemonDirect = false; ///< Whether the last daemon reaches the servers without one, and thus receives resets from them as such.
     std::vector<std::string> programs; ///< Of the daemons, in turn; empty for the one of this build.
     std::string logFolder; ///< Folder for the daemons' output; empty to discard it.
     server_behaviour behaviour; ///< Initial behaviour of all servers.
