--- a/test/Relay/malformed_responses_test.cpp
+++ b/test/Relay/malformed_responses_test.cpp
@@ -1,4 +1,6 @@
 // Tests that responses which a faulty server breaks off or frames wrongly never reach callers as complete ones.
+#include "radishflow/Relay/response_text.h"
+
 #include "relay_fleet.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -17,7 +19,8 @@
 constexpr auto callerTimeLeft = 8s;
 
 const std::string fields = "X-Request-Id: {id}\r\n" + std::string { signatureField } + ": seal\r\n";
-const std::string success = "HTTP/1.1 200 OK\r\n" + fields;
+const std::string ok = "HTTP/1.1 200 OK\r\n";
+const std::string success = ok + fields;
 const std::string stream = success + "Content-Type: text/event-stream\r\n";
 const std::string event = "id: 1\ndata: token\n\n";
 
@@ -126,3 +129,86 @@
     BOOST_REQUIRE(waitUntil(5s, [&] { return fleet.call(0, "/read/a").status == 200; }));
     checkUploads(fleet, testCase, uploads);
 }
+
+namespace {
+
+struct malformed_case {
+    const char* name;
+    std::string start; ///< Interim responses and the status line.
+    std::string extraField; ///< Of the head.
+    std::string trailer;
+
+    friend std::ostream& operator<<(std::ostream& out, const malformed_case& testCase) { return out << testCase.name; }
+};
+
+const malformed_case malformedResponses[] {
+    { "status 000", "HTTP/1.1 000 OK\r\n", "", "" },
+    { "status 000 without a reason", "HTTP/1.1 000\r\n", "", "" },
+    { "status 099", "HTTP/1.1 099 OK\r\n", "", "" },
+    { "status 600", "HTTP/1.1 600 OK\r\n", "", "" },
+    { "interim response with status 000", "HTTP/1.1 000 Hints\r\n\r\n" + ok, "", "" },
+    { "blank in a name", ok, "X Note: 1\r\n", "" },
+    { "blank behind a name", ok, "X-Note : 1\r\n", "" },
+    { "length with a blank behind its name", ok, "Content-Length : 3\r\n", "" },
+    { "folded field", ok, "X-Note: 1\r\n 2\r\n", "" },
+    { "tab in a name", ok, "X\tNote: 1\r\n", "" },
+    { "control byte in a name", ok, "X\x01Note: 1\r\n", "" },
+    { "zero byte in a name", ok, std::string { "X" } + '\0' + "Note: 1\r\n", "" },
+    { "line feed in a name", ok, "X\nNote: 1\r\n", "" },
+    { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + ok, "", "" },
+};
+
+/// Returns the response in chunks with the given content.
+std::string inChunks(const malformed_case& testCase, const std::string& extraFields, const std::string& content)
+{
+    std::string text = testCase.start + fields + extraFields + testCase.extraField + "Transfer-Encoding: chunked\r\n\r\n";
+    appendChunk(text, content);
+    return text + "0\r\n" + testCase.trailer + "\r\n";
+}
+
+/// Sends a request without a body on a connection of its own.
+received_response send(const std::string& address, const std::string& target, const std::string& id)
+{
+    constexpr auto timeout = 10s; // Only ends a test that would hang.
+    caller_connection connection;
+    BOOST_REQUIRE(connection.open(address));
+    return connection.run(writeRequestHead(target + " HTTP/1.1", { .id = id, .key = relay_fleet::key, .timeLeft = 4s }), timeout);
+}
+
+/// Checks that a malformed response becomes a failure, and in a stream at most one that is not complete.
+void checkMalformed(relay_fleet& fleet, const malformed_case& testCase)
+{
+    for (const bool isReset : { false, true }) {
+        setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = inChunks(testCase, "", "whole"), .isReset = isReset });
+        for (const char* target : { "POST /order/a", "GET /read/a" }) {
+            const received_response received = send(fleet.callerAddress(0), target, std::string { isReset ? "r" : "c" } + target[0]);
+            BOOST_TEST(received.status == 502, target << ": " << received.status << " \"" << received.body << '"');
+        }
+        setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = inChunks(testCase, "Content-Type: text/event-stream\r\n", event), .isReset = isReset });
+        const received_response received = send(fleet.callerAddress(0), "GET /stream/a", isReset ? "sr" : "sc");
+        const bool isBroken = !testCase.trailer.empty() && received.status == 200 && !received.isComplete && received.body == event;
+        BOOST_TEST((received.status == 502 || isBroken), "stream: " << received.status << " \"" << received.body << '"');
+    }
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(malformedResponseIsAFailure, boost::unit_test::data::make(malformedResponses), testCase)
+{
+    relay_fleet fleet { { .daemons = 1, .servers = 2 } };
+    checkMalformed(fleet, testCase);
+}
+
+// Guards against the malformed response to a resend in the place of the rest of a stream.
+BOOST_DATA_TEST_CASE(malformedResponseDoesNotEndAStreamThatHasBegun, boost::unit_test::data::make(malformedResponses), testCase)
+{
+    constexpr int servers = 3;
+    relay_fleet fleet { { .daemons = 1, .servers = servers } };
+    setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = inChunks(testCase, "Content-Type: text/event-stream\r\n", "id: 3\ndata: token\n\n"), .isOnlyResumedCut = true });
+    const received_response received = send(fleet.callerAddress(0), "GET /resumable-stream/a", "b");
+    BOOST_TEST(received.status == 200);
+    BOOST_TEST(!received.isComplete);
+    BOOST_TEST(received.body.starts_with("id: 1\n"));
+    // Events before a malformed trailer are those of the server.
+    BOOST_TEST((received.body.find("id: 3\n") != std::string::npos) == !testCase.trailer.empty());
+}
--- a/unittests/Backend/broken_responses_test.cpp
+++ b/unittests/Backend/broken_responses_test.cpp
@@ -111,3 +111,76 @@
         BOOST_TEST(page == (length == testCase.bytes.size() ? testCase.body : "failed"), testCase.name << ", cut after " << length << " bytes: \"" << page << '"');
     }
 }
+
+namespace {
+
+struct malformed_case {
+    const char* name;
+    std::string bytes;
+
+    friend std::ostream& operator<<(std::ostream& out, const malformed_case& testCase) { return out << testCase.name; }
+};
+
+const std::string head = "HTTP/1.1 200 OK\r\n";
+const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
+
+const malformed_case malformedResponses[] {
+    { "status 000", "HTTP/1.1 000 OK\r\n" + chunked + "\r\n" },
+    { "interim response with status 000", "HTTP/1.1 000 Hints\r\n\r\n" + head + chunked + "\r\n" },
+    { "blank in a name", head + "X Note: 1\r\n" + chunked + "\r\n" },
+    { "length with a blank behind its name", head + "Content-Length : 3\r\n" + chunked + "\r\n" },
+    { "control byte in a name", head + "X\x01Note: 1\r\n" + chunked + "\r\n" },
+    { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + head + chunked + "\r\n" },
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(malformedResponseIsBrokenOff, boost::unit_test::data::make(malformedResponses) * boost::unit_test::data::make({ false, true }), testCase, isReset)
+{
+    const one_response server { testCase.bytes, isReset };
+    answer_buffer answer { 65536 };
+    const exchange_outcome outcome = backend_client { {} }.run({ .request = request_id { "r" }, .server = server.address(), .method = "GET", .path = "/", .timeLeft = 2s }, openGate, answer);
+    BOOST_TEST(!outcome.isWhole);
+    const answer_part received = readAll(answer);
+    BOOST_TEST(!received.finished);
+    BOOST_TEST(received.status == 0);
+}
+
+BOOST_DATA_TEST_CASE(malformedPageIsAFailure, boost::unit_test::data::make(malformedResponses), testCase)
+{
+    const one_response server { testCase.bytes, false };
+    BOOST_TEST(valueOr([&] { return backend_client { {} }.readPage(server.address(), "/metrics"); }, [](const failure&) { return std::string { "failed" }; }) == "failed");
+}
+
+namespace {
+
+struct early_case {
+    const char* name;
+    std::string bytes;
+    bool isWhole;
+
+    friend std::ostream& operator<<(std::ostream& out, const early_case& testCase) { return out << testCase.name; }
+};
+
+const early_case earlyResponses[] {
+    { "part without a length", head + "\r\nwho", false },
+    { "part with a length", head + "Content-Length: 5\r\n\r\nwho", false },
+    { "part in chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n", false },
+    { "whole with a length", head + "Content-Length: 5\r\n\r\nwhole", true },
+    { "whole in chunks", head + chunked + "\r\n", true },
+};
+
+} // namespace
+
+// The server closes with unread bytes of the request, which resets the connection.
+BOOST_DATA_TEST_CASE(earlyResponseToAnUploadIsWholeOrBrokenOff, boost::unit_test::data::make(earlyResponses) * boost::unit_test::data::make({ false, true }), testCase, isReset)
+{
+    constexpr std::size_t uploadBytes = 16U << 20U; // More than the buffers of the connection hold.
+    const one_response server { testCase.bytes, isReset };
+    answer_buffer answer { 65536 };
+    const exchange_outcome outcome = backend_client { {} }.run({ .request = request_id { "r" }, .server = server.address(), .method = "POST", .path = "/", .body = std::string(uploadBytes, 'x'), .timeLeft = 5s }, openGate, answer);
+    BOOST_TEST(outcome.isWhole == testCase.isWhole);
+    const answer_part received = readAll(answer);
+    BOOST_TEST(received.finished == testCase.isWhole);
+    BOOST_TEST(received.data == (testCase.isWhole ? "whole" : ""));
+}
--- a/unittests/Requests/parse_head_test.cpp
+++ b/unittests/Requests/parse_head_test.cpp
@@ -47,6 +47,20 @@
     { "no number", "HTTP/1.1 2x0 OK\r\n\r\n", parse_state::Malformed },
     { "number too large", "HTTP/1.1 999 OK\r\n\r\n", parse_state::Malformed },
     { "no space", "HTTP/1.1 200OK\r\n\r\n", parse_state::Malformed },
+    { "number 000", "HTTP/1.1 000 OK\r\n\r\n", parse_state::Malformed },
+    { "number 000, no reason", "HTTP/1.1 000\r\n\r\n", parse_state::Malformed },
+    { "number 099", "HTTP/1.1 099 OK\r\n\r\n", parse_state::Malformed },
+    { "signed number", "HTTP/1.1 +20 OK\r\n\r\n", parse_state::Malformed },
+    { "negative number", "HTTP/1.1 -20 OK\r\n\r\n", parse_state::Malformed },
+    { "blank in a name", "HTTP/1.1 200 OK\r\nX Note: b\r\n\r\n", parse_state::Malformed },
+    { "blank behind a name", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\n", parse_state::Malformed },
+    { "blank before a name", "HTTP/1.1 200 OK\r\n Content-Length: 1\r\n\r\n", parse_state::Malformed },
+    { "tab in a name", "HTTP/1.1 200 OK\r\nX\tNote: b\r\n\r\n", parse_state::Malformed },
+    { "control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Note: b\r\n\r\n", parse_state::Malformed },
+    { "zero byte in a name", std::string { "HTTP/1.1 200 OK\r\nX" } + '\0' + "Note: b\r\n\r\n", parse_state::Malformed },
+    { "delete in a name", "HTTP/1.1 200 OK\r\nX\x7fNote: b\r\n\r\n", parse_state::Malformed },
+    { "line feed in a name", "HTTP/1.1 200 OK\r\nX\nNote: b\r\n\r\n", parse_state::Malformed },
+    { "name without letters", "HTTP/1.1 200 OK\r\n: b\r\n\r\n", parse_state::Malformed },
 };
 
 constexpr std::size_t maxBytes = 200;
