--- a/lib/Requests/parse_head.cpp
+++ b/lib/Requests/parse_head.cpp
@@ -96,7 +96,7 @@
     if (parsed.ptr != status.data() + status.size() || head.status < 100 || head.status > 599)
         return false;
     const std::string_view rest = line.substr(versionLength + 1 + statusLength);
-    if (!rest.empty() && rest.front() != ' ')
+    if (!rest.empty() && (rest.front() != ' ' || !std::all_of(rest.begin(), rest.end(), isValueCharacter)))
         return false;
     head.reason = rest.empty() ? rest : rest.substr(1);
     head.minorVersion = *version;
--- a/test/Relay/malformed_responses_test.cpp
+++ b/test/Relay/malformed_responses_test.cpp
@@ -156,6 +156,9 @@
     { "zero byte in a name", ok, std::string { "X" } + '\0' + "Note: 1\r\n", "" },
     { "line feed in a name", ok, "X\nNote: 1\r\n", "" },
     { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + ok, "", "" },
+    { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n", "", "" },
+    { "field behind a bare line feed", "HTTP/1.1 200 OK\nX-Note: 1\r\n", "", "" },
+    { "interim response with a field behind a bare line feed", "HTTP/1.1 103 Early Hints\nX-Note: 1\r\n\r\n" + ok, "", "" },
 };
 
 /// Returns the response in chunks with the given content.
--- a/unittests/Backend/broken_responses_test.cpp
+++ b/unittests/Backend/broken_responses_test.cpp
@@ -131,6 +131,8 @@
     { "length with a blank behind its name", head + "Content-Length : 3\r\n" + chunked + "\r\n" },
     { "control byte in a name", head + "X\x01Note: 1\r\n" + chunked + "\r\n" },
     { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + head + chunked + "\r\n" },
+    { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + chunked + "\r\n" },
+    { "field behind a bare line feed", "HTTP/1.1 200 OK\nX-Note: 1\r\n" + chunked + "\r\n" },
 };
 
 } // namespace
--- a/unittests/Requests/parse_head_test.cpp
+++ b/unittests/Requests/parse_head_test.cpp
@@ -61,6 +61,11 @@
     { "delete in a name", "HTTP/1.1 200 OK\r\nX\x7fNote: b\r\n\r\n", parse_state::Malformed },
     { "line feed in a name", "HTTP/1.1 200 OK\r\nX\nNote: b\r\n\r\n", parse_state::Malformed },
     { "name without letters", "HTTP/1.1 200 OK\r\n: b\r\n\r\n", parse_state::Malformed },
+    { "byte 0xFF and a tab in the reason", "HTTP/1.1 200 O\xff\tK\r\n\r\n", parse_state::Complete },
+    { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n\r\n", parse_state::Malformed },
+    { "zero byte in the reason", std::string { "HTTP/1.1 200 O" } + '\0' + "K\r\n\r\n", parse_state::Malformed },
+    { "field behind a bare line feed", "HTTP/1.1 200 OK\nContent-Length: 1\r\n\r\n", parse_state::Malformed },
+    { "field behind a bare carriage return", "HTTP/1.1 200 OK\rContent-Length: 1\r\n\r\n", parse_state::Malformed },
 };
 
 constexpr std::size_t maxBytes = 200;
