--- a/include/radishflow/Requests/parse_head.h
+++ b/include/radishflow/Requests/parse_head.h
@@ -20,4 +20,7 @@
 parse_state parseRequestHead(std::string_view input, std::size_t maxBytes, request_head&, std::size_t& length);
 parse_state parseResponseHead(std::string_view input, std::size_t maxBytes, response_head&, std::size_t& length);
 
+/// Appends the field in a line of a head or of trailers, without its line end. Returns false if the line is malformed.
+bool parseField(std::string_view line, header_fields&);
+
 } // namespace radishflow
--- a/lib/Requests/body_decoder.cpp
+++ b/lib/Requests/body_decoder.cpp
@@ -2,6 +2,8 @@
 // differently would disagree on where the next message starts.
 #include "radishflow/Requests/body_decoder.h"
 
+#include "radishflow/Requests/parse_head.h"
+
 #include <algorithm>
 #include <charconv>
 #include <string_view>
@@ -9,7 +11,7 @@
 namespace radishflow {
 
 static constexpr std::size_t maxChunkLineBytes = 4096; // Chunk extensions are discarded.
-static constexpr std::size_t maxTrailerBytes = 65536; // Trailers are discarded, too.
+static constexpr std::size_t maxTrailerBytes = 65536; // Trailers are checked and discarded.
 
 static bool parseNumber(std::string_view text, int base, std::uint64_t& number)
 {
@@ -113,8 +115,9 @@
         if (m_step == chunk_step::Trailer) {
             if (line.empty())
                 return state::Complete;
+            header_fields discarded;
             m_trailerBytes += line.size();
-            if (m_trailerBytes > maxTrailerBytes)
+            if (m_trailerBytes > maxTrailerBytes || !parseField(line, discarded))
                 return state::Malformed;
             continue;
         }
--- a/lib/Requests/parse_head.cpp
+++ b/lib/Requests/parse_head.cpp
@@ -41,7 +41,7 @@
     return std::nullopt;
 }
 
-static bool parseField(std::string_view line, header_fields& fields)
+bool parseField(std::string_view line, header_fields& fields)
 {
     const auto colon = line.find(':');
     if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
--- a/test/Relay/malformed_responses_test.cpp
+++ b/test/Relay/malformed_responses_test.cpp
@@ -159,6 +159,10 @@
     { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n", "", "" },
     { "field behind a bare line feed", "HTTP/1.1 200 OK\nX-Note: 1\r\n", "", "" },
     { "interim response with a field behind a bare line feed", "HTTP/1.1 103 Early Hints\nX-Note: 1\r\n\r\n" + ok, "", "" },
+    { "trailer with a blank in its name", ok, "", "X Note: 1\r\n" },
+    { "trailer with a blank behind its name", ok, "", "X-Note : 1\r\n" },
+    { "trailer with a control byte in its name", ok, "", "X\x01Note: 1\r\n" },
+    { "head of another response as a trailer", ok, "", ok },
 };
 
 /// Returns the response in chunks with the given content.
--- a/unittests/Backend/broken_responses_test.cpp
+++ b/unittests/Backend/broken_responses_test.cpp
@@ -133,6 +133,8 @@
     { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + head + chunked + "\r\n" },
     { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + chunked + "\r\n" },
     { "field behind a bare line feed", "HTTP/1.1 200 OK\nX-Note: 1\r\n" + chunked + "\r\n" },
+    { "trailer with a blank in its name", head + chunked + "X Note: 1\r\n\r\n" },
+    { "trailer with a control byte in its name", head + chunked + "X\x01Note: 1\r\n\r\n" },
 };
 
 } // namespace
--- a/unittests/Relay/http_client_test.cpp
+++ b/unittests/Relay/http_client_test.cpp
@@ -34,6 +34,7 @@
     { "with a length", head + "Content-Length: 5\r\n\r\nwhole", false, true },
     { "with a length, reset", head + "Content-Length: 5\r\n\r\nwhole", true, true },
     { "in chunks", head + chunked + "\r\n", false, true },
+    { "in chunks, with a trailer", head + chunked + "X-Note: 1\r\n\r\n", false, true },
     { "after an interim response", "HTTP/1.1 103 Early Hints\r\nX-Note: 1\r\n\r\n" + head + chunked + "\r\n", false, true },
     { "neither length nor chunks, closed", head + "\r\nwhole", false, true },
     { "neither length nor chunks, reset", head + "\r\nwho", true },
@@ -47,6 +48,8 @@
     { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + head + chunked + "\r\n" },
     { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + chunked + "\r\n" },
     { "field behind a bare line feed", "HTTP/1.1 200 OK\nContent-Length: 3\r\n\r\nwhole" },
+    { "trailer with a blank in its name", head + chunked + "X Note: 1\r\n\r\n" },
+    { "trailer with a control byte in its name", head + chunked + "X\x01Note: 1\r\n\r\n" },
 };
 
 /// Responds to the first bytes of one request and ends the connection.
