--- a/include/radishflow/Requests/parse_head.h
+++ b/include/radishflow/Requests/parse_head.h
@@ -22,5 +22,7 @@
 
 /// Appends the field in a line of a head or of trailers, without its line end. Returns false if the line is malformed.
 bool parseField(std::string_view line, header_fields&);
+/// Returns whether a field's value may consist of these characters: no control characters except tabs.
+bool isFieldValue(std::string_view);
 
 } // namespace radishflow
--- a/lib/Requests/body_decoder.cpp
+++ b/lib/Requests/body_decoder.cpp
@@ -10,8 +10,8 @@
 
 namespace radishflow {
 
-static constexpr std::size_t maxChunkLineBytes = 4096; // Chunk extensions are discarded.
-static constexpr std::size_t maxTrailerBytes = 65536; // Trailers are checked and discarded.
+static constexpr std::size_t maxChunkLineBytes = 4096; // Chunk extensions are checked and discarded.
+static constexpr std::size_t maxTrailerBytes = 65536; // So are trailers.
 
 static bool parseNumber(std::string_view text, int base, std::uint64_t& number)
 {
@@ -95,6 +95,8 @@
 
 bool body_decoder::parseChunkSize(const std::string& line)
 {
+    if (!isFieldValue(line))
+        return false;
     std::string_view digits = std::string_view { line }.substr(0, line.find(';'));
     digits = digits.substr(0, digits.find_last_not_of(" \t") + 1);
     return parseNumber(digits, 16, m_remainingBytes);
--- a/lib/Requests/parse_head.cpp
+++ b/lib/Requests/parse_head.cpp
@@ -32,6 +32,11 @@
     return isVisible(letter) || letter == ' ' || letter == '\t';
 }
 
+bool isFieldValue(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), isValueCharacter);
+}
+
 static std::optional<int> minorVersionOf(std::string_view version)
 {
     if (version == "HTTP/1.1")
@@ -50,7 +55,7 @@
     const auto begin = std::min(value.find_first_not_of(" \t"), value.size());
     value.remove_prefix(begin);
     value = value.substr(0, value.find_last_not_of(" \t") + 1);
-    if (!std::all_of(value.begin(), value.end(), isValueCharacter))
+    if (!isFieldValue(value))
         return false;
     fields.all.push_back({ .name = std::string { line.substr(0, colon) }, .value = std::string { value } });
     return true;
@@ -96,7 +101,7 @@
     if (parsed.ptr != status.data() + status.size() || head.status < 100 || head.status > 599)
         return false;
     const std::string_view rest = line.substr(versionLength + 1 + statusLength);
-    if (!rest.empty() && (rest.front() != ' ' || !std::all_of(rest.begin(), rest.end(), isValueCharacter)))
+    if (!rest.empty() && (rest.front() != ' ' || !isFieldValue(rest)))
         return false;
     head.reason = rest.empty() ? rest : rest.substr(1);
     head.minorVersion = *version;
--- a/test/Relay/malformed_responses_test.cpp
+++ b/test/Relay/malformed_responses_test.cpp
@@ -137,6 +137,7 @@
     std::string start; ///< Interim responses and the status line.
     std::string extraField; ///< Of the head.
     std::string trailer;
+    std::string chunkExtension;
 
     friend std::ostream& operator<<(std::ostream& out, const malformed_case& testCase) { return out << testCase.name; }
 };
@@ -159,6 +160,8 @@
     { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n", "", "" },
     { "field behind a bare line feed", "HTTP/1.1 200 OK\nX-Note: 1\r\n", "", "" },
     { "interim response with a field behind a bare line feed", "HTTP/1.1 103 Early Hints\nX-Note: 1\r\n\r\n" + ok, "", "" },
+    { "bare line feed in a chunk extension", ok, "", "", ";x\nother" },
+    { "control byte in a chunk extension", ok, "", "", ";x\x01" },
     { "trailer with a blank in its name", ok, "", "X Note: 1\r\n" },
     { "trailer with a blank behind its name", ok, "", "X-Note : 1\r\n" },
     { "trailer with a control byte in its name", ok, "", "X\x01Note: 1\r\n" },
@@ -169,7 +172,9 @@
 std::string inChunks(const malformed_case& testCase, const std::string& extraFields, const std::string& content)
 {
     std::string text = testCase.start + fields + extraFields + testCase.extraField + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::size_t sizeAt = text.size();
     appendChunk(text, content);
+    text.insert(text.find('\r', sizeAt), testCase.chunkExtension);
     return text + "0\r\n" + testCase.trailer + "\r\n";
 }
 
--- a/unittests/Relay/http_client_test.cpp
+++ b/unittests/Relay/http_client_test.cpp
@@ -48,6 +48,7 @@
     { "interim response with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + head + chunked + "\r\n" },
     { "control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + chunked + "\r\n" },
     { "field behind a bare line feed", "HTTP/1.1 200 OK\nContent-Length: 3\r\n\r\nwhole" },
+    { "bare line feed in a chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n5;x\nwhole\r\nother\r\n0\r\n\r\n" },
     { "trailer with a blank in its name", head + chunked + "X Note: 1\r\n\r\n" },
     { "trailer with a control byte in its name", head + chunked + "X\x01Note: 1\r\n\r\n" },
 };
--- a/unittests/Requests/body_decoder_test.cpp
+++ b/unittests/Requests/body_decoder_test.cpp
@@ -34,6 +34,8 @@
     { "chunks", chunked, "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\nnext", decoder_state::Complete, "abcde", "next" },
     { "chunks with trailer", chunked, "1\r\na\r\n0\r\nT: v\r\n\r\n", decoder_state::Complete, "a", "" },
     { "chunks with trailers and more", chunked, "1\r\na\r\n0\r\nT: v\r\nU:\r\n\r\nnext", decoder_state::Complete, "a", "next" },
+    { "control byte in a chunk extension", chunked, "1;x\x01\r\na\r\n0\r\n\r\n", decoder_state::Malformed, "", "" },
+    { "bare line feed in a chunk extension", chunked, "1;x\na\r\n0\r\n\r\n", decoder_state::Malformed, "", "" },
     { "trailer with a blank in its name", chunked, "1\r\na\r\n0\r\nT u: v\r\n\r\n", decoder_state::Malformed, "a", "" },
     { "trailer with a blank behind its name", chunked, "1\r\na\r\n0\r\nT : v\r\n\r\n", decoder_state::Malformed, "a", "" },
     { "folded trailer", chunked, "1\r\na\r\n0\r\nT: v\r\n w\r\n\r\n", decoder_state::Malformed, "a", "" },
