--- a/lib/Backend/backend_client.cpp
+++ b/lib/Backend/backend_client.cpp
@@ -32,7 +32,7 @@
         if (!sent.empty())
             request.setContentLength64(static_cast<Poco::Int64>(sent.size()));
         session.sendRequest(request) << sent << std::flush;
-        response_stream response { session.socket() };
+        response_stream response { session };
         const int status = response.readHead().status;
         std::string body;
         Poco::StreamCopier::copyToString(response.body(), body);
--- a/lib/Backend/backend_exchange.cpp
+++ b/lib/Backend/backend_exchange.cpp
@@ -155,7 +155,7 @@
 {
     constexpr int ok = 200;
     constexpr int notFound = 404;
-    response_stream response { session.socket() };
+    response_stream response { session };
     const response_head& head = response.readHead();
     if (head.status == ok && response.fieldOf("Content-Type").starts_with("text/event-stream"))
         return copyEvents(response, head);
--- a/lib/Backend/response_stream.cpp
+++ b/lib/Backend/response_stream.cpp
@@ -3,9 +3,11 @@
 
 #include "radishflow/Requests/parse_head.h"
 
+#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/NetException.h>
 
 #include <array>
+#include <cerrno>
 
 namespace radishflow {
 
@@ -13,8 +15,17 @@
 static constexpr int maxInterimResponses = 16;
 static constexpr int firstFinalStatus = 200;
 
-response_stream::response_stream(const Poco::Net::StreamSocket& socket)
-    : m_socket(socket)
+// The kernel reports the error of a connection once: after a send that failed, receiving returns 0 behind the last byte, as at a
+// clean end. A send fails with EPIPE if the server had ended its sending side before.
+static bool hasSendFailed(const Poco::Net::HTTPClientSession& session)
+{
+    const Poco::Exception* error = session.networkException();
+    return error && error->code() != EPIPE;
+}
+
+response_stream::response_stream(Poco::Net::HTTPClientSession& session)
+    : m_socket(session.socket())
+    , m_hasSendFailed(hasSendFailed(session))
 {
 }
 
@@ -22,8 +33,10 @@
 {
     std::array<char, 8192> bytes;
     const int count = m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-    if (count <= 0)
+    if (count <= 0) {
+        m_hasEnded = count == 0 && !m_hasSendFailed;
         return false;
+    }
     m_input.append(bytes.data(), static_cast<std::size_t>(count));
     return true;
 }
--- a/lib/Backend/response_stream.h
+++ b/lib/Backend/response_stream.h
@@ -11,21 +11,26 @@
 #include <streambuf>
 #include <string>
 
+namespace Poco::Net {
+class HTTPClientSession;
+}
+
 namespace radishflow {
 
 /// Not thread-safe. Used instead of POCO's session, which takes a head or a body that breaks off for a complete one.
 class response_stream : private std::streambuf {
 public:
-    explicit response_stream(const Poco::Net::StreamSocket&);
+    /// Reads the response to the request that the session has sent, or tried to send.
+    explicit response_stream(Poco::Net::HTTPClientSession&);
 
     /// Reads the head of the final response. Throws Poco::Exception if it breaks off, does not arrive in the socket's receive
     /// timeout or is malformed.
     const response_head& readHead();
     /// Returns the body without its framing, after readHead(). It also ends when the connection breaks.
     std::istream& body() { return m_body; }
-    /// Returns whether the body that was read is complete, as the head frames it. A body that ends with its connection never
-    /// is, since a broken connection ends it in the same way.
-    bool isComplete() const { return m_decoder && m_decoder->isComplete(); }
+    /// Returns whether the body that was read is complete, as the head frames it. A body without framing is complete if the
+    /// server ended the connection, and not if the connection broke or the socket's receive timeout passed.
+    bool isComplete() const { return m_decoder && (m_decoder->isComplete() || (m_decoder->endsWithConnection() && m_hasEnded)); }
     /// Returns the value of a field of the head, or an empty text.
     std::string fieldOf(const char* name) const;
 
@@ -35,6 +40,8 @@
     bool receive();
 
     Poco::Net::StreamSocket m_socket;
+    bool m_hasSendFailed; ///< The connection broke while the request was sent, before the server had ended its sending side.
+    bool m_hasEnded = false; ///< The server has ended its sending side.
     std::string m_input;
     response_head m_head;
     std::optional<body_decoder> m_decoder;
