--- a/lib/Backend/response_stream.h
+++ b/include/radishflow/Requests/response_stream.h
@@ -1,4 +1,4 @@
-// Declares response_stream, which reads one response of a backend server from its connection.
+// Declares response_stream, which reads one response to a request of a POCO session from its connection.
 #pragma once
 
 #include "radishflow/Requests/body_decoder.h"
@@ -29,7 +29,7 @@
     /// Returns the body without its framing, after readHead(). It also ends when the connection breaks.
     std::istream& body() { return m_body; }
     /// Returns whether the body that was read is complete, as the head frames it. A body without framing is complete if the
-    /// server ended the connection, and not if the connection broke or the socket's receive timeout passed.
+    /// peer ended the connection, and not if the connection broke or the socket's receive timeout passed.
     bool isComplete() const { return m_decoder && (m_decoder->isComplete() || (m_decoder->endsWithConnection() && m_hasEnded)); }
     /// Returns the value of a field of the head, or an empty text.
     std::string fieldOf(const char* name) const;
--- a/lib/Backend/backend_client.cpp
+++ b/lib/Backend/backend_client.cpp
@@ -1,10 +1,10 @@
 // Implements the client of backend servers.
 #include "radishflow/Backend/backend_client.h"
 
+#include "radishflow/Requests/response_stream.h"
 #include "radishflow/Support/timespan.h"
 
 #include "backend_exchange.h"
-#include "response_stream.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/lib/Backend/backend_exchange.h
+++ b/lib/Backend/backend_exchange.h
@@ -6,10 +6,9 @@
 #include "radishflow/Backend/write_gate.h"
 #include "radishflow/Requests/answer_buffer.h"
 #include "radishflow/Requests/request_submission.h"
+#include "radishflow/Requests/response_stream.h"
 #include "radishflow/Support/monotonic_clock.h"
 
-#include "response_stream.h"
-
 #include <cstdint>
 #include <memory>
 
--- a/lib/Platform/http_exchange.cpp
+++ b/lib/Platform/http_exchange.cpp
@@ -2,17 +2,16 @@
 // that alone tells a write of which nothing was sent from one whose outcome is not known.
 #include "http_exchange.h"
 
+#include "radishflow/Requests/response_stream.h"
 #include "radishflow/Support/timespan.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 
-#include <istream>
 #include <optional>
 #include <ostream>
 
@@ -53,13 +52,10 @@
         head.set("If-None-Match", "*");
     session.sendRequest(head) << request.body << std::flush;
 
-    Poco::Net::HTTPResponse answer;
-    std::istream& stream = session.receiveResponse(answer);
-    platform_reply reply { .status = static_cast<int>(answer.getStatus()), .body = {} };
-    Poco::StreamCopier::copyToString(stream, reply.body);
-    // The stream reports a lost connection or a timeout as its end, so the length tells a whole body.
-    const Poco::Int64 announced = answer.getContentLength64();
-    if (announced >= 0 && static_cast<std::size_t>(announced) != reply.body.size())
+    response_stream response { session };
+    platform_reply reply { .status = response.readHead().status, .body = {} };
+    Poco::StreamCopier::copyToString(response.body(), reply.body);
+    if (!response.isComplete())
         throw Poco::Net::MessageException("the answer ended early");
     return reply;
 }
--- a/lib/Backend/response_stream.cpp
+++ b/lib/Requests/response_stream.cpp
@@ -1,5 +1,5 @@
 // Implements the reading of responses with the strict parsers of heads and bodies.
-#include "response_stream.h"
+#include "radishflow/Requests/response_stream.h"
 
 #include "radishflow/Requests/parse_head.h"
 
