--- a/tools/radishflow/daemon_pages.cpp
+++ b/tools/radishflow/daemon_pages.cpp
@@ -2,11 +2,12 @@
 #include "daemon_pages.h"
 
 #include "radishflow/Platform/platform_client.h"
+#include "radishflow/Requests/response_stream.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/StreamCopier.h>
 
 #include <iostream>
@@ -21,14 +22,17 @@
         session.setTimeout(Poco::Timespan { 3, 0 });
         Poco::Net::HTTPRequest request { method, path, Poco::Net::HTTPMessage::HTTP_1_1 };
         request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-        session.sendRequest(request) << body;
-        Poco::Net::HTTPResponse response;
+        session.sendRequest(request) << body << std::flush;
+        response_stream response { session };
+        const response_head& head = response.readHead();
         std::string text;
-        Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
+        Poco::StreamCopier::copyToString(response.body(), text);
+        if (!response.isComplete())
+            throw Poco::Net::MessageException("the page ended early");
         Poco::JSON::Parser parser;
         auto object = parser.parse(text).extract<Poco::JSON::Object::Ptr>();
-        if (response.getStatus() != 200)
-            return fail({ .code = failure_code::Refused, .step = step, .peer = address, .detail = object->optValue<std::string>("detail", response.getReason()) });
+        if (head.status != 200)
+            return fail({ .code = failure_code::Refused, .step = step, .peer = address, .detail = object->optValue<std::string>("detail", head.reason) });
         return object;
     } catch (const Poco::Exception& error) {
         return fail({ .code = failure_code::Unreachable, .step = step, .peer = address, .detail = error.displayText() });
