--- a/test/Relay/malformed_responses_test.cpp
+++ b/test/Relay/malformed_responses_test.cpp
@@ -25,6 +25,7 @@
 const std::string success = ok + fields;
 const std::string stream = success + "Content-Type: text/event-stream\r\n";
 const std::string event = "id: 1\ndata: token\n\n";
+const std::string laterEvent = "id: 3\ndata: token\n\n"; // Follows the events before a cut.
 
 struct early_case {
     const char* name;
@@ -240,24 +241,44 @@
     return false;
 }
 
-} // namespace
-
-// Guards against the malformed response to a resend in the place of the rest of a stream.
-BOOST_DATA_TEST_CASE(malformedResponseDoesNotEndAStreamThatHasBegun, boost::unit_test::data::make(malformedResponses), testCase)
+/// Sends streams until a server has received a resumed one, and checks that it is not complete. `hasLaterEvent` states whether
+/// it contains the event of the resumed part.
+template <typename Sender>
+void checkResumedStream(relay_fleet& fleet, bool hasLaterEvent, const Sender& sendAs)
 {
-    relay_fleet fleet { { .daemons = 1, .servers = 3 } };
-    setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = inChunks(testCase, "Content-Type: text/event-stream\r\n", "id: 3\ndata: token\n\n"), .isOnlyResumedCut = true });
     received_response received;
     int streams = 0;
     // A daemon that has just started has no share of the retry budget yet.
     const bool isResumed = waitUntil(10s, [&] {
-        received = send(fleet.callerAddress(0), "GET /resumable-stream/a", "b" + std::to_string(++streams));
+        received = sendAs("b" + std::to_string(++streams));
         return hasResumedRequest(fleet);
     });
     BOOST_REQUIRE(isResumed);
     BOOST_TEST(received.status == 200);
     BOOST_TEST(!received.isComplete);
     BOOST_TEST(received.body.starts_with("id: 1\n"));
+    BOOST_TEST((received.body.find(laterEvent) != std::string::npos) == hasLaterEvent);
+}
+
+} // namespace
+
+// Guards against the malformed response to a resend in the place of the rest of a stream.
+BOOST_DATA_TEST_CASE(malformedResponseDoesNotEndAStreamThatHasBegun, boost::unit_test::data::make(malformedResponses), testCase)
+{
+    relay_fleet fleet { { .daemons = 1, .servers = 3 } };
+    setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = inChunks(testCase, "Content-Type: text/event-stream\r\n", laterEvent), .isOnlyResumedCut = true });
     // Events before a malformed trailer are those of the server.
-    BOOST_TEST((received.body.find("id: 3\n") != std::string::npos) == !testCase.trailer.empty());
+    checkResumedStream(fleet, !testCase.trailer.empty(), [&](const std::string& id) { return send(fleet.callerAddress(0), "GET /resumable-stream/a", id); });
+}
+
+// Guards against a part of the rest of a stream in the place of the whole.
+BOOST_AUTO_TEST_CASE(resetDuringAResentUploadDoesNotEndAStreamThatHasBegun)
+{
+    constexpr int runs = 10;
+    for (int run = 0; run < runs; ++run) {
+        relay_fleet fleet { { .daemons = 1, .servers = 3 } };
+        acceptUploads(fleet);
+        setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = stream + "\r\n" + laterEvent, .isEarly = true, .isReset = true, .isOnlyResumedCut = true });
+        checkResumedStream(fleet, true, [&](const std::string& id) { return upload(fleet.callerAddress(0), "/resumable-stream/a", id); });
+    }
 }
