--- a/test/Relay/malformed_responses_test.cpp
+++ b/test/Relay/malformed_responses_test.cpp
@@ -275,10 +275,11 @@
 BOOST_AUTO_TEST_CASE(resetDuringAResentUploadDoesNotEndAStreamThatHasBegun)
 {
     constexpr int runs = 10;
+    const std::string resumedPart = stream + "\r\n" + laterEvent;
     for (int run = 0; run < runs; ++run) {
         relay_fleet fleet { { .daemons = 1, .servers = 3 } };
         acceptUploads(fleet);
-        setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = stream + "\r\n" + laterEvent, .isEarly = true, .isReset = true, .isOnlyResumedCut = true });
+        setBehaviours(fleet, { .kind = server_response_kind::Raw, .rawResponse = resumedPart, .isEarly = true, .isReset = true, .isOnlyResumedCut = true });
         checkResumedStream(fleet, true, [&](const std::string& id) { return upload(fleet.callerAddress(0), "/resumable-stream/a", id); });
     }
 }
