FleetTests: exchanges by UDP use a port of their own process

hintsReachAnotherDaemonByUdp failed once, in one of two checks that ran at the same time: Poco::Net::NetException at its start, under the thread sanitizer. Cause: the port was fixed, and so was that of originIsFoundByDaemonsThatMissedIt, so two runs of the program on one machine cannot both bind it. With the port held by another process the case fails in the same way.

The port now depends on the process; the checks are unchanged.

--- a/unittests/Fleet/hint_exchange_test.cpp
+++ b/unittests/Fleet/hint_exchange_test.cpp
@@ -2,6 +2,8 @@
 #include "radishflow/Fleet/hint_codec.h"
 #include "radishflow/Fleet/hint_exchange.h"
 
+#include "process_port.h"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -10,6 +12,7 @@
 #include <chrono>
 #include <mutex>
 #include <random>
+#include <string>
 #include <thread>
 
 using namespace radishflow;
@@ -224,7 +227,7 @@
 
 BOOST_AUTO_TEST_CASE(hintsReachAnotherDaemonByUdp)
 {
-    constexpr int port = 28471;
+    const std::string port = ':' + std::to_string(processPort());
     std::mutex mutex;
     std::vector<shared_load> received;
     std::atomic<bool> isFromSender = false;
@@ -233,8 +236,8 @@
         const std::lock_guard lock { mutex };
         received.insert(received.end(), hints.loads.begin(), hints.loads.end());
     };
-    hint_exchange one { { .address = "127.0.0.21:" + std::to_string(port), .onReceive = [](const server_hints&, const std::string&) {} } };
-    hint_exchange two { { .address = "127.0.0.22:" + std::to_string(port), .onReceive = recordLoads } };
+    hint_exchange one { { .address = "127.0.0.21" + port, .onReceive = [](const server_hints&, const std::string&) {} } };
+    hint_exchange two { { .address = "127.0.0.22" + port, .onReceive = recordLoads } };
     const fleet_view fleet { .self = daemon_id { "one" }, .daemons = { { .id = daemon_id { "one" }, .callerAddress = "127.0.0.21:1" }, { .id = daemon_id { "two" }, .callerAddress = "127.0.0.22:1" } } };
     one.send({ .loads = { { .server = 5, .requests = 7 } } }, fleet);
     for (int wait = 0; wait < 200; ++wait) {
--- a/unittests/Fleet/stream_origin_exchange_test.cpp
+++ b/unittests/Fleet/stream_origin_exchange_test.cpp
@@ -2,6 +2,8 @@
 #include "radishflow/Fleet/stream_holders.h"
 #include "radishflow/Fleet/stream_origin_exchange.h"
 
+#include "process_port.h"
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -9,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <set>
+#include <string>
 
 using namespace radishflow;
 using namespace std::chrono_literals;
@@ -64,7 +67,7 @@
 
 BOOST_AUTO_TEST_CASE(originIsFoundByDaemonsThatMissedIt)
 {
-    const std::string port = ":28491";
+    const std::string port = ':' + std::to_string(processPort());
     stream_origin_exchange first { "127.0.1.1" + port };
     stream_origin_exchange second { "127.0.1.2" + port };
     const auto both = [](int self) { return std::make_shared<const fleet_view>(fleetOf(2, 1, self)); };
