BackendTests: a server that closes early waits for unread bytes

unframedResponseIsWholeIfItsConnectionEnds/_8 failed in two of two checks under the thread sanitizer: a response to an upload was delivered although the server closed "with unread bytes". Cause: the slower client had sent no more than the server had read, so closing ended the connection cleanly, and the response was whole by the rule that the case tests.

The stand-in now waits for unread bytes before it closes, so each run has the reset that the row asks for, and the rows of earlyResponseToAnUploadIsWholeOrBrokenOff do the same. Expectations are unchanged.

--- a/unittests/Backend/broken_responses_test.cpp
+++ b/unittests/Backend/broken_responses_test.cpp
@@ -39,8 +39,11 @@
     End, ///< Ends the sending side and reads until the client closes the connection.
     EndAndReset, ///< Ends the sending side and resets the connection afterwards.
     Stay, ///< Reads until the client closes the connection.
+    CloseUnread, ///< Closes the connection once bytes of the request are unread, which resets it.
 };
 
+std::ostream& operator<<(std::ostream& out, ending end) { return out << static_cast<int>(end); }
+
 /// A server that answers one connection with the given bytes and ends it.
 class one_response {
 public:
@@ -66,6 +69,8 @@
             peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
         if (end == ending::End || end == ending::EndAndReset)
             peer.shutdownSend();
+        if (end == ending::CloseUnread)
+            peer.poll(Poco::Timespan { 5, 0 }, Poco::Net::Socket::SELECT_READ);
         while ((end == ending::End || end == ending::Stay) && peer.receiveBytes(request.data(), static_cast<int>(request.size())) > 0) { }
         if (end == ending::Reset || end == ending::EndAndReset) {
             std::this_thread::sleep_for(5ms); // Time to read what was sent.
@@ -193,10 +198,9 @@
 
 } // namespace
 
-// The server closes with unread bytes of the request, which resets the connection.
-BOOST_DATA_TEST_CASE(earlyResponseToAnUploadIsWholeOrBrokenOff, boost::unit_test::data::make(earlyResponses) * boost::unit_test::data::make({ false, true }), testCase, isReset)
+BOOST_DATA_TEST_CASE(earlyResponseToAnUploadIsWholeOrBrokenOff, boost::unit_test::data::make(earlyResponses) * boost::unit_test::data::make({ ending::CloseUnread, ending::Reset }), testCase, end)
 {
-    const one_response server { testCase.bytes, isReset };
+    const one_response server { testCase.bytes, end };
     answer_buffer answer { 65536 };
     const exchange_outcome outcome = backend_client { {} }.run({ .request = request_id { "r" }, .server = server.address(), .method = "POST", .path = "/", .body = std::string(uploadBytes, 'x'), .timeLeft = 5s }, openGate, answer);
     BOOST_TEST(outcome.isWhole == testCase.isWhole);
@@ -225,7 +229,7 @@
     { "upload, ended", uploadBytes, ending::End, true },
     { "upload, ended, then reset", uploadBytes, ending::EndAndReset, true },
     { "upload, reset", uploadBytes, ending::Reset, false },
-    { "upload, closed with unread bytes", uploadBytes, ending::Close, false },
+    { "upload, closed with unread bytes", uploadBytes, ending::CloseUnread, false },
 };
 
 } // namespace
