--- a/include/radishflow/Emulator/http_reply.h
+++ b/include/radishflow/Emulator/http_reply.h
@@ -31,7 +31,7 @@
 /// Resets the connection, after a short time in which the peer can read what was sent.
 void resetConnection(Poco::Net::HTTPServerRequest&);
 
-/// Resets the connection without such a delay.
+/// Resets the connection at once; the peer may lose what was sent and not yet read.
 void resetConnectionAtOnce(Poco::Net::HTTPServerRequest&);
 
 /// Ends the sending side of the connection and discards what the peer still sends, until it closes the connection.
--- a/include/radishflow/Relay/relay_socket.h
+++ b/include/radishflow/Relay/relay_socket.h
@@ -66,7 +66,7 @@
     bool m_isDrained = false; ///< The last read left no bytes in the socket.
     bool m_hasReceived = false;
     bool m_hasPeerTimedOut = false;
-    bool m_hasSendFailed = false; ///< The connection broke during a send, before the peer had ended its sending side.
+    bool m_brokeDuringSend = false; ///< A send reported that the connection broke before the peer had ended its sending side.
     int m_lateReads = 0; ///< Consecutive reads after their deadline.
 };
 
--- a/include/radishflow/Requests/response_stream.h
+++ b/include/radishflow/Requests/response_stream.h
@@ -40,8 +40,8 @@
     bool receive();
 
     Poco::Net::StreamSocket m_socket;
-    bool m_hasSendFailed; ///< The connection broke while the request was sent, before the server had ended its sending side.
-    bool m_hasEnded = false; ///< The server has ended its sending side.
+    bool m_brokeDuringSend; ///< The connection broke while the request was sent, before the peer had ended its sending side.
+    bool m_hasEnded = false; ///< The peer has ended its sending side.
     std::string m_input;
     response_head m_head;
     std::optional<body_decoder> m_decoder;
--- a/lib/Relay/relay_socket.cpp
+++ b/lib/Relay/relay_socket.cpp
@@ -122,7 +122,7 @@
             return io_outcome::Done;
         }
         if (received == 0)
-            return m_hasSendFailed ? io_outcome::Broken : io_outcome::Ended;
+            return m_brokeDuringSend ? io_outcome::Broken : io_outcome::Ended;
         m_hasPeerTimedOut = error == ETIMEDOUT;
         if (error != EAGAIN && error != EWOULDBLOCK && error != EINTR)
             return io_outcome::Broken;
@@ -142,9 +142,9 @@
         }
         if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
             m_hasPeerTimedOut = errno == ETIMEDOUT;
-            // The kernel reports the error of a connection once: receiving then returns 0 after the last byte, as at a clean end.
-            // The first send fails with EPIPE only if the peer had ended its sending side before.
-            m_hasSendFailed = m_hasSendFailed || errno != EPIPE;
+            // The kernel reports the error of a connection only once. After this send, recv() returns the bytes that have arrived
+            // and then 0, as if the peer had ended its sending side. If the peer really had, the first error is EPIPE.
+            m_brokeDuringSend = m_brokeDuringSend || errno != EPIPE;
             outcome = io_outcome::Broken;
             break;
         }
--- a/lib/Requests/body_decoder.cpp
+++ b/lib/Requests/body_decoder.cpp
@@ -11,7 +11,7 @@
 namespace radishflow {
 
 static constexpr std::size_t maxChunkLineBytes = 4096; // Chunk extensions are checked and discarded.
-static constexpr std::size_t maxTrailerBytes = 65536; // So are trailers.
+static constexpr std::size_t maxTrailerBytes = 65536; // Trailers are checked and discarded as well.
 
 static bool parseNumber(std::string_view text, int base, std::uint64_t& number)
 {
--- a/lib/Requests/response_stream.cpp
+++ b/lib/Requests/response_stream.cpp
@@ -15,9 +15,9 @@
 static constexpr int maxInterimResponses = 16;
 static constexpr int firstFinalStatus = 200;
 
-// The kernel reports the error of a connection once: after a send that failed, receiving returns 0 behind the last byte, as at a
-// clean end. A send fails with EPIPE if the server had ended its sending side before.
-static bool hasSendFailed(const Poco::Net::HTTPClientSession& session)
+// The kernel reports the error of a connection only once. After a send has reported it, receiving returns the bytes that have
+// arrived and then 0, as if the peer had ended its sending side. If the peer really had, the send fails with EPIPE.
+static bool brokeDuringSend(const Poco::Net::HTTPClientSession& session)
 {
     const Poco::Exception* error = session.networkException();
     return error && error->code() != EPIPE;
@@ -25,7 +25,7 @@
 
 response_stream::response_stream(Poco::Net::HTTPClientSession& session)
     : m_socket(session.socket())
-    , m_hasSendFailed(hasSendFailed(session))
+    , m_brokeDuringSend(brokeDuringSend(session))
 {
 }
 
@@ -34,7 +34,7 @@
     std::array<char, 8192> bytes;
     const int count = m_socket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
     if (count <= 0) {
-        m_hasEnded = count == 0 && !m_hasSendFailed;
+        m_hasEnded = count == 0 && !m_brokeDuringSend;
         return false;
     }
     m_input.append(bytes.data(), static_cast<std::size_t>(count));
--- a/unittests/Backend/broken_responses_test.cpp
+++ b/unittests/Backend/broken_responses_test.cpp
@@ -42,7 +42,11 @@
     CloseUnread, ///< Closes the connection once bytes of the request are unread, which resets it.
 };
 
-std::ostream& operator<<(std::ostream& out, ending end) { return out << static_cast<int>(end); }
+std::ostream& operator<<(std::ostream& out, ending end)
+{
+    constexpr std::array<const char*, 6> names { "Close", "Reset", "End", "EndAndReset", "Stay", "CloseUnread" };
+    return out << names.at(static_cast<std::size_t>(end));
+}
 
 /// A server that answers one connection with the given bytes and ends it.
 class one_response {
@@ -69,6 +73,7 @@
             peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
         if (end == ending::End || end == ending::EndAndReset)
             peer.shutdownSend();
+        // Without unread bytes, closing ends the connection cleanly instead of resetting it.
         if (end == ending::CloseUnread)
             peer.poll(Poco::Timespan { 5, 0 }, Poco::Net::Socket::SELECT_READ);
         while ((end == ending::End || end == ending::Stay) && peer.receiveBytes(request.data(), static_cast<int>(request.size())) > 0) { }
--- a/unittests/Relay/relay_socket_test.cpp
+++ b/unittests/Relay/relay_socket_test.cpp
@@ -1,4 +1,5 @@
-// Tests that the end of a connection is told from its break, also if the break is first seen while sending.
+// Tests that relay_socket distinguishes a connection that its peer ended from one that was reset, also if a send reported the
+// reset first.
 #include "radishflow/Relay/relay_socket.h"
 #include "radishflow/Support/boottime_clock.h"
 
@@ -29,11 +30,11 @@
 
 const ending_case endings[] {
     { "reset", false, 0, io_outcome::Broken },
-    { "reset, seen by a send", false, 1, io_outcome::Broken },
-    { "reset, seen by two sends", false, 2, io_outcome::Broken },
+    { "reset, reported by a send", false, 1, io_outcome::Broken },
+    { "reset, and two sends", false, 2, io_outcome::Broken },
     { "ended, then reset", true, 0, io_outcome::Ended },
-    { "ended, then reset, seen by a send", true, 1, io_outcome::Ended },
-    { "ended, then reset, seen by two sends", true, 2, io_outcome::Ended },
+    { "ended, then reset, reported by a send", true, 1, io_outcome::Ended },
+    { "ended, then reset, and two sends", true, 2, io_outcome::Ended },
 };
 
 void waitForReset(const Poco::Net::StreamSocket& socket)
@@ -45,7 +46,7 @@
 
 } // namespace
 
-BOOST_DATA_TEST_CASE(resetIsNoEndOfTheReceivedBytes, boost::unit_test::data::make(endings), testCase)
+BOOST_DATA_TEST_CASE(resetIsNotReportedAsEnd, boost::unit_test::data::make(endings), testCase)
 {
     constexpr std::string_view sent = "part";
     Poco::Net::ServerSocket listener { Poco::Net::SocketAddress { "127.0.0.1:0" } };
