--- a/include/radishflow/Fleet/fleet_membership.h
+++ b/include/radishflow/Fleet/fleet_membership.h
@@ -31,7 +31,7 @@
     const std::string& forwardingToken() const { return m_forwardingToken; }
     /// Announces that this daemon leaves the fleet; the others stop directing callers to it.
     void leave();
-    /// Returns the current fleet.
+    /// Returns the current fleet, without the daemons that no longer respond.
     std::shared_ptr<const fleet_view> view();
     /// Sets the number of daemons that the platform lists, which include some that have ended.
     void recordListedDaemons(std::size_t count);
@@ -40,8 +40,6 @@
     /// Returns the newest update that has been received from any daemon, or an empty one if there is none.
     table_update tableUpdateOf(const std::string& table) const;
     bool isIsolated() const { return m_gossip->isIsolated(); }
-    /// Returns the time since the last datagram of any daemon; zero if this daemon knows no other one.
-    duration silence() const { return m_gossip->silence(); }
 
 private:
     std::size_t sizeFor(std::size_t aliveCount, time_point now);
--- a/include/radishflow/Gossip/gossip_transport.h
+++ b/include/radishflow/Gossip/gossip_transport.h
@@ -40,7 +40,6 @@
     std::optional<member> memberOf(const daemon_id&) const;
     incarnation_number incarnation() const;
     bool isIsolated() const;
-    duration silence() const;
     membership_counters counters() const;
     gossip_traffic traffic() const;
     /// Returns the bound address, with the port that the system chose if 0 was given.
--- a/include/radishflow/Membership/member.h
+++ b/include/radishflow/Membership/member.h
@@ -22,6 +22,7 @@
     std::map<std::string, member_record> records;
     bool isRegionReachable = true; ///< False while no datagrams arrive from the member's region.
     bool isLeavingHint = false; ///< The platform's host list, which may be outdated, marks its host as leaving.
+    bool isResponsive = true; ///< False once probes have been unanswered, and the member silent, for unresponsiveTime.
     bool isFlapping = false; ///< Its state changes often, so updates about it are deferred.
 };
 
--- a/include/radishflow/Membership/membership_options.h
+++ b/include/radishflow/Membership/membership_options.h
@@ -37,9 +37,14 @@
     duration indirectAfter = std::chrono::milliseconds { 400 };
     duration probeTimeout = std::chrono::milliseconds { 900 };
     std::size_t indirectProbes = 3;
+    std::size_t furtherProbes = 3; ///< Members that are probed in addition for each one that does not answer its first ping or is suspected by another daemon.
+    std::size_t furtherProbesPerSecond = 100; ///< Limit of these probes; twice as many may be sent at once.
+    std::size_t pingRequestsPerSecond = 50; ///< Limit of the pings that other members are asked to send.
+    duration unresponsiveTime = std::chrono::milliseconds { 2500 }; ///< Time of unanswered probes after which a member counts as unresponsive.
     duration suspicionTimeout = std::chrono::milliseconds { 2000 }; ///< Multiplied by log10 of the region's number of members, but at least by 1.
     duration reprobeInterval = std::chrono::milliseconds { 400 }; ///< Between probes of a suspect.
-    int receivedSuspicionFactor = 3; ///< Factor on the suspicion timeout when the suspicion was received, not raised by own probes.
+    duration minReprobeGap = std::chrono::milliseconds { 20 }; ///< Between probes of different suspects, on average.
+    int receivedSuspicionFactor = 3; ///< Factor on the suspicion timeout when the suspicion was received, not raised by own probes, and if most members of the region were suspects at the same time.
     duration pauseThreshold = std::chrono::milliseconds { 1000 }; ///< A gap of this length between ticks counts as a pause of this process.
 
     duration crossRegionInterval = std::chrono::seconds { 2 };
--- a/include/radishflow/Membership/membership_table.h
+++ b/include/radishflow/Membership/membership_table.h
@@ -2,7 +2,6 @@
 // dissemination of updates, and anti-entropy.
 #pragma once
 
-#include "radishflow/Membership/byte_budget.h"
 #include "radishflow/Membership/load_aggregator.h"
 #include "radishflow/Membership/member.h"
 #include "radishflow/Membership/member_list.h"
@@ -13,6 +12,7 @@
 #include "radishflow/Membership/probe_table.h"
 #include "radishflow/Membership/region_reachability.h"
 #include "radishflow/Membership/seed_peer.h"
+#include "radishflow/Membership/token_bucket.h"
 #include "radishflow/Membership/update_queue.h"
 
 #include <optional>
@@ -69,8 +69,6 @@
     /// Returns whether no datagram arrived for two probe timeouts although other members are live; the view is
     /// then stale.
     bool isIsolated() const;
-    /// Returns the time since the last datagram of any member; zero if no other member is live, or if this process was paused.
-    duration silence() const;
     const membership_counters& counters() const { return m_counters; }
     const membership_options& options() const { return m_options; }
 
@@ -83,6 +81,9 @@
     member viewOf(const member_entry&, time_point now) const;
     std::size_t retransmitLimit() const;
     bool isOwnRegion(const member_entry&) const;
+    /// Returns whether a member takes messages, as far as this daemon knows.
+    static bool isReachable(const member_entry& entry) { return entry.update.status.state() == member_state::Alive && !entry.unansweredSince; }
+    bool isResponsive(const member_entry&, time_point now) const;
     static bool isDue(time_point& next, time_point now, duration interval);
 
     void send(message_list&, const peer_address& to, gossip_message, bool includesUpdates);
@@ -94,13 +95,16 @@
 
     void detectPause(time_point now);
     void probeLiveMembers(message_list&, time_point now);
+    void probeFurtherMembers(message_list&, time_point now);
     void probeDeadMembersAndSeeds(message_list&, time_point now);
     void gossip(message_list&, time_point now);
     void publishPendingRecords(time_point now);
     void enqueueDeferredUpdates(time_point now);
 
+    void recordFailure(const probe&);
     void suspectUnlessAnswered(const probe&, time_point now);
-    void checkSuspicions(message_list&, time_point now);
+    void checkSuspicions(time_point now);
+    void reprobeUnresponsiveMembers(message_list&, time_point now);
     duration suspicionTimeout(const member_entry&) const;
     void declareDead(const daemon_id&, time_point now);
     void applyMember(const member_update&, time_point now);
@@ -111,6 +115,7 @@
     void updateSender(message_list&, const peer_address& from, const gossip_message&, time_point now);
     void mergeUpdates(const gossip_message&, time_point now, std::vector<std::uint32_t>& staleKeys);
     void dispatch(message_list&, const peer_address& from, const gossip_message&, std::vector<std::uint32_t> staleKeys, time_point now);
+    static void recordAnswer(member_entry&, time_point now);
     void acceptAck(message_list&, const gossip_message&, time_point now);
     void relayPing(message_list&, const peer_address& from, const gossip_message&, time_point now);
     void synchronise(message_list&, const peer_address& from, const gossip_message&, time_point now);
@@ -130,7 +135,10 @@
     probe_schedule<Random> m_schedule;
     region_reachability m_regions;
     load_aggregator m_loads;
-    byte_budget m_budget;
+    token_bucket m_budget; ///< Of bytes.
+    token_bucket m_furtherProbes;
+    std::size_t m_furtherProbesDue = 0;
+    token_bucket m_pingRequests;
     membership_counters m_counters;
     std::vector<seed_peer> m_seeds;
     std::set<peer_address> m_leaving; ///< Addresses of the seeds that are leaving.
--- a/include/radishflow/Membership/membership_table_probes.h
+++ b/include/radishflow/Membership/membership_table_probes.h
@@ -91,6 +91,27 @@
         startProbe(out, *entry, probe::purpose::OtherRegion, now);
 }
 
+// At the ordinary rate, the probes of a few daemons would take the longer to reach all members, the more of them are lost at the
+// same moment. Each ping without an answer and each suspicion of another daemon entitles this one to further probes. They
+// multiply if many members are lost, and cease soon after a single loss.
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::probeFurtherMembers(message_list& out, time_point now)
+{
+    const auto isUnknown = [&](const member_entry& entry) {
+        return isReachable(entry) && now - entry.answeredAt >= m_options.probeTimeout && !m_probes.isOpen(entry.update.id);
+    };
+    while (m_furtherProbesDue > 0 && !m_furtherProbes.isSpent()) {
+        const member_entry* entry = m_schedule.nextInRound(m_list, isUnknown);
+        if (!entry) {
+            m_furtherProbesDue = 0;
+            return;
+        }
+        --m_furtherProbesDue;
+        m_furtherProbes.spend(1);
+        startProbe(out, *entry, probe::purpose::OwnRegion, now);
+    }
+}
+
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 void membership_table<Clock, Random>::probeDeadMembersAndSeeds(message_list& out, time_point now)
 {
@@ -124,6 +145,8 @@
     case probe_step::action::Repeat:
         if (step.subject.reason != probe::purpose::Rejoin)
             sendPing(out, step.subject);
+        if (step.subject.reason == probe::purpose::OwnRegion)
+            m_furtherProbesDue += m_options.furtherProbes;
         return;
     case probe_step::action::ProbeIndirectly:
         if (step.subject.reason != probe::purpose::OwnRegion)
@@ -132,8 +155,10 @@
         sendPingRequests(out, step.subject, m_options.indirectProbes);
         return;
     case probe_step::action::Fail:
-        if (step.subject.reason == probe::purpose::OwnRegion)
+        if (step.subject.reason == probe::purpose::OwnRegion) {
+            recordFailure(step.subject);
             suspectUnlessAnswered(step.subject, now);
+        }
         return;
     }
 }
@@ -144,9 +169,12 @@
     if (m_options.testSwitches.noIndirectProbes)
         return;
     const auto isHelper = [&](const member_entry& entry) {
-        return entry.update.id != subject.target && entry.update.status.state() == member_state::Alive && isOwnRegion(entry);
+        return entry.update.id != subject.target && isReachable(entry) && isOwnRegion(entry);
     };
     for (const member_entry* helper : m_schedule.sample(m_list, count, isHelper)) {
+        if (m_pingRequests.isSpent())
+            return;
+        m_pingRequests.spend(1);
         gossip_message request;
         request.kind = message_kind::PingRequest;
         request.sequence = subject.sequence;
@@ -156,6 +184,17 @@
     }
 }
 
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::recordFailure(const probe& subject)
+{
+    member_entry* entry = m_list.find(subject.target);
+    if (!entry || entry->answeredAt >= subject.startedAt)
+        return;
+    entry->hasFailedProbe = true;
+    if (!entry->unansweredSince)
+        entry->unansweredSince = subject.startedAt;
+}
+
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 void membership_table<Clock, Random>::suspectUnlessAnswered(const probe& subject, time_point now)
 {
@@ -192,33 +231,51 @@
     // A refutation takes longer to propagate in a larger region.
     const double scale = std::max(1.0, std::log10(static_cast<double>(m_list.liveCount(entry.update.region))));
     const auto own = std::chrono::duration_cast<duration>(m_options.suspicionTimeout * scale);
-    return entry.isOwnSuspicion ? own : own * m_options.receivedSuspicionFactor;
+    // Every member that is declared dead takes a new incarnation when a partition heals.
+    return entry.isOwnSuspicion && !entry.isPartitionLikely ? own : own * m_options.receivedSuspicionFactor;
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
-void membership_table<Clock, Random>::checkSuspicions(message_list& out, time_point now)
+void membership_table<Clock, Random>::checkSuspicions(time_point now)
 {
     std::vector<daemon_id> dead;
+    // Most members of a region are rarely lost at once; a partition may separate this daemon and a few others from them.
+    const bool areMostSuspects = 2 * m_list.suspects().size() > m_list.liveCount(m_options.region);
     for (const daemon_id& id : m_list.suspects()) {
         member_entry& entry = *m_list.find(id);
         if (!isOwnRegion(entry) || hasLeft())
             continue;
         // The suspect has answered a probe but not yet refuted the suspicion; its timeout starts over.
         entry.suspectedAt = std::max(entry.suspectedAt, entry.answeredAt);
+        entry.isPartitionLikely = entry.isPartitionLikely || areMostSuspects;
         const bool isPartitioned = m_lastReceivedAt < entry.suspectedAt && m_list.liveCount() > 2;
-        if (!isPartitioned && now - entry.suspectedAt >= suspicionTimeout(entry)) {
+        if (!isPartitioned && now - entry.suspectedAt >= suspicionTimeout(entry))
             dead.push_back(id);
-            continue;
-        }
-        if (entry.isOwnSuspicion && now - entry.reprobedAt >= m_options.reprobeInterval) {
-            entry.reprobedAt = now;
-            reprobe(out, entry, now);
-        }
     }
     for (const daemon_id& id : dead)
         declareDead(id, now);
 }
 
+// Members that did not answer are probed more often than others, so that they are soon known to respond again. If they are many,
+// each is probed less often.
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::reprobeUnresponsiveMembers(message_list& out, time_point now)
+{
+    std::vector<daemon_id> unresponsive;
+    for (const auto& [id, entry] : m_list.entries()) {
+        if (!entry.update.status.isTerminal() && isOwnRegion(entry) && (entry.isOwnSuspicion || entry.hasFailedProbe))
+            unresponsive.push_back(id);
+    }
+    const duration interval = std::max(m_options.reprobeInterval, m_options.minReprobeGap * static_cast<std::int64_t>(unresponsive.size()));
+    for (const daemon_id& id : unresponsive) {
+        member_entry& entry = *m_list.find(id);
+        if (now - entry.reprobedAt < interval)
+            continue;
+        entry.reprobedAt = now;
+        reprobe(out, entry, now);
+    }
+}
+
 // Before a member is declared dead, twice as many members as for an ordinary probe are asked to ping it, because
 // a partition may separate several of them from the suspect.
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
--- a/include/radishflow/Membership/membership_table_receive.h
+++ b/include/radishflow/Membership/membership_table_receive.h
@@ -34,6 +34,7 @@
     member_entry* entry = m_list.find(message.sender);
     if (!entry)
         return;
+    entry->heardAt = now;
     m_regions.recordReceipt(entry->update.region, now);
     const member_status seen { .incarnation = message.incarnation, .refutation = message.refutation };
     if (seen.incarnation == entry->update.status.incarnation && seen > entry->update.status) {
@@ -84,8 +85,11 @@
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 void membership_table<Clock, Random>::applyMember(const member_update& update, time_point now)
 {
-    if (m_list.merge(update, now))
-        enqueueUpdate(update.id, now);
+    if (!m_list.merge(update, now))
+        return;
+    if (update.status.state() == member_state::Suspect)
+        m_furtherProbesDue += m_options.furtherProbes;
+    enqueueUpdate(update.id, now);
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
@@ -164,12 +168,24 @@
     }
 }
 
+template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
+void membership_table<Clock, Random>::recordAnswer(member_entry& entry, time_point now)
+{
+    entry.answeredAt = now;
+    entry.unansweredSince.reset();
+    entry.hasFailedProbe = false;
+}
+
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
 void membership_table<Clock, Random>::acceptAck(message_list& out, const gossip_message& message, time_point now)
 {
     const auto acknowledged = m_probes.acknowledge(message.sequence);
-    if (!acknowledged)
+    if (!acknowledged) {
+        // The answer is late, but shows that the member answers.
+        if (member_entry* entry = message.target.empty() ? m_list.find(message.sender) : nullptr)
+            recordAnswer(*entry, now);
         return;
+    }
     if (acknowledged->reason == probe::purpose::Relay) {
         gossip_message ack;
         ack.kind = message_kind::Ack;
@@ -182,7 +198,7 @@
     if (!acknowledged->target.empty() && acknowledged->target != responder)
         return;
     if (member_entry* entry = m_list.find(responder))
-        entry->answeredAt = now;
+        recordAnswer(*entry, now);
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
--- a/include/radishflow/Membership/membership_table_ticks.h
+++ b/include/radishflow/Membership/membership_table_ticks.h
@@ -18,6 +18,8 @@
     , m_schedule(m_options, random)
     , m_loads(m_options)
     , m_budget(m_options.gossipBytesPerSecond, m_options.gossipBurstBytes)
+    , m_furtherProbes(m_options.furtherProbesPerSecond, 2 * m_options.furtherProbesPerSecond)
+    , m_pingRequests(m_options.pingRequestsPerSecond, m_options.pingRequestsPerSecond)
 {
     assert(!m_options.id.empty() && "a member needs an id");
     const time_point now = m_clock.now();
@@ -58,14 +60,19 @@
     const time_point now = m_clock.now();
     detectPause(now);
     m_budget.refill(now);
+    m_furtherProbes.refill(now);
+    m_pingRequests.refill(now);
     message_list out;
     for (const probe_step& step : m_probes.advance(now))
         executeStep(out, step, now);
-    checkSuspicions(out, now);
+    checkSuspicions(now);
+    if (!hasLeft())
+        reprobeUnresponsiveMembers(out, now);
     enqueueDeferredUpdates(now);
     publishPendingRecords(now);
     if (!hasLeft()) {
         probeLiveMembers(out, now);
+        probeFurtherMembers(out, now);
         probeDeadMembersAndSeeds(out, now);
     }
     gossip(out, now);
@@ -101,8 +108,13 @@
     m_probes.clear();
     m_regions.restart(now);
     m_lastReceivedAt = now;
-    for (const daemon_id& id : m_list.suspects())
-        m_list.find(id)->suspectedAt += gap;
+    for (const auto& [id, listed] : m_list.entries()) {
+        member_entry& entry = *m_list.find(id);
+        if (entry.update.status.state() == member_state::Suspect)
+            entry.suspectedAt += gap;
+        if (entry.unansweredSince)
+            *entry.unansweredSince += gap;
+    }
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
@@ -117,7 +129,8 @@
 {
     if (!isDue(m_nextGossip, now, m_options.gossipInterval) || m_updates.empty())
         return;
-    const auto isOwn = [&](const member_entry& entry) { return !entry.update.status.isTerminal() && isOwnRegion(entry); };
+    // After the loss of most members, updates sent to the lost ones would hardly spread.
+    const auto isOwn = [&](const member_entry& entry) { return isReachable(entry) && isOwnRegion(entry); };
     const auto isForeign = [&](const member_entry& entry) { return !entry.update.status.isTerminal() && !isOwnRegion(entry); };
     std::size_t foreign = 0;
     for (std::size_t i = 0; i < m_options.gossipFanout; ++i)
@@ -230,10 +243,12 @@
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
-duration membership_table<Clock, Random>::silence() const
+bool membership_table<Clock, Random>::isResponsive(const member_entry& entry, time_point now) const
 {
-    const time_point now = m_clock.now();
-    return m_list.liveCount() <= 1 || now - m_lastTickAt >= m_options.pauseThreshold ? duration::zero() : now - m_lastReceivedAt;
+    // After a pause of this process, answers may wait to be read.
+    const bool isPaused = now - m_lastTickAt >= m_options.pauseThreshold;
+    // A datagram of the member counts as well, since this daemon may be unable to send.
+    return isPaused || !entry.unansweredSince || now - std::max(*entry.unansweredSince, entry.heardAt) < m_options.unresponsiveTime;
 }
 
 template <monotonic_clock Clock, std::uniform_random_bit_generator Random>
@@ -252,6 +267,7 @@
         .records = isRetentionExpired ? decltype(entry.records) {} : entry.records,
         .isRegionReachable = update.id == m_options.id || hasRecentReceipt,
         .isLeavingHint = m_leaving.contains(update.address),
+        .isResponsive = isResponsive(entry, now),
         .isFlapping = m_list.flapsOf(entry, now) > m_options.flapThreshold };
 }
 
--- a/include/radishflow/Membership/probe_schedule.h
+++ b/include/radishflow/Membership/probe_schedule.h
@@ -27,7 +27,28 @@
         ++m_turn;
         if (m_turn % 2 == 0)
             return nextOnRing(list, m_turn / 2 % 2);
-        return nextInRound(list);
+        return nextInRound(list, [](const member_entry&) { return true; });
+    }
+
+    /// Returns the next member of the shuffled round for which matches(entry) holds, or null if there is none. The others are left
+    /// out of the round.
+    template <typename Predicate>
+    const member_entry* nextInRound(const member_list& list, Predicate&& matches)
+    {
+        for (int refills = 0; refills < 2; ++refills) {
+            while (!m_round.empty()) {
+                const member_entry* entry = list.find(m_round.back());
+                m_round.pop_back();
+                if (entry && isProbeCandidate(*entry) && matches(*entry))
+                    return entry;
+            }
+            for (const auto& [id, entry] : list.entries()) {
+                if (isProbeCandidate(entry))
+                    m_round.push_back(id);
+            }
+            std::shuffle(m_round.begin(), m_round.end(), m_random);
+        }
+        return nullptr;
     }
 
     /// Returns up to `count` distinct random members, other than this daemon, for which matches(entry) holds.
@@ -58,7 +79,8 @@
 private:
     bool isProbeCandidate(const member_entry& entry) const
     {
-        if (entry.update.id == m_options.id || entry.update.status.isTerminal())
+        // Suspects of this daemon are probed until they answer or are declared dead.
+        if (entry.update.id == m_options.id || entry.update.status.isTerminal() || entry.isOwnSuspicion)
             return false;
         return m_options.testSwitches.noRegions || entry.update.region == m_options.region;
     }
@@ -78,24 +100,6 @@
         return ring[neighbour].second;
     }
 
-    const member_entry* nextInRound(const member_list& list)
-    {
-        for (int refills = 0; refills < 2; ++refills) {
-            while (!m_round.empty()) {
-                const member_entry* entry = list.find(m_round.back());
-                m_round.pop_back();
-                if (entry && isProbeCandidate(*entry))
-                    return entry;
-            }
-            for (const auto& [id, entry] : list.entries()) {
-                if (isProbeCandidate(entry))
-                    m_round.push_back(id);
-            }
-            std::shuffle(m_round.begin(), m_round.end(), m_random);
-        }
-        return nullptr;
-    }
-
     const membership_options& m_options;
     Random& m_random;
     std::vector<daemon_id> m_round;
--- a/include/radishflow/Membership/byte_budget.h
+++ b/include/radishflow/Membership/token_bucket.h
@@ -1,4 +1,4 @@
-// Declares byte_budget, a token bucket that limits the bytes sent by gossip and synchronisation.
+// Declares token_bucket, which limits the rate of what a daemon sends: bytes, or probes.
 #pragma once
 
 #include "radishflow/Support/monotonic_clock.h"
@@ -8,12 +8,12 @@
 
 namespace radishflow {
 
-/// Spending may overdraw the budget; it then stays spent until the refill covers the debt. Not thread-safe.
-class byte_budget {
+/// Spending may overdraw the bucket; it then stays spent until the refill covers the debt. Not thread-safe.
+class token_bucket {
 public:
-    byte_budget(std::size_t bytesPerSecond, std::size_t burstBytes)
-        : m_rate(static_cast<double>(bytesPerSecond))
-        , m_burst(static_cast<double>(burstBytes))
+    token_bucket(std::size_t tokensPerSecond, std::size_t burst)
+        : m_rate(static_cast<double>(tokensPerSecond))
+        , m_burst(static_cast<double>(burst))
         , m_tokens(m_burst)
     {
     }
@@ -26,7 +26,7 @@
     }
 
     bool isSpent() const { return m_tokens <= 0; }
-    void spend(std::size_t bytes) { m_tokens -= static_cast<double>(bytes); }
+    void spend(std::size_t tokens) { m_tokens -= static_cast<double>(tokens); }
 
 private:
     double m_rate;
--- a/include/radishflow/Routing/caller_addresses.h
+++ b/include/radishflow/Routing/caller_addresses.h
@@ -13,12 +13,11 @@
     bool isReady = false;
     bool isStopping = false;
     bool reachesServers = true;
-    bool isAlone = false; ///< It has had no sign of any other daemon for so long that they may all be lost.
 };
 
 /// Returns the addresses of the daemons that accept callers and reach backend servers. The others are included if they are more
 /// than half, as the few that reach servers could not bear all callers; they forward the requests. If no daemon is known to accept
-/// callers, returns all addresses, since any is better than none. A daemon that is alone names itself only.
+/// callers, returns all addresses, since any is better than none. A daemon that is stopping names itself only if it knows no other.
 std::vector<std::string> callerAddresses(const fleet_view&, const own_caller_state&);
 
 } // namespace radishflow
--- a/include/radishflow/Routing/fleet_view.h
+++ b/include/radishflow/Routing/fleet_view.h
@@ -11,7 +11,7 @@
 /// Immutable after publication.
 struct fleet_view {
     daemon_id self;
-    std::vector<fleet_daemon> daemons; ///< Daemons that are alive, including this one.
+    std::vector<fleet_daemon> daemons; ///< Daemons that respond, including this one.
     /// Number of daemons among which fleet-wide limits are divided. The estimate tends to be too high, so that each share is
     /// too small rather than too large.
     std::size_t size = 1;
--- a/lib/Fleet/fleet_membership.cpp
+++ b/lib/Fleet/fleet_membership.cpp
@@ -106,7 +106,7 @@
     auto snapshot = std::make_shared<fleet_view>();
     snapshot->self = m_options.daemon;
     for (const member& daemon : m_gossip->members()) {
-        if (daemon.state == member_state::Dead || daemon.state == member_state::Left)
+        if (daemon.state == member_state::Dead || daemon.state == member_state::Left || !daemon.isResponsive)
             continue;
         const auto record = daemon.records.find(readinessKey);
         const auto forwarding = daemon.records.find(forwardingKey);
--- a/lib/Gossip/gossip_transport.cpp
+++ b/lib/Gossip/gossip_transport.cpp
@@ -285,11 +285,6 @@
     return m_implementation->withTable([](const auto& table) { return table.isIsolated(); });
 }
 
-duration gossip_transport::silence() const
-{
-    return m_implementation->withTable([](const auto& table) { return table.silence(); });
-}
-
 membership_counters gossip_transport::counters() const
 {
     return m_implementation->withTable([](const auto& table) { return table.counters(); });
--- a/lib/Membership/member_list.cpp
+++ b/lib/Membership/member_list.cpp
@@ -59,7 +59,15 @@
     if (changesState) {
         entry.changedAt = now;
         entry.isOwnSuspicion = false;
+        entry.isPartitionLikely = false;
         entry.suspectedAt = now;
+        if (update.status.state() != member_state::Suspect) {
+            entry.unansweredSince.reset();
+            entry.hasFailedProbe = false;
+        } else if (!entry.unansweredSince) {
+            // The probe behind the suspicion started at least this long ago.
+            entry.unansweredSince = now - m_options.probeTimeout;
+        }
         countFlap(entry, now);
     }
     refreshDigest(entry);
--- a/lib/Routing/caller_addresses.cpp
+++ b/lib/Routing/caller_addresses.cpp
@@ -10,10 +10,8 @@
     std::vector<std::string> reaching;
     for (const fleet_daemon& daemon : fleet.daemons) {
         const bool isSelf = daemon.id == fleet.self;
-        if (isSelf && own.isStopping)
+        if (isSelf && own.isStopping && fleet.daemons.size() > 1)
             continue;
-        if (isSelf && own.isAlone)
-            return { daemon.callerAddress };
         all.push_back(daemon.callerAddress);
         if (!(isSelf ? own.isReady : daemon.acceptsCallers))
             continue;
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -53,9 +53,6 @@
 // Daemons that send their evidence of roll-outs in each interval of refresh(); more take turns over several, so that the link of a
 // coordinator bears it.
 static constexpr std::size_t daemonsPerEvidenceRound = 100;
-// Daemons that are lost one at a time are declared dead sooner. A daemon that hears of no other one for longer is the last one or is cut
-// off from all of them, and can vouch only for itself.
-static constexpr std::chrono::milliseconds maxFleetSilence { 4500 };
 static constexpr std::chrono::milliseconds catchUpInterval { 150 };
 // Later than this after the start of a daemon, its own history of versions reaches back as far as any stream is resumed.
 static constexpr std::chrono::seconds originMemory { 30 };
@@ -367,7 +364,7 @@
     {
         if (!isLookupTarget(target))
             return { .status = 404, .contentType = "text/plain", .body = "not found\n" };
-        const auto addresses = callerAddresses(*routing.fleet(), { .isReady = isReady.load(), .isStopping = stop.isStopping(), .reachesServers = !access.hasLostAll(), .isAlone = fleet.silence() > maxFleetSilence });
+        const auto addresses = callerAddresses(*routing.fleet(), { .isReady = isReady.load(), .isStopping = stop.isStopping(), .reachesServers = !access.hasLostAll() });
         return { .status = 200, .body = writeLookupResponse(addresses, lookupLifetime) };
     }
 
