Daemons that start keep suspects they learn of for the suspicion timeout (membership)

Cause: the entry of a member that is first heard of as a suspect had no time of suspicion, so its timeout counted as over. A daemon that started while another was paused for a moment declared that one dead at once, which cost it its incarnation and took it out of all directories.

Change: the evidence for or against a member starts when it becomes known, as it does when its state changes.

--- a/include/radishflow/Membership/member_list.h
+++ b/include/radishflow/Membership/member_list.h
@@ -71,6 +71,7 @@
 
 private:
     void countFlap(member_entry&, time_point now) const;
+    void restartEvidence(member_entry&, time_point now) const;
     void refreshDigest(member_entry&);
     void recount();
 
--- a/lib/Membership/member_list.cpp
+++ b/lib/Membership/member_list.cpp
@@ -44,6 +44,7 @@
         member_entry& entry = m_entries[update.id];
         entry.update = update;
         entry.changedAt = now;
+        restartEvidence(entry, now);
         entry.keyHash = memberHash(update.id);
         refreshDigest(entry);
         return true;
@@ -58,22 +59,28 @@
     entry.update = update;
     if (changesState) {
         entry.changedAt = now;
-        entry.isOwnSuspicion = false;
-        entry.isPartitionLikely = false;
-        entry.suspectedAt = now;
-        if (update.status.state() != member_state::Suspect) {
-            entry.unansweredSince.reset();
-            entry.hasFailedProbe = false;
-        } else if (!entry.unansweredSince) {
-            // The probe behind the suspicion started at least this long ago.
-            entry.unansweredSince = now - m_options.probeTimeout;
-        }
+        restartEvidence(entry, now);
         countFlap(entry, now);
     }
     refreshDigest(entry);
     return true;
 }
 
+// The evidence for or against a member starts over when its state changes, or when it becomes known.
+void member_list::restartEvidence(member_entry& entry, time_point now) const
+{
+    entry.isOwnSuspicion = false;
+    entry.isPartitionLikely = false;
+    entry.suspectedAt = now;
+    if (entry.update.status.state() != member_state::Suspect) {
+        entry.unansweredSince.reset();
+        entry.hasFailedProbe = false;
+    } else if (!entry.unansweredSince) {
+        // The probe behind the suspicion started at least this long ago.
+        entry.unansweredSince = now - m_options.probeTimeout;
+    }
+}
+
 bool member_list::merge(const record_update& update)
 {
     member_entry* entry = find(update.id);
--- a/unittests/Membership/mass_loss_test.cpp
+++ b/unittests/Membership/mass_loss_test.cpp
@@ -53,6 +53,23 @@
         BOOST_TEST(fleet.table(i).counters().newIncarnations == 0U);
 }
 
+// Guards against the death of a daemon that another one, which has just started, knows as a suspect only.
+BOOST_DATA_TEST_CASE(daemonThatStartsDeclaresNoSuspectDeadAtOnce, data::make(seeds), seed)
+{
+    virtual_fleet fleet({ .daemons = 7, .randomSeed = seed });
+    fleet.run(10s);
+    fleet.kill(6);
+    fleet.run(10s);
+    fleet.pause(5);
+    fleet.runUntil([&] { return fleet.view(0, 5).state == member_state::Suspect; }, 5s);
+    fleet.start(6);
+    fleet.run(500ms);
+    fleet.resume(5);
+    fleet.run(5s);
+    BOOST_TEST(fleet.table(5).counters().newIncarnations == 0U);
+    BOOST_TEST(fleet.hasConverged());
+}
+
 BOOST_DATA_TEST_CASE(daemonThatPausesForAMomentStaysListed, data::make({ std::size_t { 2 }, std::size_t { 3 }, std::size_t { 7 }, std::size_t { 20 } }) * data::make(seeds), daemons, seed)
 {
     virtual_fleet fleet({ .daemons = daemons, .randomSeed = seed });
