--- a/test/Relay/lost_daemons_test.cpp
+++ b/test/Relay/lost_daemons_test.cpp
@@ -53,26 +53,35 @@
     return versions;
 }
 
+enum class store_trouble {
+    None,
+    LosesRows, ///< Comes back from a copy without any row of the daemons, before they are lost.
+    AwayAsStreamsBegin,
+    AwayAsDaemonsStart,
+};
+
 /// The servers before and after all daemons are lost.
 struct fleet_loss_case {
     const char* name;
     int daemons;
     std::vector<std::string> versions; ///< Of the servers, in turn.
     bool isSecondVersionRemoved; ///< Before the daemons are lost.
-    bool isStoreRestored; ///< From a copy without any row of the daemons, before they are lost.
+    store_trouble store;
     std::set<std::string> resumableVersions; ///< At which streams go on.
 
     friend std::ostream& operator<<(std::ostream& out, const fleet_loss_case& testCase) { return out << testCase.name; }
 };
 
 const fleet_loss_case fleetLosses[] {
-    { "one version", 3, { "v1" }, false, false, { "v1" } },
-    { "one version, and the store lost the daemons' rows before", 3, { "v1" }, false, true, { "v1" } },
-    { "one version is left of two", 3, { "v1", "v2" }, true, false, { "v1" } },
-    { "two versions", 3, { "v1", "v2" }, false, false, { "v1", "v2" } },
-    { "five servers of one version and one of another", 3, { "v1", "v1", "v1", "v1", "v1", "v2" }, false, false, { "v1", "v2" } },
-    { "two versions, more daemons than hold each origin", 12, { "v1", "v2" }, false, false, { "v1", "v2" } },
-    { "two versions, and the store lost the daemons' rows before", 3, { "v1", "v2" }, false, true, { "v1", "v2" } },
+    { "one version", 3, { "v1" }, false, store_trouble::None, { "v1" } },
+    { "one version, and the store lost the daemons' rows before", 3, { "v1" }, false, store_trouble::LosesRows, { "v1" } },
+    { "one version is left of two", 3, { "v1", "v2" }, true, store_trouble::None, { "v1" } },
+    { "two versions", 3, { "v1", "v2" }, false, store_trouble::None, { "v1", "v2" } },
+    { "five servers of one version and one of another", 3, { "v1", "v1", "v1", "v1", "v1", "v2" }, false, store_trouble::None, { "v1", "v2" } },
+    { "two versions, more daemons than hold each origin", 12, { "v1", "v2" }, false, store_trouble::None, { "v1", "v2" } },
+    { "two versions, and the store lost the daemons' rows before", 3, { "v1", "v2" }, false, store_trouble::LosesRows, { "v1", "v2" } },
+    { "two versions, the store away as the streams begin", 3, { "v1", "v2" }, false, store_trouble::AwayAsStreamsBegin, { "v1", "v2" } },
+    { "two versions, the store away as the daemons start", 3, { "v1", "v2" }, false, store_trouble::AwayAsDaemonsStart, { "v1", "v2" } },
 };
 
 } // namespace
@@ -82,22 +91,25 @@
 BOOST_DATA_TEST_CASE(streamsGoOnAfterTheLossOfAllDaemons, boost::unit_test::data::make(fleetLosses), testCase)
 {
     constexpr auto recordTime = 1500ms;
+    constexpr auto awayTime = 2s;
     relay_fleet fleet { { .daemons = testCase.daemons, .servers = 6, .versions = testCase.versions } };
     fleet.store().takeBackup();
     std::this_thread::sleep_for(recordTime);
+    fleet.store().setUnreachable(testCase.store == store_trouble::AwayAsStreamsBegin);
     setAll(fleet, { .kind = server_response_kind::Cut });
     std::vector<std::string> positions;
     positions.reserve(streams);
     for (int number = 0; number < streams; ++number)
         positions.push_back(lastEventId(fleet.stream(number % fleet.daemons(), path, { .id = "s" + std::to_string(number), .key = relay_fleet::key, .timeLeft = 9s }).body));
     setAll(fleet, {});
-    std::this_thread::sleep_for(recordTime);
+    fleet.store().setUnreachable(false);
+    std::this_thread::sleep_for(testCase.store == store_trouble::AwayAsStreamsBegin ? 2 * recordTime : recordTime);
     if (testCase.isSecondVersionRemoved) {
         for (const int server : { 1, 3, 5 })
             fleet.store().unlist(fleet.server(server).id());
         std::this_thread::sleep_for(recordTime);
     }
-    if (testCase.isStoreRestored) {
+    if (testCase.store == store_trouble::LosesRows) {
         fleet.store().remove("versions", standinService);
         fleet.store().removeAll("stream-origins");
         fleet.store().takeBackup();
@@ -108,8 +120,12 @@
     for (int daemon = 0; daemon < fleet.daemons(); ++daemon)
         all.insert(daemon);
     kill(fleet, all);
+    fleet.store().setUnreachable(testCase.store == store_trouble::AwayAsDaemonsStart);
     for (const int daemon : all)
         fleet.restart(daemon);
+    if (testCase.store == store_trouble::AwayAsDaemonsStart)
+        std::this_thread::sleep_for(awayTime);
+    fleet.store().setUnreachable(false);
     for (const int daemon : all)
         BOOST_REQUIRE(fleet.waitReady(daemon));
     int resumable = 0;
