--- a/include/radishflow/Fleet/stream_origin_recorder.h
+++ b/include/radishflow/Fleet/stream_origin_recorder.h
@@ -33,8 +33,8 @@
     void sendOwn(const fleet_view&, time_point now);
     /// Writes the needed origins if this daemon is a recorder.
     void record(const fleet_view&, time_point now);
-    /// Lets record() write again what the store has lost.
-    void restart() { m_collected.putBackAll(); }
+    /// Lets record() write all origins of the last half minute again, as a store that came back from a copy may have lost them.
+    void recordAgain() { m_collected.putBackAll(); }
 
 private:
     stream_origin_recorder_options m_options;
--- a/tools/radishflow-relayd/relay_daemon.cpp
+++ b/tools/radishflow-relayd/relay_daemon.cpp
@@ -297,7 +297,7 @@
     {
         // A store that came back from a copy may have lost rows.
         if (std::exchange(recordedEra, feed.storeEra()) != feed.storeEra())
-            originRecorder.restart();
+            originRecorder.recordAgain();
         if (originRows.isWriteDue())
             originRecorder.record(*routing.fleet(), clock.now());
     }
--- a/unittests/Membership/fault_tolerance_test.cpp
+++ b/unittests/Membership/fault_tolerance_test.cpp
@@ -229,7 +229,7 @@
     BOOST_TEST(fleet.hasConverged());
 }
 
-// Guards against the last daemon of a fleet that names the lost ones for good, as it declares nobody dead while it hears nobody,
+// Guards against the last daemon of a fleet that lists the lost ones for good, as it declares no member dead while no datagram arrives,
 // and against one that takes its own pause for the loss of the others.
 BOOST_AUTO_TEST_CASE(lastDaemonKnowsWhichOthersRespond)
 {
