review/11 to 15: tell a failure of a script from a broken rule

An interpreter that fails exits with 1, which is the status for a broken rule. The scripts now use a status of their own, which run.sh translates.

--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -21,6 +21,8 @@
 TENANT = "tenant-one"
 CONTACT_S = 3.0
 HEARTBEAT_S = 1.2
+# Exit statuses, which run.sh translates: the interpreter itself exits with 1 if it fails.
+HELD, NOT_RUN, BROKEN = 0, 2, 3
 
 
 class CannotRun(Exception):
@@ -644,7 +646,9 @@
 
 
 def run_case(folder, case):
-    """Runs `case(record, sites, has_trouble)`, which returns whether the rule held, and exits with the status of the script."""
+    """Runs `case(record, sites, has_trouble)`, which returns whether the rule held, and exits with the status for run.sh."""
+    # The daemons end also if the script is asked to.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     # Connections that the stand-ins abort leave tasks behind.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     record = Record(folder)
@@ -661,15 +665,15 @@
 
     try:
         has_held = asyncio.run(main())
-        status = 0 if has_held else 1
+        status = HELD if has_held else BROKEN
     except Exception as error:  # Whatever fails here is a failure of the script, not of the daemons.
         record.add(f"the case could not run: {error!r}")
-        status = 2
+        status = NOT_RUN
     finally:
         for site in sites:
             for daemon in site.daemons:
                 daemon.kill()
-    record.add({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[status])
+    record.add({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[status])
     record.write()
     print(record.lines[-1], flush=True)
     os._exit(status)
